--- /dev/null
+++ b/src/settings/fleet_settings.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "src/settings/policy_settings.h"
+#include "src/settings/pool_settings.h"
+#include "src/settings/service_settings.h"
+#include "src/settings/team_settings.h"
+#include "src/settings/wave_settings.h"
+
+namespace radishwing::settings {
+
+/// The whole settings tree of one revision, checked and immutable. Shared
+/// between threads as `std::shared_ptr<const fleet_settings>`.
+struct fleet_settings {
+  std::uint64_t revision = 0;  ///< Grows strictly with each accepted change.
+  std::string name;
+  std::int64_t identifier_retention_seconds = 600;
+  std::map<std::string, team_settings, std::less<>> teams;
+  std::map<std::string, pool_settings, std::less<>> pools;
+  std::map<std::string, service_settings, std::less<>> services;
+  std::map<std::string, wave_settings, std::less<>> waves;
+  policy_settings policy;
+};
+
+}  // namespace radishwing::settings
