--- /dev/null
+++ b/src/requests/claim.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace radishwing::requests {
+
+/// State of a request identifier, as its claim holders know it.
+enum class claim_state {
+  kFresh,        ///< Recorded at both copies; the request may run.
+  kRunning,      ///< Another request with this identifier runs.
+  kFinished,     ///< It has ended; outcome and status are set.
+  kConflict,     ///< Same identifier, other content.
+  kUnavailable,  ///< A copy cannot be asked.
+};
+
+/// How a request ended, as told to its caller.
+enum class outcome { kNone, kAnswered, kNotRun, kUnknown };
+
+/// A non-idempotent request that asks to run under its identifier.
+struct claim {
+  std::string request_id;
+  std::string team;
+  std::string digest;  ///< SHA-256 of method, target and body length.
+  std::string owner;   ///< "<host>#<incarnation>" of the entry that asks.
+};
+
+/// Reply to a claim. `outcome` and `status` are set when finished.
+struct claim_answer {
+  claim_state state = claim_state::kUnavailable;
+  requests::outcome outcome = outcome::kNone;
+  std::uint16_t status = 0;
+};
+
+}  // namespace radishwing::requests
