--- /dev/null
+++ b/src/control/control_options.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "src/base/clock.h"
+#include "src/membership/member_timing.h"
+
+namespace radishwing::control {
+
+/// Intervals and deadlines of a control process, in ms. Tests shorten them.
+struct control_timing {
+  membership::member_timing members;
+  millis call_deadline_ms = 2000;   ///< For one call to another process.
+  millis store_deadline_ms = 3000;  ///< For one call to the platform.
+  millis watch_wait_ms = 20000;     ///< Long poll of a watch.
+  /// Time to live of a duty lease. The relay of settings moves to another
+  /// control within this plus `lease_poll_ms`; the whole way has 9 s.
+  millis lease_ttl_ms = 4000;
+  millis lease_poll_ms = 1000;
+  millis live_poll_ms = 1000;  ///< Runners must stop within 3 s of the list.
+  millis hosts_poll_ms = 10000;
+  millis snapshot_wait_ms = 5000;  ///< Long poll of an entry.
+  /// An entry session without a report for this long is broken.
+  millis entry_silent_ms = 5000;
+  /// Without contact to the store or another data centre for this long, the
+  /// data centre counts as cut off.
+  millis cut_off_after_ms = 5000;
+};
+
+/// What a control process is started with.
+struct control_options {
+  std::string host;
+  std::string data_centre;
+  std::uint64_t incarnation = 0;  ///< Start time in ms since the Unix epoch.
+  std::string rpc_address = "127.0.0.1:0";
+  std::string fleet_secret;
+  std::vector<std::string> peers;  ///< Controls to contact first.
+  control_timing timing;
+};
+
+}  // namespace radishwing::control
--- /dev/null
+++ b/src/control/control_process.cc
@@ -0,0 +1,74 @@
+#include "src/control/control_process.h"
+
+#include <future>
+#include <utility>
+
+#include "src/control/control_core.h"
+#include "src/rpc/event_thread.h"
+
+namespace radishwing::control {
+namespace {
+
+// Results from the store and inspections that may wait for the decide thread.
+constexpr std::size_t kDecideRing = 1024;
+
+}  // namespace
+
+struct control_process::impl {
+  explicit impl(control_options options)
+      : thread("decide", kDecideRing,
+               [this, options = std::move(options)](kj::AsyncIoContext& io) {
+                 return Start(io, options);
+               }) {}
+
+  std::shared_ptr<void> Start(kj::AsyncIoContext& io,
+                              const control_options& options) {
+    result<std::string> answer = failure{failure_kind::kInternal, ""};
+    std::shared_ptr<control_core> made;
+    KJ_IF_MAYBE (exception, kj::runCatchingExceptions([&] {
+                   made = std::make_shared<control_core>(io, options);
+                   answer = made->Listen().wait(io.waitScope);
+                 })) {
+      answer = failure{failure_kind::kUnavailable,
+                       exception->getDescription().cStr()};
+      made.reset();
+    }
+    core = made.get();
+    bound.set_value(std::move(answer));
+    return made;
+  }
+
+  std::promise<result<std::string>> bound;
+  std::string address;
+  control_core* core = nullptr;  // Only used on the decide thread.
+  rpc::event_thread thread;  // Last: its destruction ends all use of the rest.
+};
+
+result<std::unique_ptr<control_process>> control_process::Make(
+    control_options options) {
+  if (options.fleet_secret.empty()) {
+    return failure{failure_kind::kInvalid, "the fleet secret is empty"};
+  }
+  auto made = std::make_unique<impl>(std::move(options));
+  result<std::string> bound = made->bound.get_future().get();
+  if (!Ok(bound)) return Error(bound);
+  made->address = Value(bound);
+  return std::unique_ptr<control_process>(new control_process(std::move(made)));
+}
+
+control_process::control_process(std::unique_ptr<impl> impl)
+    : impl_(std::move(impl)) {}
+
+control_process::~control_process() = default;
+
+const std::string& control_process::RpcAddress() const {
+  return impl_->address;
+}
+
+void control_process::Inspect(std::function<void(control_core&)> action) {
+  impl_->thread.Run([&] {
+    if (impl_->core != nullptr) action(*impl_->core);
+  });
+}
+
+}  // namespace radishwing::control
--- /dev/null
+++ b/src/control/control_process.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "src/base/result.h"
+#include "src/control/control_options.h"
+#include "src/routing/runner_info.h"
+#include "src/rpc/settings_text.h"
+
+namespace radishwing::control {
+
+class control_core;
+
+/// A control process without its command line: the decide thread with all of
+/// the control's state. Several can live in one process for tests.
+class control_process {
+ public:
+  /// Starts the thread and listens. Fails if the address cannot be bound.
+  static result<std::unique_ptr<control_process>> Make(control_options options);
+  ~control_process();
+  control_process(const control_process&) = delete;
+  control_process& operator=(const control_process&) = delete;
+
+  /// "ip:port" that was bound for entries and other controls.
+  const std::string& RpcAddress() const;
+
+  /// Runs `action` on the decide thread and waits for it. For the operator
+  /// port and tests.
+  void Inspect(std::function<void(control_core&)> action);
+
+ private:
+  struct impl;
+  explicit control_process(std::unique_ptr<impl> impl);
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace radishwing::control
