--- /dev/null
+++ b/src/control/duty_lease.cc
@@ -0,0 +1,119 @@
+#include "src/control/duty_lease.h"
+
+#include <utility>
+
+#include "src/base/log.h"
+
+namespace radishwing::control {
+
+duty_lease::duty_lease(kj::Timer& timer, clock now,
+                       const control_timing& timing, store_port& store,
+                       std::string key, std::string holder)
+    : timer_(timer),
+      clock_(std::move(now)),
+      timing_(timing),
+      store_(store),
+      key_(std::move(key)),
+      holder_(std::move(holder)) {}
+
+kj::Promise<void> duty_lease::Run() {
+  return Step()
+      .then([this] {
+        // Three renewals fit into one time to live.
+        millis wait = held_ ? timing_.lease_ttl_ms / 3 : timing_.lease_poll_ms;
+        return timer_.afterDelay(wait * kj::MILLISECONDS);
+      })
+      .then([this] { return Run(); });
+}
+
+bool duty_lease::Held() {
+  // After a pause the platform has given the lease to another control.
+  if (held_ && clock_.Now() - renewed_ms_ >= timing_.lease_ttl_ms) {
+    Lost("expired");
+  }
+  return held_;
+}
+
+kj::Promise<void> duty_lease::Step() {
+  return Held() ? Renew() : TryAcquire();
+}
+
+kj::Promise<void> duty_lease::TryAcquire() {
+  return store_.Get(key_).then(
+      [this](result<std::optional<stored_value>> found) -> kj::Promise<void> {
+        if (!Ok(found) || Value(found).has_value()) return kj::READY_NOW;
+        renewed_ms_ = clock_.Now();
+        return store_.GrantLease(timing_.lease_ttl_ms)
+            .then([this](result<std::string> granted) -> kj::Promise<void> {
+              if (!Ok(granted)) return kj::READY_NOW;
+              lease_ = Value(granted);
+              return Save();
+            });
+      });
+}
+
+kj::Promise<void> duty_lease::Save() {
+  return store_.Put(key_, holder_, 0, lease_)
+      .then([this](result<put_answer> answer) -> kj::Promise<void> {
+        if (Ok(answer) && Value(answer).written) {
+          Gained();
+          return kj::READY_NOW;
+        }
+        if (Ok(answer)) return DropLease();
+        // The write may have taken effect: the key tells.
+        return CheckSaved();
+      });
+}
+
+kj::Promise<void> duty_lease::CheckSaved() {
+  return store_.Get(key_).then(
+      [this](result<std::optional<stored_value>> found) -> kj::Promise<void> {
+        bool own = Ok(found) && Value(found).has_value() &&
+                   Value(found)->value == holder_;
+        if (own) {
+          Gained();
+          return kj::READY_NOW;
+        }
+        return DropLease();
+      });
+}
+
+kj::Promise<void> duty_lease::Renew() {
+  millis sent = clock_.Now();
+  return store_.RenewLease(lease_).then([this, sent](result<done> answer) {
+    if (Ok(answer)) {
+      renewed_ms_ = sent;
+      return;
+    }
+    failure_kind kind = Error(answer).kind;
+    if (kind == failure_kind::kNotFound || kind == failure_kind::kConflict) {
+      Lost("the platform does not know the lease");
+    }
+  });
+}
+
+void duty_lease::Gained() {
+  held_ = true;
+  LogInfo("lease", "duty gained, key=" + key_);
+  if (on_change) on_change(true);
+}
+
+void duty_lease::Lost(const std::string& reason) {
+  held_ = false;
+  lease_.clear();
+  LogWarning("lease", "duty lost, key=" + key_ + " reason=" + reason);
+  if (on_change) on_change(false);
+}
+
+kj::Promise<void> duty_lease::DropLease() {
+  std::string lease = std::exchange(lease_, std::string());
+  return store_.DropLease(lease).ignoreResult();
+}
+
+kj::Promise<void> duty_lease::Release() {
+  if (!std::exchange(held_, false)) return kj::READY_NOW;
+  LogInfo("lease", "duty released, key=" + key_);
+  return DropLease();
+}
+
+}  // namespace radishwing::control
--- /dev/null
+++ b/src/control/platform_seam.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "src/base/clock.h"
+#include "src/base/result.h"
+
+namespace radishwing::control {
+
+/// One key of the platform's store.
+struct stored_value {
+  std::string key;
+  std::string value;
+  std::uint64_t version = 0;
+  bool deleted = false;  ///< Only in answers to a watch.
+};
+
+/// Several keys, as of one store revision.
+struct stored_values {
+  std::uint64_t revision = 0;
+  std::vector<stored_value> items;
+};
+
+/// Answer to a compare-and-swap. If it was not written, `current` is what the
+/// store holds.
+struct put_answer {
+  bool written = false;
+  stored_value current;
+};
+
+/// One runner of the live list.
+struct live_runner {
+  std::string id;
+  std::string service;
+  std::string host;
+  std::string address;
+  std::uint16_t slots = 8;
+  std::uint16_t connections = 64;
+  bool leaving = false;
+  std::uint32_t running = 0;
+};
+
+/// One host of the live list.
+struct live_host {
+  std::string host;
+  bool leaving = false;
+};
+
+struct live_list {
+  std::int64_t as_of_ms = 0;
+  std::vector<live_host> hosts;
+  std::vector<live_runner> runners;
+};
+
+/// Where a host stands.
+struct platform_host {
+  std::string host;
+  std::string data_centre;
+  std::string rack;
+};
+
+template <typename T>
+using reply_to = std::function<void(result<T>)>;
+
+/// The platform as a control uses it. Calls are made on the decide thread and
+/// must not block; replies may come on any thread, and each is used once.
+/// failure_kind::kTimeout says that a write may have taken effect.
+struct platform_seam {
+  std::function<void(std::string key, reply_to<std::optional<stored_value>>)>
+      get;
+  /// `expect` is the version the key must have, 0 if it must not exist.
+  /// `lease` may be empty.
+  std::function<void(std::string key, std::string value, std::uint64_t expect,
+                     std::string lease, reply_to<put_answer>)>
+      put;
+  std::function<void(std::string prefix, reply_to<stored_values>)> list;
+  std::function<void(std::string prefix, std::uint64_t after, millis wait_ms,
+                     reply_to<stored_values>)>
+      watch;
+  std::function<void(millis ttl_ms, reply_to<std::string>)> grant_lease;
+  std::function<void(std::string lease, reply_to<done>)> renew_lease;
+  std::function<void(std::string lease, reply_to<done>)> drop_lease;
+  std::function<void(reply_to<live_list>)> live;
+  std::function<void(reply_to<std::vector<platform_host>>)> hosts;
+};
+
+}  // namespace radishwing::control
--- a/src/rpc/event_thread.cc
+++ b/src/rpc/event_thread.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <future>
 #include <thread>
@@ -66,6 +67,7 @@
     RunTask([&] { object = start(io); });
     auto wakes = io.lowLevelProvider->wrapInputFd(read_end);
     RunTask([&] { Listen(*wakes).wait(io.waitScope); });
+    stopped = true;
     RunTask([&] { object.reset(); });
     RunTask([&] { io.waitScope.cancelAllDetached(); });
   }
@@ -76,6 +78,7 @@
   int read_end = -1;
   int write_end = -1;
   bool stopping = false;  // Only used on the loop thread.
+  std::atomic<bool> stopped{false};
   std::array<char, 64> buffer{};
   std::thread thread;
 };
@@ -98,7 +101,7 @@
 
 void event_thread::PostWait(std::function<void()> task) {
   // The consumer empties the ring without blocking, so room appears soon.
-  while (!impl_->ring.TryPush(std::move(task))) {
+  while (!impl_->stopped && !impl_->ring.TryPush(std::move(task))) {
     std::this_thread::sleep_for(std::chrono::milliseconds(1));
   }
 }
--- a/src/rpc/event_thread.h
+++ b/src/rpc/event_thread.h
@@ -34,7 +34,8 @@
   bool Post(std::function<void()> task);
 
   /// Like Post, but waits until the ring has room. For results that must not
-  /// be lost; not to be called on the loop thread.
+  /// be lost; not to be called on the loop thread. After the loop has stopped
+  /// the task is dropped.
   void PostWait(std::function<void()> task);
 
   /// Runs `task` on the loop thread and waits for its end. Must not be called
