--- a/cmake/third_party.cmake
+++ b/cmake/third_party.cmake
@@ -1,6 +1,6 @@
-# Asio, Beast, Boost.JSON and easylogging++ are compiled once here, so that
+# Asio, Beast, Boost.URL, Boost.JSON and easylogging++ are compiled once here, so that
 # the project's own files only see declarations.
-add_library(third_party_asio STATIC cmake/asio_impl.cc)
+add_library(third_party_asio STATIC cmake/asio_impl.cc cmake/url_impl.cc)
 target_compile_definitions(third_party_asio PUBLIC BOOST_ASIO_SEPARATE_COMPILATION
   BOOST_BEAST_SEPARATE_COMPILATION BOOST_ASIO_NO_DEPRECATED
   BOOST_ASIO_DISABLE_CONCEPTS)
--- /dev/null
+++ b/cmake/url_impl.cc
@@ -0,0 +1,2 @@
+// Compiles the non-template parts of Boost.URL.
+#include <boost/url/src.hpp>
--- /dev/null
+++ b/src/http/client.cc
@@ -0,0 +1,44 @@
+#include "src/http/client.h"
+
+#include <boost/asio/post.hpp>
+#include <utility>
+
+#include "src/http/address.h"
+#include "src/http/client_impl.h"
+
+namespace radishwing::http {
+
+client::client(std::shared_ptr<impl> impl) : impl_(std::move(impl)) {}
+
+client::~client() { impl_->Stop(); }
+
+result<std::unique_ptr<client>> client::Make(boost::asio::io_context& io,
+                                             client_options options) {
+  auto endpoint = ParseAddress(options.address);
+  if (!Ok(endpoint)) return Error(endpoint);
+  return std::unique_ptr<client>(new client(
+      std::make_shared<impl>(io, std::move(options), Value(endpoint))));
+}
+
+void client::Send(client_request request, completion completion) {
+  auto exchange = std::make_shared<client_exchange>(impl_->io);
+  exchange->deadline = std::chrono::steady_clock::now() +
+                       std::chrono::milliseconds(request.deadline_ms);
+  exchange->message = {request.method, request.target, 11};
+  exchange->message.set(boost::beast::http::field::host,
+                        impl_->options.address);
+  for (const header_field& field : request.headers) {
+    exchange->message.set(field.name, field.value);
+  }
+  exchange->message.body() = std::move(request.body);
+  exchange->message.prepare_payload();
+  exchange->request = std::move(request);
+  exchange->completion = std::move(completion);
+  boost::asio::post(impl_->io, [self = impl_, exchange] {
+    if (!self->stopped) self->Begin(exchange);
+  });
+}
+
+std::size_t client::OpenConnections() const { return impl_->open; }
+
+}  // namespace radishwing::http
--- /dev/null
+++ b/src/http/header_field.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace radishwing::http {
+
+/// One HTTP header field.
+struct header_field {
+  std::string name;
+  std::string value;
+};
+
+/// The value of the first field called `name` (any letter case), or an empty
+/// view if there is none.
+std::string_view FindHeader(std::span<const header_field> fields,
+                            std::string_view name);
+
+}  // namespace radishwing::http
--- /dev/null
+++ b/src/http/server.cc
@@ -0,0 +1,103 @@
+#include "src/http/server.h"
+
+#include <chrono>
+#include <utility>
+#include <vector>
+
+#include "src/http/address.h"
+#include "src/http/server_impl.h"
+#include "src/http/server_session.h"
+
+namespace radishwing::http {
+namespace {
+
+// Pause after a failed accept, for example when no file descriptor is left.
+constexpr std::chrono::milliseconds kAcceptPause{100};
+
+}  // namespace
+
+server::server(std::shared_ptr<impl> impl) : impl_(std::move(impl)) {}
+
+server::~server() { impl_->Stop(); }
+
+result<std::unique_ptr<server>> server::Make(boost::asio::io_context& io,
+                                             server_options options,
+                                             handler handler) {
+  const auto endpoint = ParseAddress(options.address);
+  if (!Ok(endpoint)) return Error(endpoint);
+  auto state = std::make_shared<impl>(io, options, std::move(handler));
+  boost::system::error_code error;
+  auto& acceptor = state->acceptor;
+  acceptor.open(Value(endpoint).protocol(), error);
+  if (!error) {
+    acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) acceptor.bind(Value(endpoint), error);
+  if (!error) {
+    acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return failure{
+        failure_kind::kUnavailable,
+        "cannot listen on " + options.address + ": " + error.message()};
+  }
+  state->Accept();
+  return std::unique_ptr<server>(new server(std::move(state)));
+}
+
+std::string server::Address() const {
+  boost::system::error_code error;
+  return FormatAddress(impl_->acceptor.local_endpoint(error));
+}
+
+void server::Drain() {
+  impl_->draining = true;
+  boost::system::error_code ignored;
+  impl_->acceptor.close(ignored);
+  const std::vector<std::shared_ptr<server_session>> sessions(
+      impl_->sessions.begin(), impl_->sessions.end());
+  for (const auto& session : sessions) session->CloseIfIdle();
+}
+
+std::size_t server::InFlight() const { return impl_->in_flight; }
+
+std::size_t server::Connections() const { return impl_->sessions.size(); }
+
+std::uint64_t server::LastConnection() const { return impl_->last_connection; }
+
+void server::impl::Accept() {
+  acceptor.async_accept(
+      [self = shared_from_this()](boost::system::error_code error,
+                                  boost::asio::ip::tcp::socket socket) {
+        if (self->stopped || self->draining) return;
+        if (!error) {
+          self->Admit(std::move(socket));
+          self->Accept();
+          return;
+        }
+        self->pause.expires_after(kAcceptPause);
+        self->pause.async_wait([self](boost::system::error_code) {
+          if (!self->stopped && !self->draining) self->Accept();
+        });
+      });
+}
+
+void server::impl::Admit(boost::asio::ip::tcp::socket socket) {
+  if (sessions.size() >= options.max_connections) return;
+  boost::system::error_code ignored;
+  socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  auto session = std::make_shared<server_session>(
+      weak_from_this(), options, std::move(socket), ++last_connection);
+  sessions.insert(session);
+  session->Start();
+}
+
+void server::impl::Stop() {
+  stopped = true;
+  boost::system::error_code ignored;
+  acceptor.close(ignored);
+  pause.cancel();
+  for (const auto& session : std::exchange(sessions, {})) session->Close();
+}
+
+}  // namespace radishwing::http
--- /dev/null
+++ b/src/http/server_session.cc
@@ -0,0 +1,252 @@
+#include "src/http/server_session.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <chrono>
+#include <exception>
+#include <utility>
+
+namespace radishwing::http {
+namespace {
+
+namespace beast_http = boost::beast::http;
+
+// Limits of the wait for the client's close after an error response.
+constexpr millis kLingerMs = 1000;
+constexpr std::size_t kLingerBytes = 8u << 20;
+
+server_response RefusalFor(boost::system::error_code error) {
+  if (error == beast_http::error::header_limit) {
+    return ErrorResponse(431, "header_too_large", "the header is too large");
+  }
+  if (error == beast_http::error::body_limit) {
+    return ErrorResponse(413, "body_too_large", "the body is too large");
+  }
+  return ErrorResponse(400, "malformed", error.message());
+}
+
+}  // namespace
+
+server_session::server_session(std::weak_ptr<server::impl> owner,
+                               server_options options,
+                               boost::asio::ip::tcp::socket socket,
+                               std::uint64_t number)
+    : owner_(std::move(owner)),
+      options_(std::move(options)),
+      socket_(std::move(socket)),
+      number_(number),
+      timer_(socket_.get_executor()) {}
+
+server_session::~server_session() = default;
+
+void server_session::Start() { ReadHeader(); }
+
+void server_session::Close() {
+  if (closed_) return;
+  closed_ = true;
+  LeaveFlight();
+  timer_.cancel();
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+  if (const auto owner = owner_.lock()) {
+    owner->sessions.erase(shared_from_this());
+  }
+}
+
+void server_session::CloseIfIdle() {
+  keep_alive_ = false;
+  if (stage_ == stage::kIdle) Close();
+}
+
+void server_session::AwaitRequest() {
+  stage_ = stage::kIdle;
+  if (buffer_.size() > 0) {
+    ReadHeader();
+    return;
+  }
+  ArmTimer(options_.idle_ms);
+  socket_.async_wait(
+      boost::asio::ip::tcp::socket::wait_read,
+      [self = shared_from_this()](boost::system::error_code error) {
+        if (self->closed_) return;
+        if (error || self->timed_out_) {
+          self->Close();
+        } else {
+          self->ReadHeader();
+        }
+      });
+}
+
+void server_session::ReadHeader() {
+  stage_ = stage::kReading;
+  parser_.emplace();
+  parser_->header_limit(options_.max_header_bytes);
+  parser_->body_limit(options_.max_body_bytes);
+  ArmTimer(options_.header_ms);
+  beast_http::async_read_header(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](boost::system::error_code error,
+                                  std::size_t) {
+        if (self->closed_) return;
+        if (error) {
+          self->OnReadError(error);
+        } else if (self->parser_->is_done()) {
+          self->Handle();
+        } else {
+          self->ReadBody();
+        }
+      });
+}
+
+void server_session::ReadBody() {
+  ArmTimer(options_.body_ms);
+  beast_http::async_read(socket_, buffer_, *parser_,
+                         [self = shared_from_this()](
+                             boost::system::error_code error, std::size_t) {
+                           if (self->closed_) return;
+                           if (error) {
+                             self->OnReadError(error);
+                           } else {
+                             self->Handle();
+                           }
+                         });
+}
+
+void server_session::OnReadError(boost::system::error_code error) {
+  keep_alive_ = false;
+  const bool sent_something = parser_->got_some();
+  if (timed_out_ && sent_something) {
+    Respond(ErrorResponse(408, "slow_sender", "the request took too long"));
+    return;
+  }
+  // The parser's own errors deserve an answer; a broken connection does not.
+  if (error.category() ==
+          make_error_code(beast_http::error::bad_version).category() &&
+      error != beast_http::error::end_of_stream &&
+      error != beast_http::error::partial_message) {
+    Respond(RefusalFor(error));
+    return;
+  }
+  Close();
+}
+
+void server_session::Handle() {
+  const auto owner = owner_.lock();
+  if (!owner) return Close();
+  timer_.cancel();
+  stage_ = stage::kHandling;
+  in_flight_ = true;
+  ++owner->in_flight;
+  auto message = parser_->release();
+  keep_alive_ = message.keep_alive() && !owner->draining;
+  auto parsed = ParseTarget({message.target().data(), message.target().size()});
+  if (!Ok(parsed)) {
+    keep_alive_ = false;
+    Respond(ErrorResponse(400, "malformed", Error(parsed).message));
+    return;
+  }
+  server_request request;
+  request.method = message.method();
+  request.target = std::move(Value(parsed));
+  request.connection = number_;
+  for (const auto& field : message) {
+    request.headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  request.body = std::move(message.body());
+  const auto respond = [weak = weak_from_this()](server_response response) {
+    if (const auto self = weak.lock()) self->Respond(std::move(response));
+  };
+  try {
+    owner->on_request(std::move(request), respond);
+  } catch (const std::exception& error) {
+    respond(ErrorResponse(500, "internal", error.what()));
+  }
+}
+
+void server_session::Respond(server_response response) {
+  if (closed_ || stage_ == stage::kWriting || stage_ == stage::kClosing) return;
+  if (response.disposition == disposition::kClose) return Close();
+  stage_ = stage::kWriting;
+  if (response.disposition == disposition::kSilent) {
+    stage_ = stage::kClosing;
+    LeaveFlight();
+    DiscardInput();
+    return;
+  }
+  message_ = {};
+  message_.version(11);
+  message_.result(response.status);
+  message_.set(beast_http::field::content_type, response.content_type);
+  for (const header_field& field : response.headers) {
+    message_.set(field.name, field.value);
+  }
+  message_.body() = std::move(response.body);
+  message_.keep_alive(keep_alive_);
+  message_.prepare_payload();
+  ArmTimer(options_.write_ms);
+  beast_http::async_write(
+      socket_, message_,
+      [self = shared_from_this()](boost::system::error_code error,
+                                  std::size_t) { self->OnWritten(error); });
+}
+
+void server_session::OnWritten(boost::system::error_code error) {
+  if (closed_) return;
+  LeaveFlight();
+  if (error) {
+    Close();
+  } else if (keep_alive_) {
+    AwaitRequest();
+  } else {
+    Linger();
+  }
+}
+
+void server_session::Linger() {
+  stage_ = stage::kClosing;
+  boost::system::error_code ignored;
+  socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  ArmTimer(kLingerMs);
+  DiscardInput();
+}
+
+void server_session::DiscardInput() {
+  buffer_.clear();
+  socket_.async_read_some(
+      buffer_.prepare(16 * 1024),
+      [self = shared_from_this()](boost::system::error_code error,
+                                  std::size_t bytes) {
+        self->discarded_ += bytes;
+        if (self->closed_) return;
+        if (error || self->discarded_ > kLingerBytes) {
+          self->Close();
+        } else {
+          self->DiscardInput();
+        }
+      });
+}
+
+void server_session::ArmTimer(millis after) {
+  timed_out_ = false;
+  timer_.expires_after(std::chrono::milliseconds(after));
+  timer_.async_wait(
+      [self = shared_from_this()](boost::system::error_code error) {
+        if (error || self->closed_ ||
+            std::chrono::steady_clock::now() < self->timer_.expiry()) {
+          return;
+        }
+        self->timed_out_ = true;
+        boost::system::error_code ignored;
+        self->socket_.cancel(ignored);
+      });
+}
+
+void server_session::LeaveFlight() {
+  if (!in_flight_) return;
+  in_flight_ = false;
+  if (const auto owner = owner_.lock()) --owner->in_flight;
+}
+
+}  // namespace radishwing::http
