--- /dev/null
+++ b/src/settings/nearest_name.cc
@@ -0,0 +1,46 @@
+#include "src/settings/nearest_name.h"
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+#include <vector>
+
+namespace radishwing::settings {
+namespace {
+
+// Longer names are not compared: the time grows with the product of lengths.
+constexpr std::size_t kLongestCompared = 64;
+
+std::size_t EditDistance(std::string_view a, std::string_view b) {
+  std::vector<std::size_t> row(b.size() + 1);
+  std::iota(row.begin(), row.end(), 0);
+  for (std::size_t i = 1; i <= a.size(); ++i) {
+    std::size_t diagonal = std::exchange(row[0], i);
+    for (std::size_t j = 1; j <= b.size(); ++j) {
+      const std::size_t replaced = diagonal + (a[i - 1] == b[j - 1] ? 0 : 1);
+      diagonal = row[j];
+      row[j] = std::min({row[j] + 1, row[j - 1] + 1, replaced});
+    }
+  }
+  return row[b.size()];
+}
+
+}  // namespace
+
+std::string NearestName(std::string_view name,
+                        std::span<const std::string> known) {
+  if (name.size() > kLongestCompared) return "";
+  std::size_t best = std::max<std::size_t>(2, name.size() / 3) + 1;
+  std::string nearest;
+  for (const std::string& candidate : known) {
+    if (candidate.size() > kLongestCompared) continue;
+    const std::size_t distance = EditDistance(name, candidate);
+    if (distance < best) {
+      best = distance;
+      nearest = candidate;
+    }
+  }
+  return nearest;
+}
+
+}  // namespace radishwing::settings
--- /dev/null
+++ b/src/settings/nearest_name.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace radishwing::settings {
+
+/// The known name nearest to `name` by edit distance, or empty if none is
+/// within a third of its length (at least 2 edits). The first one wins a tie.
+std::string NearestName(std::string_view name,
+                        std::span<const std::string> known);
+
+}  // namespace radishwing::settings
