Check the fleet settings and report every finding with its place

The tree needs types, ranges, references, sums and combinations checked together. One table of rows describes each name and drives the check and the defaults. An explicit empty list is rejected, since it would admit every team. Values where a key may have been pasted are not quoted.

--- a/src/settings/field_schema.cc
+++ b/src/settings/field_schema.cc
@@ -67,6 +67,7 @@
     case field_type::kChoice:
       return "one of " + ChoicesText(field.choices);
     case field_type::kNames:
+      if (field.minimum > 0) return "list of at least one name, none repeated";
       return "list of names, none repeated";
     case field_type::kChoices:
       return "list of " + ChoicesText(field.choices) + ", none repeated";
--- a/src/settings/field_schema.h
+++ b/src/settings/field_schema.h
@@ -34,7 +34,7 @@
   std::string_view name = {};
   field_type type = field_type::kText;
   std::string_view unit = {};  ///< Empty if the value has none.
-  double minimum = 0;
+  double minimum = 0;          ///< For a list: fewest items.
   double maximum = std::numeric_limits<double>::infinity();
   std::string_view choices = {};  ///< Separated by `|`.
   bool required = false;
--- /dev/null
+++ b/src/settings/finding_order.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <vector>
+
+#include "src/base/finding.h"
+
+namespace radishwing::settings {
+
+/// Sorts findings by line and column; those of one place keep their order.
+void SortFindings(std::vector<finding>& findings);
+
+}  // namespace radishwing::settings
--- a/src/settings/nearest_name.cc
+++ b/src/settings/nearest_name.cc
@@ -25,6 +25,15 @@
   return row[b.size()];
 }
 
+// A missing or superfluous unit, as in `deadline` for `deadline_ms`, counts as
+// one edit.
+std::size_t Distance(std::string_view name, std::string_view candidate) {
+  const bool prefix = name.size() >= 3 && (candidate.starts_with(name) ||
+                                           name.starts_with(candidate));
+  if (prefix && name != candidate) return 1;
+  return EditDistance(name, candidate);
+}
+
 }  // namespace
 
 std::string NearestName(std::string_view name,
@@ -34,7 +43,7 @@
   std::string nearest;
   for (const std::string& candidate : known) {
     if (candidate.size() > kLongestCompared) continue;
-    const std::size_t distance = EditDistance(name, candidate);
+    const std::size_t distance = Distance(name, candidate);
     if (distance < best) {
       best = distance;
       nearest = candidate;
--- /dev/null
+++ b/src/settings/preset.cc
@@ -0,0 +1,39 @@
+#include "src/settings/preset.h"
+
+namespace radishwing::settings {
+namespace {
+
+// The ratio of 3 lets the preferred costs win while the others still count.
+const preset kPresets[] = {
+    {"deadline_surges",
+     {.weight_rollout_time = 3,
+      .weight_share_nearness = 3,
+      .weight_buffer_cost = 1,
+      .weight_moves = 1,
+      .move_budget_per_hour = 12,
+      .move_hysteresis_seconds = 60},
+     "For fleets whose demand surges before deadlines: fast roll-outs and "
+     "teams close to their shares count most."},
+    {"lean_buffer",
+     {.weight_rollout_time = 1,
+      .weight_share_nearness = 1,
+      .weight_buffer_cost = 3,
+      .weight_moves = 3,
+      .move_budget_per_hour = 4,
+      .move_hysteresis_seconds = 180},
+     "For fleets that pay for idle hosts: a small buffer and few moves count "
+     "most."},
+};
+
+}  // namespace
+
+std::span<const preset> Presets() { return kPresets; }
+
+const preset& FindPreset(std::string_view name) {
+  for (const preset& candidate : kPresets) {
+    if (candidate.name == name) return candidate;
+  }
+  return kPresets[0];
+}
+
+}  // namespace radishwing::settings
--- a/src/settings/schema_checker.cc
+++ b/src/settings/schema_checker.cc
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 
+#include "src/settings/finding_order.h"
 #include "src/settings/nearest_name.h"
 
 namespace radishwing::settings {
@@ -98,43 +99,28 @@
   return !error && number <= 65535;
 }
 
-std::string DescribeFound(const node& value, const field_schema& field) {
-  switch (value.kind) {
-    case node_kind::kNull:
-      return "null";
-    case node_kind::kFlag:
-      return value.flag ? "true" : "false";
-    case node_kind::kInteger:
-    case node_kind::kReal:
-      return "number";
-    case node_kind::kList:
-      return "list";
-    case node_kind::kBranch:
-      return "branch";
-    case node_kind::kText:
-      break;
-  }
-  if (!field.quoted) {
-    return "text of " + std::to_string(value.text.size()) + " bytes";
-  }
-  if (value.text.size() <= kLongestQuoted) return "\"" + value.text + "\"";
-  return "\"" + value.text.substr(0, kLongestQuoted) + "...\"";
+std::string DescribeFound(const source_tree& tree, const node& value,
+                          const field_schema& field) {
+  if (value.kind == node_kind::kList) return "list";
+  if (value.kind == node_kind::kBranch) return "branch";
+  const std::size_t length = value.range.end - value.range.begin;
+  if (!field.quoted) return "value of " + std::to_string(length) + " bytes";
+  std::string found =
+      tree.text.substr(value.range.begin, std::min(length, kLongestQuoted));
+  if (length > kLongestQuoted) found += "...";
+  return found;
 }
 
 std::vector<finding> schema_checker::Check() {
   if (tree_.root.kind != node_kind::kBranch) {
     findings_.push_back(tree_.FindingAt(
         tree_.root.range.begin, "",
-        DescribeFound(tree_.root, field_schema{.quoted = false}),
+        DescribeFound(tree_, tree_.root, field_schema{.quoted = false}),
         "branch in { }"));
   } else {
     CheckBranch(tree_.root, "", "");
   }
-  std::stable_sort(findings_.begin(), findings_.end(),
-                   [](const finding& a, const finding& b) {
-                     return a.line != b.line ? a.line < b.line
-                                             : a.column < b.column;
-                   });
+  SortFindings(findings_);
   return std::move(findings_);
 }
 
@@ -233,6 +219,11 @@
 void schema_checker::CheckList(const node& value, const field_schema& field,
                                const std::string& path) {
   const std::string pattern = JoinPath(field.branch, field.name) + "[]";
+  if (static_cast<double>(value.items.size()) < field.minimum) {
+    findings_.push_back(
+        tree_.FindingAt(value.range.begin, path, "empty list",
+                        "at least one name, or leave it out for all"));
+  }
   std::set<std::string_view> seen;
   for (std::size_t i = 0; i < value.items.size(); ++i) {
     const node& item = value.items[i];
@@ -246,9 +237,10 @@
     } else if (item.kind != node_kind::kText || !TextFits(item.text, field)) {
       ReportValue(item, field, item_path);
     } else if (!seen.insert(item.text).second) {
-      findings_.push_back(tree_.FindingAt(
-          item.range.begin, item_path, "repeated " + DescribeFound(item, field),
-          DescribeAllowed(field)));
+      findings_.push_back(
+          tree_.FindingAt(item.range.begin, item_path,
+                          "repeated " + DescribeFound(tree_, item, field),
+                          DescribeAllowed(field)));
     }
   }
 }
@@ -272,12 +264,7 @@
 
 void schema_checker::ReportValue(const node& value, const field_schema& field,
                                  const std::string& path) {
-  std::string found = DescribeFound(value, field);
-  if (value.kind == node_kind::kInteger || value.kind == node_kind::kReal) {
-    const std::size_t length =
-        std::min(value.range.end - value.range.begin, kLongestQuoted);
-    found = tree_.text.substr(value.range.begin, length);
-  }
+  const std::string found = DescribeFound(tree_, value, field);
   std::string allowed = DescribeAllowed(field);
   if (value.kind == node_kind::kText) {
     allowed = WithSuggestion(std::move(allowed), value.text,
--- a/src/settings/schema_checker.h
+++ b/src/settings/schema_checker.h
@@ -47,9 +47,10 @@
   std::vector<finding> findings_;
 };
 
-/// How a finding names a value of `field`. Long texts are cut; texts of a field
-/// that may not be quoted are described by their length.
-std::string DescribeFound(const node& value, const field_schema& field);
+/// How a finding names a value of `field`: as it stands in the text, cut if it
+/// is long. Values of a field that may not be quoted are only described.
+std::string DescribeFound(const source_tree& tree, const node& value,
+                          const field_schema& field);
 
 /// True if `text` is "ip:port" with a numeric address and a port up to 65535.
 bool IsAddress(std::string_view text);
