--- /dev/null
+++ b/src/settings/schema_page.cc
@@ -0,0 +1,118 @@
+#include "src/settings/schema_page.h"
+
+#include <array>
+#include <charconv>
+
+#include "src/settings/fleet_schema.h"
+#include "src/settings/preset.h"
+#include "src/settings/process_settings.h"
+#include "src/settings/source_tree.h"
+
+namespace radishwing::settings {
+namespace {
+
+constexpr std::string_view kIntroduction =
+    R"(# Settings
+
+This page is made from the schema tables in `src/settings/` by
+`radishwingctl settings schema`; a test compares the two.
+
+A text is JSON (RFC 8259) with `//` and `/* */` comments, at most 1,000,000
+bytes and 16 levels deep. The store keeps the fleet's text as a JSON string,
+which must stay within 999,000 bytes. Names are 1 to 64 characters of
+`A-Z a-z 0-9 . _ -`. `<name>` stands for any name and `[]` for each item of a
+list.
+
+## Settings of the fleet
+
+One tree for the whole fleet. `radishwingctl settings check <file>` reports
+every finding with its line and column.
+)";
+
+constexpr std::string_view kProcessIntroduction = R"(
+## Settings of a process
+
+One file per process, given by `--settings <file>`; `--check` only checks it.
+A secret comes from a file or from the environment, never from both, and is
+never printed.
+)";
+
+// `teams.*.keys[]` becomes `teams.<name>.keys[]`.
+std::string BranchTitle(std::string_view branch) {
+  std::string title;
+  for (char c : branch) {
+    if (c == '*') {
+      title += "<name>";
+    } else {
+      title += c;
+    }
+  }
+  return title;
+}
+
+void AppendRow(std::string& page, const field_schema& field) {
+  std::string fallback = "none";
+  if (field.required) fallback = "required";
+  if (field.default_value == "preset") fallback = "by preset";
+  if (!field.default_value.empty() && fallback == "none") {
+    fallback = "`" + std::string(field.default_value) + "`";
+  }
+  page.append("| `").append(field.name).append("` | ");
+  page.append(DescribeAllowed(field)).append(" | ");
+  page.append(field.unit).append(field.unit.empty() ? "| " : " | ");
+  page.append(fallback).append(" | ").append(field.doc).append(" |\n");
+}
+
+void AppendTable(std::string& page, std::span<const field_schema> schema,
+                 std::string_view branch) {
+  page += "\n| name | allowed | unit | default | meaning |\n";
+  page += "| --- | --- | --- | --- | --- |\n";
+  for (const field_schema& field : schema) {
+    if (field.branch == branch) AppendRow(page, field);
+  }
+}
+
+std::string NumberText(double value) {
+  std::array<char, 32> buffer;
+  auto end = std::to_chars(buffer.data(), buffer.data() + buffer.size(), value);
+  return std::string(buffer.data(), end.ptr);
+}
+
+void AppendPresets(std::string& page) {
+  page += "\n### Presets\n";
+  for (const preset& p : Presets()) {
+    page.append("\n`").append(p.name).append("`: ").append(p.doc);
+    page += " weight_rollout_time " + NumberText(p.policy.weight_rollout_time);
+    page +=
+        ", weight_share_nearness " + NumberText(p.policy.weight_share_nearness);
+    page += ", weight_buffer_cost " + NumberText(p.policy.weight_buffer_cost);
+    page += ", weight_moves " + NumberText(p.policy.weight_moves);
+    page += ", move_budget_per_hour " +
+            std::to_string(p.policy.move_budget_per_hour);
+    page += ", move_hysteresis_seconds " +
+            std::to_string(p.policy.move_hysteresis_seconds) + ".\n";
+  }
+}
+
+}  // namespace
+
+std::string SchemaPage() {
+  std::string page(kIntroduction);
+  std::string_view branch;
+  AppendTable(page, FleetSchema(), branch);
+  for (const field_schema& field : FleetSchema()) {
+    if (field.branch == branch) continue;
+    branch = field.branch;
+    page += "\n### `" + BranchTitle(branch) + "`\n";
+    AppendTable(page, FleetSchema(), branch);
+  }
+  AppendPresets(page);
+  page += kProcessIntroduction;
+  page += "\n### `radishwing-entry`\n";
+  AppendTable(page, ProcessSchema(daemon_kind::kEntry), "");
+  page += "\n### `radishwing-control`\n";
+  AppendTable(page, ProcessSchema(daemon_kind::kControl), "");
+  return page;
+}
+
+}  // namespace radishwing::settings
--- /dev/null
+++ b/tests/settings/resources_test.cc
@@ -0,0 +1,52 @@
+#define BOOST_TEST_DYN_LINK
+#include <boost/test/unit_test.hpp>
+
+#include "src/settings/fleet_parser.h"
+#include "src/settings/process_settings.h"
+#include "src/settings/schema_page.h"
+#include "tests/settings/golden_file.h"
+
+namespace radishwing::settings {
+namespace {
+
+// Guards against samples that the checker rejects.
+BOOST_AUTO_TEST_CASE(resources_fleet_samples_have_no_findings) {
+  for (const char* name : {"voetnoot", "kintsugi"}) {
+    const std::string file = "resources/" + std::string(name) + ".json";
+    const checked<fleet_settings> parsed =
+        ParseFleetSettings(file, ReadSourceFile(file), 1);
+    if (parsed.index() == 1) {
+      BOOST_ERROR(FormatFinding(std::get<1>(parsed).front()));
+      continue;
+    }
+    const fleet_settings& settings = std::get<0>(parsed);
+    BOOST_TEST(settings.name == name);
+    BOOST_TEST(settings.services.size() == 5);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(resources_process_samples_have_no_findings) {
+  const environment env = [](const std::string&) {
+    return std::optional<std::string>("a secret for the test");
+  };
+  for (const daemon_kind daemon :
+       {daemon_kind::kEntry, daemon_kind::kControl}) {
+    const std::string file = daemon == daemon_kind::kEntry
+                                 ? "resources/entry.json"
+                                 : "resources/control.json";
+    const checked<process_settings> parsed =
+        ParseProcessSettings(file, ReadSourceFile(file), daemon, env);
+    if (parsed.index() == 1) {
+      BOOST_ERROR(FormatFinding(std::get<1>(parsed).front()));
+    }
+  }
+}
+
+// Guards against a page that describes other names, ranges or defaults than
+// the checker uses. Renew it with `radishwingctl settings schema`.
+BOOST_AUTO_TEST_CASE(settings_page_matches_schema) {
+  BOOST_TEST(SchemaPage() == ReadSourceFile("docs/settings.md"));
+}
+
+}  // namespace
+}  // namespace radishwing::settings
