--- /dev/null
+++ b/src/base/json_fields.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <boost/json/object.hpp>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "src/base/result.h"
+
+namespace radishwing {
+
+/// Reads the fields of one JSON object of a store record. The first field that
+/// is missing or has the wrong type is remembered, so that a record is read
+/// without a check after each field.
+class json_fields {
+ public:
+  /// Parses `text`. Fails with kInvalid if it is not one JSON object. `name`
+  /// names the record in error messages.
+  static result<json_fields> Parse(std::string_view name,
+                                   std::string_view text);
+
+  json_fields(std::string_view name, boost::json::object object);
+
+  std::string Text(std::string_view key);
+  std::uint64_t Unsigned(std::string_view key);
+  std::int64_t Signed(std::string_view key);
+  bool Flag(std::string_view key);
+  boost::json::object Object(std::string_view key);
+  boost::json::array Array(std::string_view key);
+
+  /// Marks the record as invalid because of the field `key`.
+  void Reject(std::string_view key);
+
+  /// True while every field read so far was present and of the right type.
+  bool Valid() const { return bad_key_.empty(); }
+
+  /// The failure that names the first bad field. Requires !Valid().
+  failure Failure() const;
+
+ private:
+  const boost::json::value* Find(std::string_view key);
+
+  std::string name_;
+  boost::json::object object_;
+  std::string bad_key_;
+};
+
+}  // namespace radishwing
