--- /dev/null
+++ b/tools/runner_fake/parse_endpoint.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <optional>
+#include <string_view>
+
+namespace radishwing::fake {
+
+/// Reads "ip:port". Names are not resolved.
+std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(
+    std::string_view text);
+
+}  // namespace radishwing::fake
