--- /dev/null
+++ b/src/routing/runner_group.cc
@@ -0,0 +1,160 @@
+#include "src/routing/runner_group.h"
+
+#include <algorithm>
+
+namespace radishwing::routing {
+namespace {
+
+// A rejection marks the runner as full for this long, doubling while it goes
+// on: other entries hold its slots, and only time can tell when they are free.
+constexpr millis kFullBackoffFirstMs = 2;
+constexpr millis kFullBackoffLongestMs = 64;
+
+// Draws before falling back to a scan. At half load two draws succeed with
+// 15/16.
+constexpr int kDraws = 4;
+
+}  // namespace
+
+void runner_group::Apply(std::span<const runner_info> runners,
+                         std::uint32_t& next_index) {
+  for (auto& runner : runners_) runner->listed = false;
+  for (const runner_info& info : runners) ApplyOne(info, next_index);
+  near_.clear();
+  far_.clear();
+  slots_ = 0;
+  for (auto& runner : runners_) {
+    if (!runner->AcceptsWork()) continue;
+    bool is_near = runner->info.data_centre == own_data_centre_;
+    (is_near ? near_ : far_).push_back(runner.get());
+    slots_ += runner->info.slots;
+  }
+}
+
+void runner_group::ApplyOne(const runner_info& info,
+                            std::uint32_t& next_index) {
+  for (auto& runner : runners_) {
+    if (runner->info.id != info.id || runner->info.address != info.address) {
+      continue;
+    }
+    // What a runner said of itself holds until its listing shows the end of
+    // the leave: not accepting in between, or a later host epoch.
+    if ((info.accepts_work && !runner->info.accepts_work) ||
+        info.host_epoch > runner->info.host_epoch) {
+      runner->leaving = false;
+    }
+    runner->info = info;
+    runner->listed = true;
+    return;
+  }
+  auto added = std::make_unique<runner_state>();
+  added->info = info;
+  added->index = next_index++;
+  runners_.push_back(std::move(added));
+}
+
+bool runner_group::Eligible(const runner_state& runner, millis now,
+                            bool idempotent,
+                            std::span<runner_state* const> tried) const {
+  if (!runner.AcceptsWork() || runner.in_flight >= runner.info.slots ||
+      now < runner.full_until_ms || !runner.failures.Admits(now, idempotent)) {
+    return false;
+  }
+  return std::find(tried.begin(), tried.end(), &runner) == tried.end();
+}
+
+runner_state* runner_group::DrawTwo(std::span<runner_state* const> from,
+                                    millis now, bool idempotent,
+                                    std::span<runner_state* const> tried) {
+  if (from.empty()) return nullptr;
+  runner_state* first = nullptr;
+  runner_state* second = nullptr;
+  auto consider = [&](runner_state* runner) {
+    if (runner == first || !Eligible(*runner, now, idempotent, tried)) return;
+    (first ? second : first) = runner;
+  };
+  for (int i = 0; i < kDraws && !second; ++i) {
+    consider(from[random_() % from.size()]);
+  }
+  std::size_t start = random_() % from.size();
+  for (std::size_t i = 0; i < from.size() && !second; ++i) {
+    consider(from[(start + i) % from.size()]);
+  }
+  if (!second) return first;
+  return second->LoadWithOneMore() < first->LoadWithOneMore() ? second : first;
+}
+
+runner_state* runner_group::PickFrom(millis now, bool idempotent,
+                                     std::span<runner_state* const> tried) {
+  runner_state* near = DrawTwo(near_, now, idempotent, tried);
+  runner_state* far = DrawTwo(far_, now, idempotent, tried);
+  if (!near || !far) return near ? near : far;
+  bool prefer_far = near->LoadWithOneMore() > 2 * far->LoadWithOneMore();
+  return prefer_far ? far : near;
+}
+
+runner_state* runner_group::Pick(millis now, bool idempotent,
+                                 std::span<runner_state* const> tried) {
+  runner_state* picked = PickFrom(now, idempotent, tried);
+  if (!picked && !tried.empty()) picked = PickFrom(now, idempotent, {});
+  return picked;
+}
+
+bool runner_group::Started(runner_state& runner) {
+  ++runner.in_flight;
+  ++in_flight_;
+  return runner.failures.Start();
+}
+
+void runner_group::Finished(runner_state& runner, bool probe,
+                            attempt_result how, millis now) {
+  --runner.in_flight;
+  --in_flight_;
+  switch (how) {
+    case attempt_result::kSuccess:
+      runner.failures.Success(probe);
+      runner.full_until_ms = 0;
+      runner.full_backoff_ms = 0;
+      break;
+    case attempt_result::kRefused:
+      runner.failures.Failure(now, probe, ejection::kEjectAfter, MayEject());
+      break;
+    case attempt_result::kFailed:
+      runner.failures.Failure(now, probe, 1, MayEject());
+      break;
+    case attempt_result::kFull:
+      // It answers, so it is alive.
+      runner.failures.Success(probe);
+      runner.full_backoff_ms =
+          std::clamp(runner.full_backoff_ms * 2, kFullBackoffFirstMs,
+                     kFullBackoffLongestMs);
+      runner.full_until_ms = now + runner.full_backoff_ms;
+      break;
+    case attempt_result::kNoVerdict:
+      runner.failures.Abandon(probe);
+      break;
+  }
+}
+
+bool runner_group::MayEject() const {
+  std::size_t out = 0;
+  std::size_t listed = 0;
+  for (const auto& runner : runners_) {
+    if (!runner->AcceptsWork()) continue;
+    ++listed;
+    if (runner->failures.Out()) ++out;
+  }
+  return (out + 1) * 2 <= listed;
+}
+
+std::vector<std::uint32_t> runner_group::RemoveGone() {
+  std::vector<std::uint32_t> removed;
+  std::erase_if(runners_, [&](const auto& runner) {
+    bool gone = !runner->listed && runner->in_flight == 0;
+    if (gone) removed.push_back(runner->index);
+    return gone;
+  });
+  return removed;
+}
+
+}  // namespace radishwing::routing
