Wire the mesh, the relay of settings and the runner table

Change: control_core starts gate, mesh, relay and poller on the decide thread; the platform stands behind platform_seam.

--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -1,48 +1,104 @@
 #include "src/control/control_core.h"
 
-#include <kj/debug.h>
-
+#include <algorithm>
 #include <utility>
 
 #include "src/base/log.h"
+#include "src/control/peer_session.h"
 
 namespace radishwing::control {
 namespace {
 
-rpc::hello Self(const control_options& options) {
-  return {options.host, options.data_centre, options.incarnation,
-          options.rpc_address};
+rpc::hello Self(const control_options& options, const std::string& bound) {
+  return {
+      options.host, options.data_centre, options.incarnation,
+      options.advertised_address.empty() ? bound : options.advertised_address};
 }
 
 }  // namespace
 
-control_core::control_core(kj::AsyncIoContext& io, control_options options)
+control_core::control_core(kj::AsyncIoContext& io, control_options options,
+                           platform_seam platform, store_port::poster post)
     : io_(io),
+      timer_(io.provider->getTimer()),
       options_(std::move(options)),
       table_(options_.incarnation),
-      entries_(io.provider->getTimer(), clock_, options_.timing, settings_,
-               table_),
-      gate_(
-          io, {options_.fleet_secret, Self(options_)},
-          {[this](const rpc::hello& who, rpc::connection_closer close) {
-             return entries_.Open(who, std::move(close));
-           },
-           [](const rpc::hello&, rpc::connection_closer) -> rpc::Peer::Client {
-             KJ_FAIL_REQUIRE("no peers are served yet");
-           }}),
+      entries_(timer_, clock_, options_.timing, settings_, table_),
+      store_(timer_, clock_, options_.timing, std::move(platform),
+             std::move(post)),
+      peer_handlers_(std::make_shared<peer_handlers>()),
+      gate_(io, {options_.fleet_secret, Self(options_, "")},
+            {[this](const rpc::hello& who, rpc::connection_closer close) {
+               return entries_.Open(who, std::move(close));
+             },
+             [this](const rpc::hello&,
+                    rpc::connection_closer) -> rpc::Peer::Client {
+               return kj::heap<peer_session>(peer_handlers_);
+             }}),
       tasks_(*this) {
+  entries_.cut_off_ms = [this] { return CutOffMs(); };
+}
+
+kj::Promise<std::string> control_core::Start() {
+  return gate_.Listen(options_.rpc_address).then([this](std::string bound) {
+    StartDuties(bound);
+    return bound;
+  });
+}
+
+void control_core::StartDuties(const std::string& bound) {
+  rpc::hello self = Self(options_, bound);
+  gate_.SetSelf(self);
+  mesh_ = std::make_unique<peer_mesh>(io_, clock_, options_, self);
+  relay_ = std::make_unique<settings_relay>(timer_, clock_, options_, store_,
+                                            *mesh_, settings_);
+  poller_ = std::make_unique<fleet_poller>(timer_, options_, store_, settings_,
+                                           table_);
+  WirePeers();
+  relay_->Start();
+  poller_->Start();
   Tick();
 }
 
-kj::Promise<std::string> control_core::Listen() {
-  return gate_.Listen(options_.rpc_address);
+void control_core::WirePeers() {
+  mesh_->fill = [this](peer_digest& digest) { FillDigest(digest); };
+  mesh_->on_digest = [this](const peer_digest& digest) {
+    relay_->OnDigest(digest.from, digest.settings_revision);
+  };
+  peer_handlers_->exchange = [this](const peer_digest& received) {
+    return mesh_->Exchange(received);
+  };
+  peer_handlers_->newest_settings = [this] { return settings_.Text(); };
+  peer_handlers_->offer_settings = [this](const rpc::settings_text& offered) {
+    settings_.Offer(offered, "peer");
+    return settings_.Revision();
+  };
+}
+
+void control_core::FillDigest(peer_digest& digest) {
+  digest.settings_revision = settings_.Revision();
+  for (const auto& [host, record] : poller_->Sources().records) {
+    if (record.state != "draining") continue;
+    auto use = entries_.HostUse(host, poller_->VersionOf(host));
+    if (!use.confirmed) continue;
+    digest.confirmations.push_back({host, record.epoch, use.in_flight});
+  }
+}
+
+millis control_core::CutOffMs() const {
+  millis contact = store_.LastContactMs();
+  if (mesh_) contact = std::max(contact, mesh_->LastOutsideNewsMs());
+  millis silent = clock_.Now() - contact;
+  return silent > options_.timing.cut_off_after_ms ? silent : 0;
 }
 
 void control_core::Tick() {
   entries_.Tick();
+  mesh_->Members().SetInForce(entries_.RevisionInForce(),
+                              entries_.HostEpochsInForce());
+  mesh_->Tick();
   tasks_.add(
-      io_.provider->getTimer()
-          .afterDelay(options_.timing.members.heartbeat_ms * kj::MILLISECONDS)
+      timer_.afterDelay(options_.timing.members.heartbeat_ms * kj::MILLISECONDS)
           .then([this] { Tick(); }));
 }
 
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -7,8 +7,13 @@
 
 #include "src/control/control_options.h"
 #include "src/control/entry_registry.h"
+#include "src/control/fleet_poller.h"
+#include "src/control/peer_handlers.h"
+#include "src/control/peer_mesh.h"
 #include "src/control/runner_table.h"
 #include "src/control/settings_keeper.h"
+#include "src/control/settings_relay.h"
+#include "src/control/store_port.h"
 #include "src/rpc/gate_server.h"
 
 namespace radishwing::control {
@@ -17,25 +22,42 @@
 /// decide thread.
 class control_core : private kj::TaskSet::ErrorHandler {
  public:
-  control_core(kj::AsyncIoContext& io, control_options options);
+  control_core(kj::AsyncIoContext& io, control_options options,
+               platform_seam platform, store_port::poster post);
 
-  /// Listens for entries and other controls; resolves to the bound address.
-  kj::Promise<std::string> Listen();
+  /// Listens for entries and other controls and starts all duties. Resolves to
+  /// the bound address.
+  kj::Promise<std::string> Start();
+
+  /// How long this data centre cannot confirm its settings, in ms; 0 while it
+  /// can: the store or another data centre answers.
+  millis CutOffMs() const;
 
   settings_keeper& Settings() { return settings_; }
   runner_table& Table() { return table_; }
   entry_registry& Entries() { return entries_; }
+  peer_mesh& Mesh() { return *mesh_; }
+  settings_relay& Relay() { return *relay_; }
 
  private:
   void taskFailed(kj::Exception&& exception) override;
+  void StartDuties(const std::string& bound);
+  void WirePeers();
   void Tick();
+  void FillDigest(peer_digest& digest);
 
   kj::AsyncIoContext& io_;
+  kj::Timer& timer_;
   control_options options_;
   clock clock_ = clock::Monotonic();
   settings_keeper settings_;
   runner_table table_;
   entry_registry entries_;
+  store_port store_;
+  std::shared_ptr<peer_handlers> peer_handlers_;
+  std::unique_ptr<peer_mesh> mesh_;
+  std::unique_ptr<settings_relay> relay_;
+  std::unique_ptr<fleet_poller> poller_;
   rpc::gate_server gate_;
   kj::TaskSet tasks_;  // Last, so that it is destroyed first.
 };
--- a/src/control/control_options.h
+++ b/src/control/control_options.h
@@ -35,6 +35,9 @@
   std::string data_centre;
   std::uint64_t incarnation = 0;  ///< Start time in ms since the Unix epoch.
   std::string rpc_address = "127.0.0.1:0";
+  /// What others connect to; empty: the address that was bound. Differs if the
+  /// process listens at all addresses of its host.
+  std::string advertised_address;
   std::string fleet_secret;
   std::vector<std::string> peers;  ///< Controls to contact first.
   control_timing timing;
--- a/src/control/control_process.h
+++ b/src/control/control_process.h
@@ -7,6 +7,7 @@
 
 #include "src/base/result.h"
 #include "src/control/control_options.h"
+#include "src/control/platform_seam.h"
 #include "src/routing/runner_info.h"
 #include "src/rpc/settings_text.h"
 
@@ -19,7 +20,9 @@
 class control_process {
  public:
   /// Starts the thread and listens. Fails if the address cannot be bound.
-  static result<std::unique_ptr<control_process>> Make(control_options options);
+  /// Replies of `platform` that come after the destruction are ignored.
+  static result<std::unique_ptr<control_process>> Make(control_options options,
+                                                       platform_seam platform);
   ~control_process();
   control_process(const control_process&) = delete;
   control_process& operator=(const control_process&) = delete;
--- a/src/control/duty_lease.cc
+++ b/src/control/duty_lease.cc
@@ -34,9 +34,7 @@
   return held_;
 }
 
-kj::Promise<void> duty_lease::Step() {
-  return Held() ? Renew() : TryAcquire();
-}
+kj::Promise<void> duty_lease::Step() { return Held() ? Renew() : TryAcquire(); }
 
 kj::Promise<void> duty_lease::TryAcquire() {
   return store_.Get(key_).then(
--- a/src/control/fleet_poller.cc
+++ b/src/control/fleet_poller.cc
@@ -20,7 +20,8 @@
       store_(store),
       keeper_(keeper),
       table_(table),
-      tasks_(kj::heap<kj::TaskSet>(*this)) {
+      tasks_(kj::heap<kj::TaskSet>(
+          static_cast<kj::TaskSet::ErrorHandler&>(*this))) {
   keeper_.OnChange([this] { Rebuild(); });
 }
 
--- a/src/control/fleet_poller.h
+++ b/src/control/fleet_poller.h
@@ -22,7 +22,10 @@
                store_port& store, settings_keeper& keeper, runner_table& table);
 
   void Start();
-  void Stop() { tasks_ = kj::heap<kj::TaskSet>(*this); }
+  void Stop() {
+    tasks_ =
+        kj::heap<kj::TaskSet>(static_cast<kj::TaskSet::ErrorHandler&>(*this));
+  }
 
   const table_sources& Sources() const { return sources_; }
 
--- a/src/control/peer_link.cc
+++ b/src/control/peer_link.cc
@@ -34,8 +34,8 @@
   joined_ = std::move(joined);
   other_ = joined_->other;
   std::uint64_t generation = ++generation_;
-  LogInfo("peer", "link opened, host=" + other_.host +
-                      " address=" + options_.address);
+  LogInfo("peer",
+          "link opened, host=" + other_.host + " address=" + options_.address);
   tasks_.add(joined_->connection->Disconnected().then([this, generation] {
     // Later, so that the connection does not end inside its own event.
     tasks_.add(kj::evalLater([this, generation] {
--- a/src/control/peer_mesh.cc
+++ b/src/control/peer_mesh.cc
@@ -45,8 +45,7 @@
     return reached.second < clock_.Now();
   });
   std::erase_if(links_, [&](const auto& link) {
-    return !wanted.contains(link.first) &&
-           !reached_until_.contains(link.first);
+    return !wanted.contains(link.first) && !reached_until_.contains(link.first);
   });
   for (const std::string& address : targets) {
     peer_link& link = LinkTo(address);
@@ -77,11 +76,12 @@
   if (!link) {
     rpc::join_options join{address, options_.fleet_secret, self_,
                            options_.timing.call_deadline_ms};
-    link = std::make_unique<peer_link>(
-        io_, std::move(join), [this, address](const rpc::hello&) {
-          auto found = links_.find(address);
-          if (found != links_.end()) Heartbeat(*found->second);
-        });
+    link = std::make_unique<peer_link>(io_, std::move(join),
+                                       [this, address](const rpc::hello&) {
+                                         auto found = links_.find(address);
+                                         if (found != links_.end())
+                                           Heartbeat(*found->second);
+                                       });
   }
   return *link;
 }
@@ -97,8 +97,8 @@
           .timeoutAfter(options_.timing.call_deadline_ms * kj::MILLISECONDS,
                         request.send())
           .then(
-              [this, address](
-                  capnp::Response<rpc::Peer::ExchangeResults> reply) {
+              [this,
+               address](capnp::Response<rpc::Peer::ExchangeResults> reply) {
                 auto found = links_.find(address);
                 if (found != links_.end()) {
                   found->second->heartbeat_sent = false;
@@ -116,8 +116,8 @@
   peer_digest digest;
   digest.from = self_.host;
   // Everything for a member that is not known here yet.
-  digest.members = members_.Find(to) == nullptr ? members_.All()
-                                                : members_.Digest(to);
+  digest.members =
+      members_.Find(to) == nullptr ? members_.All() : members_.Digest(to);
   if (fill) fill(digest);
   return digest;
 }
@@ -147,14 +147,15 @@
 
 void peer_mesh::Report(const std::vector<membership::member_change>& changes) {
   for (const auto& change : changes) {
-    LogInfo("member",
-            "state changed, host=" + change.now.host + " from=" +
-                (change.is_new ? "new"
-                               : std::string(membership::MemberStateName(
-                                     change.before))) +
-                " to=" +
-                std::string(membership::MemberStateName(change.now.state)) +
-                " incarnation=" + std::to_string(change.now.incarnation));
+    LogInfo(
+        "member",
+        "state changed, host=" + change.now.host + " from=" +
+            (change.is_new
+                 ? "new"
+                 : std::string(membership::MemberStateName(change.before))) +
+            " to=" +
+            std::string(membership::MemberStateName(change.now.state)) +
+            " incarnation=" + std::to_string(change.now.incarnation));
     if (on_change) on_change(change);
   }
 }
@@ -188,12 +189,12 @@
     if (!link->IsOpen() || link->Other().host == self_.host) continue;
     auto request = link->Peer().exchangeRequest();
     Write(MakeDigest(link->Other().host), request.initDigest());
-    told.add(timer_
-                 .timeoutAfter(
-                     options_.timing.call_deadline_ms * kj::MILLISECONDS,
-                     request.send())
-                 .ignoreResult()
-                 .catch_([](kj::Exception&&) {}));
+    told.add(
+        timer_
+            .timeoutAfter(options_.timing.call_deadline_ms * kj::MILLISECONDS,
+                          request.send())
+            .ignoreResult()
+            .catch_([](kj::Exception&&) {}));
   }
   return kj::joinPromises(told.releaseAsArray());
 }
--- a/src/control/peer_session.cc
+++ b/src/control/peer_session.cc
@@ -25,8 +25,8 @@
 
 kj::Promise<void> peer_session::offerSettings(OfferSettingsContext context) {
   if (!handlers_->offer_settings) return Server::offerSettings(context);
-  context.getResults().setRevision(handlers_->offer_settings(
-      rpc::Read(context.getParams().getSettings())));
+  context.getResults().setRevision(
+      handlers_->offer_settings(rpc::Read(context.getParams().getSettings())));
   return kj::READY_NOW;
 }
 
@@ -54,8 +54,7 @@
 kj::Promise<void> peer_session::claim(ClaimContext context) {
   if (!handlers_->claim) return Server::claim(context);
   auto params = context.getParams();
-  return handlers_
-      ->claim(rpc::Read(params.getClaim()), params.getRosterEpoch())
+  return handlers_->claim(rpc::Read(params.getClaim()), params.getRosterEpoch())
       .then([context](requests::claim_answer answer) mutable {
         rpc::Write(answer, context.getResults().initAnswer());
       });
@@ -74,8 +73,8 @@
   if (!handlers_->finish) return Server::finishClaim(context);
   auto params = context.getParams();
   handlers_->finish(ToString(params.getRequestId()),
-                    ToString(params.getOwner()),
-                    rpc::Read(params.getOutcome()), params.getStatus());
+                    ToString(params.getOwner()), rpc::Read(params.getOutcome()),
+                    params.getStatus());
   return kj::READY_NOW;
 }
 
--- a/src/control/settings_relay.cc
+++ b/src/control/settings_relay.cc
@@ -22,7 +22,8 @@
       lease_(timer, std::move(now), options.timing, store,
              "lease/settings/" + options.data_centre,
              options.host + '#' + std::to_string(options.incarnation)),
-      tasks_(kj::heap<kj::TaskSet>(*this)) {}
+      tasks_(kj::heap<kj::TaskSet>(
+          static_cast<kj::TaskSet::ErrorHandler&>(*this))) {}
 
 void settings_relay::Start() {
   lease_.on_change = [this](bool held) {
@@ -82,8 +83,8 @@
 void settings_relay::OfferStored(const std::string& value) {
   auto decoded = DecodeSettings(value);
   if (!Ok(decoded)) {
-    LogError("settings", "stored record refused, reason=" +
-                             Error(decoded).message);
+    LogError("settings",
+             "stored record refused, reason=" + Error(decoded).message);
     return;
   }
   if (keeper_.Offer(Value(decoded), "store")) PushToNeighbours();
@@ -106,13 +107,12 @@
 void settings_relay::Push(const std::string& host) {
   tasks_->add(
       timer_
-          .timeoutAfter(
-              options_.timing.call_deadline_ms * kj::MILLISECONDS,
-              mesh_.Reach(host).then([this](rpc::Peer::Client peer) {
-                auto request = peer.offerSettingsRequest();
-                rpc::Write(keeper_.Text(), request.initSettings());
-                return request.send().ignoreResult();
-              }))
+          .timeoutAfter(options_.timing.call_deadline_ms * kj::MILLISECONDS,
+                        mesh_.Reach(host).then([this](rpc::Peer::Client peer) {
+                          auto request = peer.offerSettingsRequest();
+                          rpc::Write(keeper_.Text(), request.initSettings());
+                          return request.send().ignoreResult();
+                        }))
           .catch_([](kj::Exception&&) {
             // The member learns of the revision from the next digest.
           }));
@@ -132,16 +132,17 @@
                       request.setAfterRevision(keeper_.Revision());
                       return request.send();
                     }))
-      .then([this, from](capnp::Response<rpc::Peer::FetchSettingsResults>
-                             reply) {
-        keeper_.Offer(rpc::Read(reply.getSettings()), from);
-      })
+      .then(
+          [this, from](capnp::Response<rpc::Peer::FetchSettingsResults> reply) {
+            keeper_.Offer(rpc::Read(reply.getSettings()), from);
+          })
       .catch_([this](kj::Exception&&) { return ReadStore(); });
 }
 
 kj::Promise<void> settings_relay::Stop() {
   watching_ = nullptr;
-  tasks_ = kj::heap<kj::TaskSet>(*this);
+  tasks_ =
+      kj::heap<kj::TaskSet>(static_cast<kj::TaskSet::ErrorHandler&>(*this));
   return lease_.Release();
 }
 
--- a/src/control/store_port.cc
+++ b/src/control/store_port.cc
@@ -29,9 +29,9 @@
     post([this, id, weak, value = std::move(value)]() mutable {
       auto waiting = weak.lock();
       if (!waiting) return;
-      bool answered = Ok(value) ||
-                      (Error(value).kind != failure_kind::kUnavailable &&
-                       Error(value).kind != failure_kind::kTimeout);
+      bool answered =
+          Ok(value) || (Error(value).kind != failure_kind::kUnavailable &&
+                        Error(value).kind != failure_kind::kTimeout);
       if (answered) last_contact_ms_ = clock_.Now();
       (*waiting)->fulfill(std::move(value));
       pending_.erase(id);
@@ -41,8 +41,8 @@
       .timeoutAfter(deadline_ms * kj::MILLISECONDS, std::move(pair.promise))
       .catch_([this, id](kj::Exception&& reason) {
         pending_.erase(id);
-        return result<T>(failure{failure_kind::kTimeout,
-                                 reason.getDescription().cStr()});
+        return result<T>(
+            failure{failure_kind::kTimeout, reason.getDescription().cStr()});
       });
 }
 
--- a/src/rpc/gate_server.cc
+++ b/src/rpc/gate_server.cc
@@ -111,6 +111,8 @@
   });
 }
 
+void gate_server::SetSelf(hello self) { impl_->options.self = std::move(self); }
+
 void gate_server::StopListening() {
   impl_->tasks.add(kj::evalLater([this] { impl_->receiver = nullptr; }));
 }
--- a/src/rpc/gate_server.h
+++ b/src/rpc/gate_server.h
@@ -48,6 +48,9 @@
   /// with a KJ exception.
   kj::Promise<std::string> Listen(std::string address);
 
+  /// Replaces how this process introduces itself, once its address is known.
+  void SetSelf(hello self);
+
   /// Accepts no more connections; the open ones continue.
   void StopListening();
 
--- a/tests/control/entry_link_test.cc
+++ b/tests/control/entry_link_test.cc
@@ -6,6 +6,7 @@
 
 #include "src/control/control_core.h"
 #include "src/control/control_process.h"
+#include "tests/control/test_fleet.h"
 
 namespace radishwing::control {
 namespace {
@@ -19,7 +20,7 @@
     options.data_centre = "ams";
     options.incarnation = 1000;
     options.fleet_secret = "secret";
-    auto made = control_process::Make(options);
+    auto made = control_process::Make(options, platform_seam());
     BOOST_REQUIRE(Ok(made));
     control = Value(std::move(made));
     link_options.host = "a1";
@@ -54,7 +55,8 @@
     core.Table().Replace(
         {{"r1", "chat", "h1", "ams", "rack1", "127.0.0.1:9", 8, 64, true, 3}},
         3);
-    core.Settings().Offer({7, "{}", "c7", "test"}, "test");
+    core.Settings().Offer({7, test_fleet::SettingsText(), "c7", "test"},
+                          "test");
   });
   auto snapshot = received.get_future();
   BOOST_REQUIRE(snapshot.wait_for(kHungTest) == std::future_status::ready);
