--- /dev/null
+++ b/src/ctl/command_context.cc
@@ -0,0 +1,82 @@
+#include "src/ctl/command_context.h"
+
+#include <algorithm>
+#include <boost/json/serialize.hpp>
+
+#include "src/base/result.h"
+#include "src/settings/finding_json.h"
+
+namespace radishwing::ctl {
+namespace {
+
+void PrintIndented(std::ostream& out, const boost::json::value& value,
+                   std::size_t depth) {
+  const std::string indent(depth * 2 + 2, ' ');
+  const auto separate = [&](bool& first) {
+    out << (first ? "\n" : ",\n") << indent;
+    first = false;
+  };
+  bool first = true;
+  if (value.is_object() && !value.get_object().empty()) {
+    out << '{';
+    for (const auto& member : value.get_object()) {
+      separate(first);
+      out << boost::json::serialize(member.key()) << ": ";
+      PrintIndented(out, member.value(), depth + 1);
+    }
+    out << '\n' << std::string(depth * 2, ' ') << '}';
+  } else if (value.is_array() && !value.get_array().empty()) {
+    out << '[';
+    for (const boost::json::value& item : value.get_array()) {
+      separate(first);
+      PrintIndented(out, item, depth + 1);
+    }
+    out << '\n' << std::string(depth * 2, ' ') << ']';
+  } else {
+    out << boost::json::serialize(value);
+  }
+}
+
+}  // namespace
+
+exit_code Fail(const command_context& context, const failure& error) {
+  if (context.format == output_format::kJson) {
+    PrintJson(*context.out, {{"error", FailureKindName(error.kind)},
+                             {"message", error.message}});
+  } else {
+    *context.err << "radishwingctl: " << Printable(error.message) << '\n';
+  }
+  return ExitCodeOf(error.kind);
+}
+
+exit_code FailWithFindings(const command_context& context,
+                           const std::vector<finding>& findings) {
+  if (context.format == output_format::kJson) {
+    PrintJson(*context.out, {{"findings", settings::FindingsToJson(findings)}});
+    return exit_code::kFindings;
+  }
+  for (const finding& f : findings) {
+    *context.err << Printable(FormatFinding(f)) << '\n';
+  }
+  *context.err << findings.size()
+               << (findings.size() == 1 ? " finding\n" : " findings\n");
+  return exit_code::kFindings;
+}
+
+void PrintJson(std::ostream& out, const boost::json::value& value) {
+  PrintIndented(out, value, 0);
+  out << '\n';
+}
+
+std::string Printable(std::string_view text) {
+  std::string printable(text);
+  std::replace_if(
+      printable.begin(), printable.end(),
+      [](unsigned char c) {
+        return (c < 0x20 && c != '\n' && c != '\t') || c == 0x7f;
+      },
+      '?');
+  return printable;
+}
+
+}  // namespace radishwing::ctl
--- a/src/metrics/metric_registry.cc
+++ b/src/metrics/metric_registry.cc
@@ -126,11 +126,11 @@
 
 prometheus::Histogram& metric_registry::Histogram(metric id,
                                                   const series& labels) {
-  static const std::vector<double> buckets(LatencyBuckets().begin(),
+  static const std::vector<double> kBounds(LatencyBuckets().begin(),
                                            LatencyBuckets().end());
   std::lock_guard<std::mutex> lock(impl_->mutex);
   return impl_->histograms.at(static_cast<std::size_t>(id))
-      .Get(MetricRow(id), labels, buckets);
+      .Get(MetricRow(id), labels, kBounds);
 }
 
 std::string metric_registry::Serialize() const {
--- a/src/settings/process_schema.cc
+++ b/src/settings/process_schema.cc
@@ -82,9 +82,9 @@
 }  // namespace
 
 std::span<const field_schema> ProcessSchema(daemon_kind daemon) {
-  static const std::vector<field_schema> entry = Combine(kEntryOnly);
-  static const std::vector<field_schema> control = Combine(kControlOnly);
-  return daemon == daemon_kind::kEntry ? entry : control;
+  static const std::vector<field_schema> kEntry = Combine(kEntryOnly);
+  static const std::vector<field_schema> kControl = Combine(kControlOnly);
+  return daemon == daemon_kind::kEntry ? kEntry : kControl;
 }
 
 }  // namespace radishwing::settings
