Add radishwing-report with burn windows kept in the store

Operators need burn per service and team over up to 3 days, longer than a process lives. The report scrapes the daemons, keeps increases in bucketed records in the platform's store by compare-and-swap, and prints text and one HTML page with inline SVG. Tests cover restarts, lost answers, conflicts, gaps in scraping, and the metric names end to end through the registry's own text.

--- a/src/metrics/metric_registry.cc
+++ b/src/metrics/metric_registry.cc
@@ -10,6 +10,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "src/base/clock.h"
+
 namespace radishwing::metrics {
 namespace {
 
@@ -108,6 +110,8 @@
         break;
     }
   }
+  Gauge(metric::kProcessStart)
+      .Set(static_cast<double>(clock::Wall().Now()) / 1000);
 }
 
 metric_registry::~metric_registry() = default;
--- a/src/metrics/metric_table.cc
+++ b/src/metrics/metric_table.cc
@@ -72,6 +72,9 @@
      "Items that a full ring rejected or dropped."},
     {kReady, "radishwing_ready", kGauge, "", "",
      "1 while `/readyz` succeeds, else 0."},
+    {kProcessStart, "radishwing_process_start_seconds", kGauge, "", "",
+     "Start of the process, in seconds since the Unix epoch. Tells the burn "
+     "report that counters start from 0."},
 };
 
 constexpr double kBuckets[] = {
--- a/src/metrics/metric_table.h
+++ b/src/metrics/metric_table.h
@@ -37,6 +37,7 @@
   kTableVersion,
   kRingDrops,
   kReady,
+  kProcessStart,
 };
 
 enum class metric_type { kCounter, kGauge, kHistogram };
--- /dev/null
+++ b/src/report/app.cc
@@ -0,0 +1,131 @@
+#include "src/report/app.h"
+
+#include <CLI/CLI.hpp>
+#include <chrono>
+#include <fstream>
+#include <thread>
+
+#include "src/report/collector.h"
+#include "src/report/html_page.h"
+#include "src/report/http_fetch.h"
+#include "src/report/text_page.h"
+#include "src/settings/fleet_parser.h"
+#include "src/settings/text_file.h"
+
+namespace radishwing::report {
+namespace {
+
+constexpr int kDone = 0;
+constexpr int kUsage = 2;
+constexpr int kFindings = 3;
+constexpr int kPartial = 4;
+constexpr int kNothing = 8;
+
+struct report_options {
+  std::string settings_file;
+  std::vector<std::string> daemons;
+  std::string platform;
+  std::string html_file;
+  std::int64_t every_seconds = 0;
+  std::int64_t runs = 1;
+};
+
+result<std::string> FetchMetrics(const std::string& address) {
+  http::client_request request;
+  request.target = "/metrics";
+  request.repeatable = true;
+  auto response = Fetch(address, std::move(request));
+  if (!Ok(response)) return Error(response);
+  if (Value(response).status != 200) {
+    return failure{failure_kind::kUnavailable,
+                   "/metrics answered with status " +
+                       std::to_string(Value(response).status)};
+  }
+  return std::move(Value(response).body);
+}
+
+void AddOptions(CLI::App& app, report_options& options) {
+  app.add_option("--settings", options.settings_file,
+                 "File with the fleet's settings; "
+                 "`radishwingctl settings get` prints them")
+      ->required();
+  app.add_option("--daemon", options.daemons,
+                 "Metrics port of an entry or control, \"ip:port\"; repeat")
+      ->required();
+  app.add_option("--platform", options.platform,
+                 "Platform, \"ip:port\": keeps the windows in its store");
+  app.add_option("--html", options.html_file, "Writes an HTML page as well");
+  app.add_option("--every-seconds", options.every_seconds, "Repeats the report")
+      ->check(CLI::Range(1, 3600));
+  app.add_option("--runs", options.runs,
+                 "Reports with --every-seconds; 0 repeats without end");
+}
+
+bool WriteFile(const std::string& file, const std::string& text) {
+  std::ofstream stream(file, std::ios::binary | std::ios::trunc);
+  stream << text;
+  stream.close();
+  return stream.good();
+}
+
+int RunOnce(const report_options& options, const record_store& store,
+            std::ostream& out, std::ostream& err) {
+  result<std::string> text =
+      settings::ReadTextFile(options.settings_file, settings::kMaxTextBytes);
+  if (!Ok(text)) {
+    err << "radishwing-report: " << Error(text).message << '\n';
+    return kUsage;
+  }
+  const auto parsed =
+      settings::ParseFleetSettings(options.settings_file, Value(text), 0);
+  if (parsed.index() == 1) {
+    for (const finding& f : std::get<1>(parsed))
+      err << FormatFinding(f) << '\n';
+    return kFindings;
+  }
+  const burn_report report = Collect(std::get<0>(parsed), options.daemons,
+                                     FetchMetrics, store, clock::Wall().Now());
+  out << TextPage(report) << std::flush;
+  if (!options.html_file.empty() &&
+      !WriteFile(options.html_file, HtmlPage(report))) {
+    err << "radishwing-report: cannot write " << options.html_file << '\n';
+    return kUsage;
+  }
+  if (report.gaps.empty()) return kDone;
+  return report.daemons_read > 0 ? kPartial : kNothing;
+}
+
+}  // namespace
+
+int RunReport(const std::vector<std::string>& arguments, std::ostream& out,
+              std::ostream& err) {
+  CLI::App app(
+      "Reports how services of a radishwing fleet use their error "
+      "budgets.",
+      "radishwing-report");
+  report_options options;
+  AddOptions(app, options);
+  app.footer(
+      "Without --platform the windows start with the first of the repeated "
+      "reports.\nExit codes: 0 done, 2 wrong usage, 3 settings with findings, "
+      "4 partial, 8 nothing could be read.");
+  std::vector<std::string> reversed(arguments.rbegin(), arguments.rend());
+  try {
+    app.parse(reversed);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error, out, err) == 0 ? kDone : kUsage;
+  }
+  const record_store store = options.platform.empty()
+                                 ? MakeMemoryStore()
+                                 : MakePlatformStore(options.platform);
+  int code = kDone;
+  for (std::int64_t run = 0;; ++run) {
+    code = RunOnce(options, store, out, err);
+    const bool last = options.every_seconds == 0 ||
+                      (options.runs > 0 && run + 1 >= options.runs);
+    if (last) return code;
+    std::this_thread::sleep_for(std::chrono::seconds(options.every_seconds));
+  }
+}
+
+}  // namespace radishwing::report
--- /dev/null
+++ b/src/report/http_fetch.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "src/base/clock.h"
+#include "src/base/result.h"
+#include "src/http/client_request.h"
+#include "src/http/client_response.h"
+
+namespace radishwing::report {
+
+/// Sends one request to "ip:port" and waits for the response. Blocks.
+result<http::client_response> Fetch(const std::string& address,
+                                    http::client_request request);
+
+}  // namespace radishwing::report
--- /dev/null
+++ b/src/report/metric_sample.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "src/base/result.h"
+
+namespace radishwing::report {
+
+/// One series of a scrape.
+struct metric_sample {
+  std::string name;
+  std::map<std::string, std::string, std::less<>> labels;
+  double value = 0;
+
+  /// The value of a label, or an empty view.
+  std::string_view Label(std::string_view label) const;
+};
+
+/// Parses the Prometheus text format 0.0.4. Comments are skipped. A malformed
+/// line is kInvalid with its number, since half a scrape would look like a
+/// reset of the missing counters.
+result<std::vector<metric_sample>> ParseMetricText(std::string_view text);
+
+}  // namespace radishwing::report
--- /dev/null
+++ b/src/report/record_updater.cc
@@ -0,0 +1,39 @@
+#include "src/report/record_updater.h"
+
+namespace radishwing::report {
+namespace {
+
+result<window_record> Read(const record_store& store, const std::string& name,
+                           std::uint64_t& version) {
+  result<stored_record> stored = store.read(name);
+  if (!Ok(stored)) return Error(stored);
+  version = Value(stored).version;
+  if (version == 0) return window_record();
+  return window_record::Decode(Value(stored).text);
+}
+
+}  // namespace
+
+result<window_record> UpdateRecord(const record_store& store,
+                                   const std::string& name, millis now,
+                                   const process_counters& scrape) {
+  failure last;
+  for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
+    std::uint64_t version = 0;
+    result<window_record> record = Read(store, name, version);
+    if (!Ok(record)) return Error(record);
+    Value(record).Add(now, scrape);
+    result<std::string> text = Value(record).Encode();
+    if (!Ok(text)) return Error(text);
+    result<done> written = store.write(name, Value(text), version);
+    if (Ok(written)) return record;
+    last = Error(written);
+    if (last.kind != failure_kind::kConflict &&
+        last.kind != failure_kind::kTimeout) {
+      return last;
+    }
+  }
+  return last;
+}
+
+}  // namespace radishwing::report
--- /dev/null
+++ b/src/report/scrape.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "src/report/metric_sample.h"
+
+namespace radishwing::report {
+
+/// What one daemon exported.
+struct scrape {
+  std::string address;
+  std::vector<metric_sample> samples;
+};
+
+}  // namespace radishwing::report
--- /dev/null
+++ b/src/report/window_record_json.cc
@@ -0,0 +1,130 @@
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <vector>
+
+#include "src/base/json_fields.h"
+#include "src/report/window_record.h"
+
+namespace radishwing::report {
+namespace {
+
+/// Series appear in many buckets; the text names each once and refers to it
+/// by its index.
+class series_index {
+ public:
+  series_index() = default;
+  explicit series_index(const boost::json::array& names) {
+    for (const boost::json::value& name : names) {
+      names_.push_back(name.is_string() ? std::string(name.get_string())
+                                        : std::string());
+    }
+  }
+
+  boost::json::array Encode(const counter_values& values) {
+    boost::json::array flat;
+    for (const auto& [series, value] : values) {
+      const auto [position, added] = indexes_.emplace(series, names_.size());
+      if (added) names_.push_back(series);
+      flat.push_back(position->second);
+      flat.push_back(value);
+    }
+    return flat;
+  }
+
+  bool Decode(const boost::json::value& value, counter_values& values) const {
+    const boost::json::array* flat = value.if_array();
+    if (!flat || flat->size() % 2 != 0) return false;
+    for (std::size_t i = 0; i < flat->size(); i += 2) {
+      boost::json::error_code index_error;
+      boost::json::error_code value_error;
+      const auto index = (*flat)[i].to_number<std::size_t>(index_error);
+      const auto count = (*flat)[i + 1].to_number<std::uint64_t>(value_error);
+      if (index_error || value_error || index >= names_.size()) return false;
+      values[names_[index]] = count;
+    }
+    return true;
+  }
+
+  boost::json::array Names() const {
+    return boost::json::array(names_.begin(), names_.end());
+  }
+
+ private:
+  std::map<std::string, std::size_t, std::less<>> indexes_;
+  std::vector<std::string> names_;
+};
+
+}  // namespace
+
+result<std::string> window_record::Encode() const {
+  series_index index;
+  boost::json::object processes;
+  for (const auto& [name, known] : processes_) {
+    processes[name] = {{"seen_ms", known.seen_ms},
+                       {"values", index.Encode(known.values)}};
+  }
+  boost::json::array tiers;
+  for (const auto& buckets : buckets_) {
+    boost::json::array tier;
+    for (const auto& [start, values] : buckets) {
+      tier.push_back({{"start_ms", start}, {"values", index.Encode(values)}});
+    }
+    tiers.push_back(std::move(tier));
+  }
+  const boost::json::object record = {{"first_ms", first_ms_},
+                                      {"last_ms", last_ms_},
+                                      {"series", index.Names()},
+                                      {"processes", std::move(processes)},
+                                      {"tiers", std::move(tiers)}};
+  std::string text = boost::json::serialize(record);
+  if (text.size() > kMaxTextBytes) {
+    return failure{failure_kind::kFull,
+                   "burn record of " + std::to_string(text.size()) +
+                       " bytes exceeds " + std::to_string(kMaxTextBytes)};
+  }
+  return text;
+}
+
+result<window_record> window_record::Decode(std::string_view text) {
+  result<json_fields> parsed = json_fields::Parse("burn record", text);
+  if (!Ok(parsed)) return Error(parsed);
+  json_fields& fields = Value(parsed);
+  window_record record;
+  record.first_ms_ = fields.Signed("first_ms");
+  record.last_ms_ = fields.Signed("last_ms");
+  const series_index index(fields.Array("series"));
+  for (const auto& member : fields.Object("processes")) {
+    if (!member.value().is_object()) {
+      fields.Reject("processes");
+      break;
+    }
+    json_fields known("process", member.value().get_object());
+    process& added = record.processes_[std::string(member.key())];
+    added.seen_ms = known.Signed("seen_ms");
+    if (!index.Decode(known.Array("values"), added.values) || !known.Valid()) {
+      fields.Reject("processes");
+    }
+  }
+  const boost::json::array tiers = fields.Array("tiers");
+  if (tiers.size() != kTiers.size()) fields.Reject("tiers");
+  for (std::size_t i = 0; i < kTiers.size() && fields.Valid(); ++i) {
+    if (!tiers[i].is_array()) fields.Reject("tiers");
+    for (const auto& item :
+         fields.Valid() ? tiers[i].get_array() : boost::json::array()) {
+      if (!item.is_object()) {
+        fields.Reject("tiers");
+        break;
+      }
+      json_fields bucket("bucket", item.get_object());
+      counter_values& values = record.buckets_[i][bucket.Signed("start_ms")];
+      if (!index.Decode(bucket.Array("values"), values) || !bucket.Valid()) {
+        fields.Reject("tiers");
+      }
+    }
+  }
+  if (!fields.Valid()) return fields.Failure();
+  return record;
+}
+
+}  // namespace radishwing::report
--- a/src/settings/fleet_checker.cc
+++ b/src/settings/fleet_checker.cc
@@ -80,6 +80,11 @@
 }
 
 void fleet_checker::CheckTeamKeys(const node_member& team) {
+  // Metrics use "-" for requests without a team.
+  if (team.name == "-") {
+    findings_.push_back(tree_.FindingAt(team.name_range.begin, "teams",
+                                        "team named \"-\"", "any other name"));
+  }
   const node* keys = FindKind(team.value, "keys", node_kind::kList);
   if (keys == nullptr) return;
   std::set<std::string> ids;
