--- a/src/report/burn_report.cc
+++ b/src/report/burn_report.cc
@@ -153,7 +153,6 @@
                            millis now) {
   burn_report report;
   report.fleet = settings.name;
-  report.revision = settings.revision;
   report.taken_ms = now;
   report.daemons_read = scrapes.size();
   // Records of services without requests are missing; the longest one tells
--- a/src/report/burn_report.h
+++ b/src/report/burn_report.h
@@ -68,7 +68,6 @@
 /// Everything that the report shows.
 struct burn_report {
   std::string fleet;
-  std::uint64_t revision = 0;
   millis taken_ms = 0;  ///< Wall time.
   std::array<millis, kTiers.size()> covered = {};
   std::vector<service_burn> services;
--- a/src/report/html_page.cc
+++ b/src/report/html_page.cc
@@ -182,8 +182,7 @@
   page += EscapeHtml("Burn report of " + report.fleet);
   page += "</title><style>" + std::string(kStyle) + "</style></head><body>\n";
   page += "<h1>" + EscapeHtml("Burn report of " + report.fleet) + "</h1>\n<p>";
-  page += EscapeHtml("Settings revision " + std::to_string(report.revision) +
-                     ", " + WallTimeText(report.taken_ms));
+  page += WallTimeText(report.taken_ms);
   page += "</p>\n";
   for (std::size_t tier = 0; tier < kTiers.size(); ++tier) {
     if (report.covered[tier] >= kTiers[tier].window_ms) continue;
--- a/src/report/text_page.cc
+++ b/src/report/text_page.cc
@@ -28,7 +28,7 @@
 
 void AppendServices(std::string& page, const burn_report& report) {
   page += "\nError budgets (burn 1 uses the budget up evenly)\n";
-  page += Pad("service", 16) + Pad("team", 16) + Pad("objective", 18);
+  page += Pad("service", 16) + Pad("team", 16) + Pad("objective", 20);
   for (const window_tier& tier : kTiers) page += Pad(tier.name, 8);
   page += Pad("left", 8) + "used up by (3 days)\n";
   for (const service_burn& burn : report.services) {
@@ -37,7 +37,7 @@
     page += Pad(all ? FixedNumber(burn.good_ratio * 100, 3) + "% in " +
                           std::to_string(burn.latency_ms) + " ms"
                     : "",
-                18);
+                20);
     for (const burn_window& window : burn.windows) {
       page += Pad(window.total == 0 ? "-" : FixedNumber(window.burn, 2), 8);
     }
@@ -95,6 +95,7 @@
 
 std::string DurationText(millis length) {
   const double minutes = static_cast<double>(length) / kMinuteMs;
+  if (minutes < 2) return std::to_string(length / 1000) + " s";
   if (minutes < 120) return FixedNumber(minutes, 0) + " min";
   if (minutes < 48 * 60) return FixedNumber(minutes / 60, 1) + " h";
   return FixedNumber(minutes / 1440, 1) + " days";
@@ -110,9 +111,8 @@
 }
 
 std::string TextPage(const burn_report& report) {
-  std::string page = "Fleet " + report.fleet + ", settings revision " +
-                     std::to_string(report.revision) + ", " +
-                     WallTimeText(report.taken_ms) + "\n";
+  std::string page =
+      "Fleet " + report.fleet + ", " + WallTimeText(report.taken_ms) + "\n";
   for (std::size_t tier = 0; tier < kTiers.size(); ++tier) {
     if (report.covered[tier] >= kTiers[tier].window_ms) continue;
     page += std::string("The window of ") + kTiers[tier].name + " covers " +
