Serve requests through the entry

The serve thread admits, queues and routes requests to runners and streams both ways; the link to the control process is a set of hooks.

--- /dev/null
+++ b/src/entry/exchange.cc
@@ -0,0 +1,324 @@
+#include "src/entry/exchange.h"
+
+#include "src/base/sha256.h"
+#include "src/entry/caller_connection.h"
+#include "src/entry/entry_core.h"
+
+namespace radishwing::entry {
+
+using requests::claim_state;
+using requests::outcome;
+
+namespace {
+
+// A repeat asks again for the state of its first request this often.
+constexpr millis kClaimPollMs = 200;
+
+std::string_view OutcomeName(outcome o) {
+  switch (o) {
+    case outcome::kAnswered:
+      return "answered";
+    case outcome::kNotRun:
+      return "not-run";
+    default:
+      return "unknown";
+  }
+}
+
+rejection RepeatRejection(const requests::claim_answer& answer) {
+  rejection r;
+  r.extra = ",\"first_outcome\":\"" + std::string(OutcomeName(answer.outcome)) +
+            "\",\"first_status\":" + std::to_string(answer.status);
+  if (answer.outcome == outcome::kAnswered) {
+    r.status = 409;
+    r.reason = "already_answered";
+    r.message = "The request with this identifier has already been answered";
+    r.outcome = outcome::kNone;
+  } else if (answer.outcome == outcome::kNotRun) {
+    r.status = 503;
+    r.reason = "first_not_run";
+    r.message = "The request with this identifier was not run";
+  } else {
+    r.status = 504;
+    r.reason = "first_unknown";
+    r.message = "Whether the request with this identifier ran is unknown";
+    r.outcome = outcome::kUnknown;
+  }
+  return r;
+}
+
+}  // namespace
+
+exchange::~exchange() = default;
+
+std::weak_ptr<caller_connection> exchange::Caller() const {
+  return caller_.weak_from_this();
+}
+
+void exchange::OnBodyPart(std::size_t size) {
+  body_bytes_ += size;
+  if (uploading_) return UploadPart(size);
+  body_.resize(size);
+  upload_done_ = caller_.Parser().is_done();
+  BodyReady();
+}
+
+void exchange::OnBodyError() {
+  if (uploading_) {
+    state_.maybe_run = true;
+    EndAttempt(routing::attempt_result::kNoVerdict, next_step::kFinish,
+               connection_use::kClose);
+  }
+  Reject({400, "malformed_request", "The request body is not valid HTTP/1.1",
+          state_.maybe_run ? outcome::kUnknown : outcome::kNotRun, true});
+}
+
+void exchange::OnSlowSender() {
+  if (uploading_) {
+    state_.maybe_run = true;
+    EndAttempt(routing::attempt_result::kNoVerdict, next_step::kFinish,
+               connection_use::kClose);
+  }
+  Reject({408, "slow_sender", "The request body took too long",
+          state_.maybe_run ? outcome::kUnknown : outcome::kNotRun, true});
+}
+
+void exchange::BodyReady() {
+  if (state_.phase == request_phase::kJob) return SubmitJob();
+  if (upload_done_) caller_.WatchForClose();
+  if (body_bytes_ > state_.service->settings.max_body_bytes) {
+    return Reject({413, "body_too_large",
+                   "The body exceeds the limit of the service",
+                   outcome::kNotRun, !upload_done_});
+  }
+  core_.IndexId(*this);
+  if (!state_.idempotent && state_.own_id) return SendClaim();
+  Enqueue();
+}
+
+void exchange::SendClaim() {
+  state_.phase = request_phase::kClaim;
+  const auto& request = caller_.Parser().get();
+  std::string length = "chunked";
+  if (upload_done_) {
+    length = std::to_string(body_bytes_);
+  } else if (auto declared = caller_.Parser().content_length()) {
+    length = std::to_string(*declared);
+  }
+  requests::claim claim;
+  claim.request_id = state_.id;
+  claim.team = state_.team->name;
+  claim.digest = Sha256Hex(std::string(request.method_string()) + "\n" +
+                           std::string(request.target()) + "\n" + length);
+  claim.owner = core_.Owner();
+  core_.SendClaim(std::move(claim), caller_.shared_from_this(),
+                  state_.sequence);
+}
+
+bool exchange::OnClaim(std::uint64_t sequence,
+                       const result<requests::claim_answer>& answer) {
+  if (state_.sequence != sequence || state_.phase != request_phase::kClaim) {
+    return false;
+  }
+  claim_state state =
+      Ok(answer) ? Value(answer).state : claim_state::kUnavailable;
+  switch (state) {
+    case claim_state::kFresh:
+      state_.claimed = true;
+      // A fresh claim after a wait means that the first one was forgotten.
+      state_.waited ? RejectUnclaimed() : Enqueue();
+      break;
+    case claim_state::kUnavailable:
+      RejectUnclaimed();
+      break;
+    case claim_state::kConflict:
+      Reject({409, "identifier_conflict",
+              "The identifier was used for another request"});
+      break;
+    case claim_state::kFinished:
+      Reject(RepeatRejection(Value(answer)));
+      break;
+    case claim_state::kRunning:
+      state_.waited = true;
+      state_.phase = request_phase::kClaimWait;
+      state_.claim_again_at = core_.Now() + kClaimPollMs;
+      break;
+  }
+  return true;
+}
+
+void exchange::RejectUnclaimed() {
+  if (state_.first_attempt && !state_.waited) {
+    return Reject({503, "claim_unavailable",
+                   "The identifier cannot be claimed now; nothing was run"});
+  }
+  Reject({504, "claim_unavailable",
+          "Whether this identifier has been run cannot be learned now",
+          outcome::kUnknown});
+}
+
+void exchange::Enqueue() {
+  service_state& service = *state_.service;
+  if (core_.IsFull(service)) {
+    if (state_.team->NeedsToken() && state_.team->tokens.AtLimit()) {
+      rejection r{429, "team_at_limit",
+                  "The team is at its upper limit and the queue is full"};
+      r.retry_after = 1;
+      return Reject(std::move(r));
+    }
+    return Reject({503, "queue_full", "The queue of the service is full"});
+  }
+  state_.phase = request_phase::kQueued;
+  state_.pool = service.pool;
+  core_.Push(*this);
+}
+
+void exchange::RejectQueued(rejection r) {
+  if (state_.phase != request_phase::kQueued) return;
+  if (state_.maybe_run) {
+    r.status = 504;
+    r.outcome = outcome::kUnknown;
+  }
+  core_.CancelQueued(*this);
+  Reject(std::move(r));
+}
+
+void exchange::ChangePool() {
+  if (state_.phase != request_phase::kQueued ||
+      state_.pool == state_.service->pool) {
+    return;
+  }
+  core_.CancelQueued(*this);
+  Enqueue();
+}
+
+bool exchange::MayKeep() const {
+  return caller_.Parser().keep_alive() && caller_.Parser().is_done() &&
+         !core_.Closing();
+}
+
+void exchange::Reject(rejection r) {
+  bool keep = MayKeep() && !r.close;
+  std::string text;
+  AppendRejection(r, state_.id, keep,
+                  caller_.Parser().get().method() == http::verb::head, text);
+  Complete(r.outcome, r.status);
+  caller_.Reply(std::move(text), keep);
+}
+
+void exchange::Complete(outcome how, std::uint16_t status) {
+  if (state_.claimed) core_.FinishClaim(state_.id, how, status);
+  core_.CountOutcome(state_, how);
+  core_.Deactivate(*this);
+  core_.Buffers().Return(std::move(up_));
+  core_.Buffers().Return(std::move(down_));
+  if (body_.capacity() > kReplayMax / 4) body_ = {};
+  state_.phase = request_phase::kNone;
+}
+
+void exchange::OnCallerGone() {
+  bool may_run = state_.maybe_run;
+  switch (state_.phase) {
+    case request_phase::kQueued:
+      core_.CancelQueued(*this);
+      break;
+    case request_phase::kConnecting:
+    case request_phase::kWaiting:
+    case request_phase::kStreaming:
+      if (runner_done_) {
+        return Complete(outcome::kAnswered, status_);
+      }
+      may_run = may_run || attempt_.written;
+      EndAttempt(routing::attempt_result::kNoVerdict, next_step::kFinish,
+                 connection_use::kLinger);
+      break;
+    default:
+      break;
+  }
+  Complete(may_run ? outcome::kUnknown : outcome::kNotRun, 499);
+}
+
+void exchange::Cancel() {
+  switch (state_.phase) {
+    case request_phase::kQueued:
+      return RejectQueued({503, "cancelled", "The request was cancelled"});
+    case request_phase::kConnecting:
+    case request_phase::kWaiting: {
+      bool may_run = state_.maybe_run || attempt_.written;
+      EndAttempt(routing::attempt_result::kNoVerdict, next_step::kFinish,
+                 connection_use::kLinger);
+      return Reject({static_cast<std::uint16_t>(may_run ? 502 : 503),
+                     "cancelled", "The request was cancelled",
+                     may_run ? outcome::kUnknown : outcome::kNotRun});
+    }
+    case request_phase::kStreaming:
+      if (runner_done_) return;
+      return Truncate(routing::attempt_result::kNoVerdict,
+                      connection_use::kLinger);
+    case request_phase::kClaim:
+    case request_phase::kClaimWait:
+      return Reject(
+          {504, "cancelled", "The request was cancelled", outcome::kUnknown});
+    default:
+      return;
+  }
+}
+
+void exchange::OnTick(millis now) {
+  if (state_.phase == request_phase::kClaimWait &&
+      now >= state_.claim_again_at && now < state_.deadline_at) {
+    return SendClaim();
+  }
+  if (attempt_.runner) core_.ChargeRunning(*this, now - attempt_.started_at);
+  if (now >= state_.deadline_at) return OnDeadline();
+  if (state_.phase == request_phase::kConnecting &&
+      now >= attempt_.connect_by) {
+    return Broken(broken::kRefused);
+  }
+  if (state_.phase == request_phase::kWaiting && !attempt_.first_byte &&
+      upload_done_ && now >= attempt_.first_byte_by) {
+    return Broken(broken::kTimeout);
+  }
+}
+
+void exchange::OnDeadline() {
+  rejection late{504, "deadline_exceeded",
+                 "The deadline passed; whether the request ran is unknown",
+                 outcome::kUnknown};
+  switch (state_.phase) {
+    case request_phase::kBody:
+      return OnSlowSender();
+    case request_phase::kQueued:
+      return RejectQueued({503, "deadline_in_queue",
+                           "The deadline passed while the request waited"});
+    case request_phase::kClaim:
+      if (state_.first_attempt && !state_.waited) {
+        return Reject({503, "claim_unavailable",
+                       "The identifier could not be claimed in time"});
+      }
+      [[fallthrough]];
+    case request_phase::kClaimWait:
+    case request_phase::kJob:
+      return Reject(late);
+    case request_phase::kConnecting:
+    case request_phase::kWaiting: {
+      bool silent = core_.Now() - attempt_.started_at >= SilentAfter();
+      bool may_run = state_.maybe_run || attempt_.written;
+      core_.CloseIdle(*attempt_.runner);
+      EndAttempt(silent ? routing::attempt_result::kFailed
+                        : routing::attempt_result::kNoVerdict,
+                 next_step::kFinish, connection_use::kLinger);
+      if (may_run) return Reject(late);
+      return Reject({503, "deadline_in_queue",
+                     "The deadline passed before the request was sent"});
+    }
+    case request_phase::kStreaming:
+      if (runner_done_) return;
+      return Truncate(routing::attempt_result::kNoVerdict,
+                      connection_use::kLinger);
+    case request_phase::kNone:
+      return;
+  }
+}
+
+}  // namespace radishwing::entry
--- a/tools/runner_fake/parse_endpoint.cc
+++ b/src/entry/parse_endpoint.cc
@@ -1,8 +1,8 @@
-#include "tools/runner_fake/parse_endpoint.h"
+#include "src/entry/parse_endpoint.h"
 
 #include <charconv>
 
-namespace radishwing::fake {
+namespace radishwing::entry {
 
 std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(
     std::string_view text) {
@@ -20,4 +20,4 @@
   return boost::asio::ip::tcp::endpoint(ip, port);
 }
 
-}  // namespace radishwing::fake
+}  // namespace radishwing::entry
--- a/tools/runner_fake/parse_endpoint.h
+++ b/src/entry/parse_endpoint.h
@@ -4,10 +4,10 @@
 #include <optional>
 #include <string_view>
 
-namespace radishwing::fake {
+namespace radishwing::entry {
 
 /// Reads "ip:port". Names are not resolved.
 std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(
     std::string_view text);
 
-}  // namespace radishwing::fake
+}  // namespace radishwing::entry
--- a/tools/runner_fake/runner_announcer.cc
+++ b/tools/runner_fake/runner_announcer.cc
@@ -8,7 +8,7 @@
 #include <boost/json.hpp>
 #include <chrono>
 
-#include "tools/runner_fake/parse_endpoint.h"
+#include "src/entry/parse_endpoint.h"
 
 namespace radishwing::fake {
 
@@ -28,7 +28,7 @@
   }
 
   void Announce() {
-    auto endpoint = ParseEndpoint(state.options.platform_address);
+    auto endpoint = entry::ParseEndpoint(state.options.platform_address);
     if (!endpoint) return;
     request = {};
     request.method(http::verb::post);
--- a/tools/runner_fake/runner_fake.cc
+++ b/tools/runner_fake/runner_fake.cc
@@ -10,7 +10,7 @@
 #include <thread>
 
 #include "src/base/thread_name.h"
-#include "tools/runner_fake/parse_endpoint.h"
+#include "src/entry/parse_endpoint.h"
 #include "tools/runner_fake/runner_announcer.h"
 #include "tools/runner_fake/runner_session.h"
 
@@ -111,7 +111,7 @@
 runner_fake::runner_fake(std::unique_ptr<impl> impl) : impl_(std::move(impl)) {}
 
 result<std::unique_ptr<runner_fake>> runner_fake::Make(runner_options options) {
-  auto endpoint = ParseEndpoint(options.address);
+  auto endpoint = entry::ParseEndpoint(options.address);
   if (!endpoint) {
     return failure{failure_kind::kInvalid,
                    "address " + options.address + " is not ip:port"};
