--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -4,7 +4,7 @@
 #include <chrono>
 
 #include "src/base/log.h"
-#include "src/entry/parse_endpoint.h"
+#include "src/http/address.h"
 
 namespace radishwing::entry {
 
@@ -43,16 +43,13 @@
 }
 
 result<tcp::endpoint> entry_core::Listen() {
-  auto endpoint = ParseEndpoint(options_.caller_address);
-  if (!endpoint) {
-    return failure{
-        failure_kind::kInvalid,
-        "caller_address \"" + options_.caller_address + "\" is not ip:port"};
-  }
+  auto parsed = radishwing::http::ParseAddress(options_.caller_address);
+  if (!Ok(parsed)) return Error(parsed);
+  const tcp::endpoint& endpoint = Value(parsed);
   error_code error;
-  acceptor_.open(endpoint->protocol(), error);
+  acceptor_.open(endpoint.protocol(), error);
   if (!error) acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-  if (!error) acceptor_.bind(*endpoint, error);
+  if (!error) acceptor_.bind(endpoint, error);
   if (!error) acceptor_.listen(4096, error);
   if (error) {
     return failure{
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -5,7 +5,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <list>
 #include <memory>
-#include <mutex>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -44,8 +43,6 @@
   serve_inbox& Inbox() { return inbox_; }
   report_board& Board() { return board_; }
   bool HasSnapshot() const { return has_snapshot_; }
-  /// Callable from any thread.
-  std::vector<std::shared_ptr<const service_metrics>> Metrics() const;
 
   // For the connections and exchanges.
   millis Now() const { return options_.time.Now(); }
@@ -110,7 +107,7 @@
   // Counters: entry_core_report.cc.
   void CountAttempt(const request_state& state);
   void CountRetry(const request_state& state);
-  void CountOutcome(const request_state& state, requests::outcome how);
+  void CountVerdict(const request_state& state, request_verdict verdict);
 
  private:
   enum class stop_phase { kNone, kDelay, kDraining, kDone };
@@ -182,8 +179,7 @@
   millis next_second_ = 0;
   millis next_publish_ = 0;
 
-  mutable std::mutex metrics_mutex_;
-  std::vector<std::shared_ptr<service_metrics>> metrics_;
+  std::vector<service_metrics*> metrics_;  ///< Owned by the services.
 
   /// Declared late, so that they are destroyed first: pending handlers own
   /// connections, which use the members above.
--- a/src/entry/entry_core_dispatch.cc
+++ b/src/entry/entry_core_dispatch.cc
@@ -1,5 +1,5 @@
 #include "src/entry/entry_core.h"
-#include "src/entry/parse_endpoint.h"
+#include "src/http/address.h"
 
 namespace radishwing::entry {
 
@@ -37,6 +37,7 @@
   item.workspace = state.workspace;
   item.expected_ms = static_cast<millis>(service.mean_run_ms);
   ++state.team->waiting;
+  ++MetricsOf(state).waiting;
   e.SetTicket(state.pool->queue.Push(item));
   Dispatch(service);
   if (state.phase == request_phase::kQueued) {
@@ -47,6 +48,7 @@
 void entry_core::CancelQueued(exchange& e) {
   e.State().pool->queue.Cancel(e.State().ticket);
   --e.State().team->waiting;
+  --MetricsOf(e.State()).waiting;
 }
 
 void entry_core::ChargeRunning(exchange& e, millis used_ms) {
@@ -94,6 +96,7 @@
     return false;
   }
   --state.team->waiting;
+  --MetricsOf(state).waiting;
   e.StartAttempt(*runner);
   return true;
 }
@@ -101,6 +104,7 @@
 bool entry_core::Started(exchange& e, routing::runner_state& runner) {
   team_state& team = *e.State().team;
   ++team.running;
+  ++MetricsOf(e.State()).running;
   if (team.NeedsToken()) team.tokens.Use();
   return e.State().service->group->Started(runner);
 }
@@ -114,6 +118,7 @@
   team_state& team = *state.team;
   state.service->group->Finished(*attempt.runner, attempt.probe, how, now);
   --team.running;
+  --MetricsOf(state).running;
   state.pool->slot_ms[team.index] += static_cast<std::uint64_t>(used);
   if (use == connection_use::kLinger) {
     Linger(e, attempt);
@@ -127,6 +132,7 @@
   }
   if (next == next_step::kRequeue) {
     ++team.waiting;
+    ++MetricsOf(state).waiting;
     state.pool->queue.Requeue(state.ticket);
   } else {
     state.pool->queue.Finish(state.ticket, used);
@@ -174,7 +180,8 @@
   if (!link) {
     link = std::make_unique<runner_link>();
     link->pool = std::make_shared<connection_pool>();
-    link->endpoint = ParseEndpoint(runner.info.address);
+    auto endpoint = radishwing::http::ParseAddress(runner.info.address);
+    if (Ok(endpoint)) link->endpoint = Value(endpoint);
   }
   return *link;
 }
--- a/src/entry/entry_core_report.cc
+++ b/src/entry/entry_core_report.cc
@@ -4,56 +4,35 @@
 
 namespace radishwing::entry {
 
-using requests::outcome;
-
 service_metrics& entry_core::MetricsOf(const request_state& state) {
   auto& by_team = state.service->metrics;
   std::uint32_t team = state.team ? state.team->index : 0;
   if (by_team.size() <= team) by_team.resize(team + 1);
   if (!by_team[team]) {
-    by_team[team] = std::make_shared<service_metrics>();
-    by_team[team]->service = state.service->name;
-    by_team[team]->team = directory_.Team(team).name;
-    std::lock_guard<std::mutex> lock(metrics_mutex_);
-    metrics_.push_back(by_team[team]);
+    by_team[team] = std::make_unique<service_metrics>(
+        state.service->name, directory_.Team(team).name, options_.registry);
+    metrics_.push_back(by_team[team].get());
   }
   return *by_team[team];
 }
 
-std::vector<std::shared_ptr<const service_metrics>> entry_core::Metrics()
-    const {
-  std::lock_guard<std::mutex> lock(metrics_mutex_);
-  return {metrics_.begin(), metrics_.end()};
-}
-
 void entry_core::CountAttempt(const request_state& state) {
-  MetricsOf(state).attempts.Add(1);
+  ++MetricsOf(state).attempts;
 }
 
 void entry_core::CountRetry(const request_state& state) {
-  MetricsOf(state).retries.Add(1);
+  MetricsOf(state).CountRetry();
 }
 
-void entry_core::CountOutcome(const request_state& state, outcome how) {
+void entry_core::CountVerdict(const request_state& state,
+                              request_verdict verdict) {
   if (!state.service) return;
-  service_metrics& metrics = MetricsOf(state);
   millis took = Now() - state.received_at;
-  switch (how) {
-    case outcome::kAnswered:
-      metrics.answered.Add(1);
-      metrics.ObserveLatency(took);
-      if (took > state.service->settings.objective.latency_ms) {
-        metrics.late.Add(1);
-      }
-      break;
-    case outcome::kUnknown:
-      metrics.unknown.Add(1);
-      break;
-    case outcome::kNone:
-    case outcome::kNotRun:
-      metrics.refused.Add(1);
-      break;
+  if (verdict == request_verdict::kGood &&
+      took > state.service->settings.objective.latency_ms) {
+    verdict = request_verdict::kLate;
   }
+  MetricsOf(state).Count(verdict, static_cast<double>(took) / 1000);
 }
 
 void entry_core::Publish() {
@@ -90,10 +69,11 @@
     if (held == 0) continue;
     report.held_tokens.push_back({team->name, held, team->tokens.Epoch()});
   }
-  for (const auto& metrics : metrics_) {
+  for (service_metrics* metrics : metrics_) {
+    metrics->ShowPresent();
     report.counters.push_back({metrics->service, metrics->team,
-                               metrics->answered.Get(), metrics->refused.Get(),
-                               metrics->unknown.Get(), metrics->late.Get()});
+                               metrics->answered, metrics->refused,
+                               metrics->unknown, metrics->late});
   }
   board_.Publish(std::move(report));
 }
--- a/src/entry/entry_options.h
+++ b/src/entry/entry_options.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "src/base/clock.h"
+#include "src/metrics/metric_registry.h"
 
 namespace radishwing::entry {
 
@@ -16,6 +17,9 @@
   std::uint64_t seed = 1;                      ///< Of the runner picker.
   clock time = clock::Monotonic();
 
+  /// Where metrics are counted; nullptr counts nothing.
+  metrics::metric_registry* registry = nullptr;
+
   std::size_t caller_connections_max = 10000;
   millis header_timeout_ms = 10000;
   millis idle_part_timeout_ms = 30000;    ///< Between parts of a body.
--- a/src/entry/entry_server.cc
+++ b/src/entry/entry_server.cc
@@ -31,14 +31,16 @@
   if (!Ok(endpoint)) return Error(endpoint);
   made->address = Value(endpoint).address().to_string() + ":" +
                   std::to_string(Value(endpoint).port());
-  impl* p = made.get();
-  p->thread = std::thread([p] {
+  return std::unique_ptr<entry_server>(new entry_server(std::move(made)));
+}
+
+void entry_server::Start() {
+  impl_->thread = std::thread([p = impl_.get()] {
     NameThread("serve");
     auto guard = boost::asio::make_work_guard(p->core.Context());
     p->core.StartTicks();
     p->core.Context().run();
   });
-  return std::unique_ptr<entry_server>(new entry_server(std::move(made)));
 }
 
 entry_server::~entry_server() { Halt(); }
@@ -86,9 +88,4 @@
   });
 }
 
-std::vector<std::shared_ptr<const service_metrics>> entry_server::Metrics()
-    const {
-  return impl_->core.Metrics();
-}
-
 }  // namespace radishwing::entry
--- a/src/entry/entry_server.h
+++ b/src/entry/entry_server.h
@@ -9,7 +9,6 @@
 #include "src/base/result.h"
 #include "src/entry/entry_options.h"
 #include "src/entry/link_port.h"
-#include "src/entry/service_metrics.h"
 #include "src/rpc/entry_link.h"
 
 namespace radishwing::entry {
@@ -18,10 +17,13 @@
 /// Methods may be called from any thread.
 class entry_server {
  public:
-  /// Listens and starts the thread. `port` is called on the serve thread.
+  /// Binds the caller address. `port` is called on the serve thread.
   static result<std::unique_ptr<entry_server>> Make(entry_options options,
                                                     link_port port);
 
+  /// Starts the thread, which accepts callers.
+  void Start();
+
   /// Stops at once; callers see broken connections.
   ~entry_server();
   entry_server(const entry_server&) = delete;
@@ -48,9 +50,6 @@
   /// server is destroyed; they have no effect. Idempotent.
   void Halt();
 
-  /// Totals per service and team.
-  std::vector<std::shared_ptr<const service_metrics>> Metrics() const;
-
  private:
   struct impl;
   explicit entry_server(std::unique_ptr<impl> impl);
--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -25,6 +25,14 @@
   }
 }
 
+request_verdict VerdictOf(const rejection& r) {
+  if (r.reason == "cut_off") return request_verdict::kCutOff;
+  if (r.status == 429) return request_verdict::kRefused;
+  if (r.status < 500) return request_verdict::kRejected;
+  return r.outcome == outcome::kNotRun ? request_verdict::kRefused
+                                       : request_verdict::kUnknown;
+}
+
 rejection RepeatRejection(const requests::claim_answer& answer) {
   rejection r;
   r.extra = ",\"first_outcome\":\"" + std::string(OutcomeName(answer.outcome)) +
@@ -202,13 +210,14 @@
   std::string text;
   AppendRejection(r, state_.id, keep,
                   caller_.Parser().get().method() == http::verb::head, text);
-  Complete(r.outcome, r.status);
+  Complete(r.outcome, r.status, VerdictOf(r));
   caller_.Reply(std::move(text), keep);
 }
 
-void exchange::Complete(outcome how, std::uint16_t status) {
+void exchange::Complete(outcome how, std::uint16_t status,
+                        request_verdict verdict) {
   if (state_.claimed) core_.FinishClaim(state_.id, how, status);
-  core_.CountOutcome(state_, how);
+  core_.CountVerdict(state_, verdict);
   core_.Deactivate(*this);
   core_.Buffers().Return(std::move(up_));
   core_.Buffers().Return(std::move(down_));
@@ -226,7 +235,7 @@
     case request_phase::kWaiting:
     case request_phase::kStreaming:
       if (runner_done_) {
-        return Complete(outcome::kAnswered, status_);
+        return Complete(outcome::kAnswered, status_, request_verdict::kGood);
       }
       may_run = may_run || attempt_.written;
       EndAttempt(routing::attempt_result::kNoVerdict, next_step::kFinish,
@@ -235,7 +244,9 @@
     default:
       break;
   }
-  Complete(may_run ? outcome::kUnknown : outcome::kNotRun, 499);
+  // Whoever closes the connection wants no answer: no fault of the service.
+  Complete(may_run ? outcome::kUnknown : outcome::kNotRun, 499,
+           request_verdict::kRejected);
 }
 
 void exchange::Cancel() {
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -84,7 +84,8 @@
   void RejectUnclaimed();
   void Enqueue();
   void Reject(rejection r);
-  void Complete(requests::outcome outcome, std::uint16_t status);
+  void Complete(requests::outcome outcome, std::uint16_t status,
+                request_verdict verdict);
   bool MayKeep() const;
   void OnDeadline();
 
--- a/src/entry/exchange_admission.cc
+++ b/src/entry/exchange_admission.cc
@@ -58,6 +58,9 @@
   if (!Ok(read)) {
     return Reject({400, "malformed_header", Error(read).message});
   }
+  if (!core_.HasSnapshot()) {
+    return Reject({503, "not_ready", "This entry has no settings yet"});
+  }
   const request_head& head = Value(read);
   state_.idempotent = head.idempotent;
   state_.first_attempt = head.first_attempt;
@@ -304,7 +307,7 @@
   bool keep = MayKeep();
   std::string text;
   AppendJobResponse(job, state_.id, keep, text);
-  Complete(outcome::kAnswered, job.status);
+  Complete(outcome::kAnswered, job.status, request_verdict::kGood);
   caller_.Reply(std::move(text), keep);
 }
 
--- a/src/entry/exchange_response.cc
+++ b/src/entry/exchange_response.cc
@@ -187,13 +187,13 @@
 
 void exchange::FinishResponse() {
   bool keep = keep_;
-  Complete(outcome::kAnswered, status_);
+  Complete(outcome::kAnswered, status_, request_verdict::kGood);
   caller_.EndResponse(keep);
 }
 
 void exchange::Truncate(attempt_result how, connection_use use) {
   EndAttempt(how, next_step::kFinish, use);
-  Complete(outcome::kUnknown, status_);
+  Complete(outcome::kUnknown, status_, request_verdict::kTruncated);
   caller_.Abort();
 }
 
--- a/src/entry/link_port.h
+++ b/src/entry/link_port.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <memory>
 #include <string_view>
 
 #include "src/rpc/entry_link.h"
@@ -30,7 +31,8 @@
   std::function<void()> report_now;
 };
 
-/// A port that calls `link`, which must outlive it.
-link_port PortOf(rpc::entry_link& link);
+/// A port that calls `link`, which must be set before its first call and
+/// outlive the last one.
+link_port PortOf(const std::unique_ptr<rpc::entry_link>& link);
 
 }  // namespace radishwing::entry
--- a/src/entry/serve_inbox.cc
+++ b/src/entry/serve_inbox.cc
@@ -18,6 +18,10 @@
       }) {}
 
 bool serve_inbox::Post(task work) {
+  if (context_.get_executor().running_in_this_thread()) {
+    boost::asio::post(context_, std::move(work));
+    return true;
+  }
   for (int i = 0; i < kWaits; ++i) {
     if (ring_.TryPush(std::move(work))) return true;
     std::this_thread::sleep_for(kWait);
--- a/src/entry/serve_inbox.h
+++ b/src/entry/serve_inbox.h
@@ -17,9 +17,9 @@
 
   serve_inbox(boost::asio::io_context& context, std::size_t capacity);
 
-  /// Queues `work`. A full ring makes the caller wait for up to a second;
-  /// then the work is dropped and false returned. Never called on the serve
-  /// thread with a full ring: only it makes room.
+  /// Queues `work`. A full ring makes another thread wait for up to a second;
+  /// then the work is dropped and false returned. On the serve thread, which
+  /// alone makes room, the work bypasses the ring.
   bool Post(task work);
 
   /// Hands over a snapshot. A newer one replaces one that is not applied yet.
--- /dev/null
+++ b/src/entry/service_metrics.cc
@@ -0,0 +1,83 @@
+#include "src/entry/service_metrics.h"
+
+namespace radishwing::entry {
+
+using metrics::metric;
+
+namespace {
+
+constexpr const char* kVerdictNames[] = {
+    "good", "late", "refused", "unknown", "truncated", "cut_off", "rejected"};
+
+}  // namespace
+
+service_metrics::service_metrics(std::string s, std::string t,
+                                 metrics::metric_registry* registry)
+    : service(std::move(s)), team(std::move(t)), registry_(registry) {
+  if (!registry_) return;
+  metrics::series labels = Labels();
+  seconds_ = &registry_->Histogram(metric::kRequestSeconds, labels);
+  waiting_ = &registry_->Gauge(metric::kWaitingRequests, labels);
+  running_ = &registry_->Gauge(metric::kRunningRequests, labels);
+}
+
+metrics::series service_metrics::Labels() const {
+  metrics::series labels;
+  labels.service = service;
+  labels.team = team;
+  return labels;
+}
+
+prometheus::Counter& service_metrics::Verdict(request_verdict verdict) {
+  auto index = static_cast<std::size_t>(verdict);
+  if (!verdicts_[index]) {
+    metrics::series labels = Labels();
+    labels.value = kVerdictNames[index];
+    verdicts_[index] = &registry_->Counter(metric::kRequests, labels);
+  }
+  return *verdicts_[index];
+}
+
+void service_metrics::Count(request_verdict verdict, double seconds) {
+  bool complete = false;
+  switch (verdict) {
+    case request_verdict::kLate:
+      ++late;
+      [[fallthrough]];
+    case request_verdict::kGood:
+      ++answered;
+      complete = true;
+      break;
+    case request_verdict::kUnknown:
+    case request_verdict::kTruncated:
+      ++unknown;
+      break;
+    case request_verdict::kRefused:
+    case request_verdict::kCutOff:
+      ++refused;
+      break;
+    case request_verdict::kRejected:
+      break;
+  }
+  if (!registry_) return;
+  Verdict(verdict).Increment();
+  if (complete) seconds_->Observe(seconds);
+}
+
+void service_metrics::CountRetry() {
+  if (!registry_) return;
+  if (!retries_) {
+    metrics::series labels = Labels();
+    labels.value = "sent";
+    retries_ = &registry_->Counter(metric::kRetries, labels);
+  }
+  retries_->Increment();
+}
+
+void service_metrics::ShowPresent() {
+  if (!registry_) return;
+  waiting_->Set(waiting);
+  running_->Set(running);
+}
+
+}  // namespace radishwing::entry
--- a/src/entry/service_metrics.h
+++ b/src/entry/service_metrics.h
@@ -1,51 +1,60 @@
 #pragma once
 
-#include <array>
-#include <atomic>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+
 #include <cstdint>
 #include <string>
 
-#include "src/base/clock.h"
+#include "src/metrics/metric_registry.h"
 
 namespace radishwing::entry {
 
-/// A number with one writing thread that others may read.
-class single_writer_counter {
+/// How a request is counted. The first four are told to the control process.
+enum class request_verdict {
+  kGood,       ///< Complete within the objective's latency.
+  kLate,       ///< Complete after it.
+  kRefused,    ///< Not run, for lack of room or time.
+  kUnknown,    ///< May have run.
+  kTruncated,  ///< The connection was closed during the response.
+  kCutOff,     ///< Refused since the data centre is cut off.
+  kRejected,   ///< The caller's mistake.
+};
+
+/// Totals of one service and team since the entry started, with the series
+/// that the metrics port shows. Written by the serve thread.
+class service_metrics {
  public:
-  void Add(std::uint64_t by) {
-    value_.store(value_.load(std::memory_order_relaxed) + by,
-                 std::memory_order_relaxed);
-  }
-  std::uint64_t Get() const { return value_.load(std::memory_order_relaxed); }
+  service_metrics(std::string service, std::string team,
+                  metrics::metric_registry* registry);
 
- private:
-  std::atomic<std::uint64_t> value_{0};
-};
+  void Count(request_verdict verdict, double seconds);
+  void CountRetry();
+
+  /// Sets the gauges of requests waiting and running now.
+  void ShowPresent();
 
-/// Totals of one service and team since the entry started. Written by the
-/// serve thread, read by the metrics thread.
-struct service_metrics {
-  /// Upper bounds of the latency buckets, in ms; the last bucket is unbounded.
-  static constexpr std::array<millis, 14> kBounds = {
-      1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000, 60000};
-
-  std::string service;
-  std::string team;
-  single_writer_counter answered;
-  single_writer_counter refused;  ///< Not run.
-  single_writer_counter unknown;
-  single_writer_counter late;  ///< Answered, but slower than the objective.
-  single_writer_counter attempts;
-  single_writer_counter retries;
-  std::array<single_writer_counter, kBounds.size() + 1> latency;
-  single_writer_counter latency_sum_ms;
-
-  void ObserveLatency(millis ms) {
-    std::size_t i = 0;
-    while (i < kBounds.size() && ms > kBounds[i]) ++i;
-    latency[i].Add(1);
-    latency_sum_ms.Add(static_cast<std::uint64_t>(ms < 0 ? 0 : ms));
-  }
+  const std::string service;
+  const std::string team;
+  std::uint64_t answered = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t unknown = 0;
+  std::uint64_t late = 0;
+  std::uint64_t attempts = 0;
+  std::uint32_t waiting = 0;  ///< Requests in the queue now.
+  std::uint32_t running = 0;  ///< Requests at a runner now.
+
+ private:
+  metrics::series Labels() const;
+  prometheus::Counter& Verdict(request_verdict verdict);
+
+  metrics::metric_registry* registry_;
+  prometheus::Counter* verdicts_[7] = {};
+  prometheus::Counter* retries_ = nullptr;
+  prometheus::Histogram* seconds_ = nullptr;
+  prometheus::Gauge* waiting_ = nullptr;
+  prometheus::Gauge* running_ = nullptr;
 };
 
 }  // namespace radishwing::entry
--- a/src/entry/service_state.h
+++ b/src/entry/service_state.h
@@ -28,7 +28,7 @@
   std::uint32_t first_bytes = 0;     ///< Samples in it.
   bool dispatching = false;
   bool dispatch_again = false;
-  std::vector<std::shared_ptr<service_metrics>> metrics;  ///< By team index.
+  std::vector<std::unique_ptr<service_metrics>> metrics;  ///< By team index.
 
   /// Notes the time used by an attempt that was answered.
   void NoteRun(millis used) {
--- a/tests/entry/entry_fixture.cc
+++ b/tests/entry/entry_fixture.cc
@@ -98,6 +98,7 @@
 void entry_fixture::Start(std::size_t count) {
   for (std::size_t i = 0; i < count; ++i) AddRunner();
   server = std::move(Value(entry_server::Make(options, port)));
+  server->Start();
   server->OnConnected(true);
   PushSnapshot();
 }
--- a/tests/entry/http_caller.cc
+++ b/tests/entry/http_caller.cc
@@ -4,7 +4,7 @@
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
 
-#include "src/entry/parse_endpoint.h"
+#include "src/http/address.h"
 
 namespace radishwing::entry {
 
@@ -15,7 +15,7 @@
     : context_(std::make_unique<boost::asio::io_context>()),
       socket_(std::make_unique<tcp::socket>(*context_)) {
   boost::system::error_code error;
-  socket_->connect(*ParseEndpoint(address), error);
+  socket_->connect(Value(radishwing::http::ParseAddress(address)), error);
   socket_->set_option(tcp::no_delay(true), error);
 }
 
--- a/tools/runner_fake/runner_announcer.cc
+++ b/tools/runner_fake/runner_announcer.cc
@@ -8,11 +8,11 @@
 #include <boost/json.hpp>
 #include <chrono>
 
-#include "src/entry/parse_endpoint.h"
+#include "src/http/address.h"
 
 namespace radishwing::fake {
 
-namespace http = boost::beast::http;
+namespace beast_http = boost::beast::http;
 using boost::beast::error_code;
 
 struct runner_announcer::impl : std::enable_shared_from_this<impl> {
@@ -28,26 +28,27 @@
   }
 
   void Announce() {
-    auto endpoint = entry::ParseEndpoint(state.options.platform_address);
-    if (!endpoint) return;
+    auto endpoint =
+        radishwing::http::ParseAddress(state.options.platform_address);
+    if (!Ok(endpoint)) return;
     request = {};
-    request.method(http::verb::post);
+    request.method(beast_http::verb::post);
     request.target("/v1/runners");
-    request.set(http::field::host, state.options.platform_address);
+    request.set(beast_http::field::host, state.options.platform_address);
     request.body() = Description();
     request.prepare_payload();
     // A fresh connection each time: an announcement must not depend on a
     // connection that has gone silent.
     stream = std::make_shared<boost::beast::tcp_stream>(state.context);
     stream->expires_after(std::chrono::milliseconds(900));
-    stream->async_connect(
-        *endpoint, [self = shared_from_this(), s = stream](error_code error) {
-          if (!error) self->Send(s);
-        });
+    stream->async_connect(Value(endpoint), [self = shared_from_this(),
+                                            s = stream](error_code error) {
+      if (!error) self->Send(s);
+    });
   }
 
   void Send(std::shared_ptr<boost::beast::tcp_stream> s) {
-    http::async_write(
+    beast_http::async_write(
         *s, request,
         [self = shared_from_this(), s](error_code error, std::size_t) {
           if (!error) self->Receive(s);
@@ -56,9 +57,10 @@
 
   void Receive(std::shared_ptr<boost::beast::tcp_stream> s) {
     auto buffer = std::make_shared<boost::beast::flat_buffer>();
-    auto response = std::make_shared<http::response<http::string_body>>();
-    http::async_read(*s, *buffer, *response,
-                     [s, buffer, response](error_code, std::size_t) {});
+    auto response =
+        std::make_shared<beast_http::response<beast_http::string_body>>();
+    beast_http::async_read(*s, *buffer, *response,
+                           [s, buffer, response](error_code, std::size_t) {});
   }
 
   std::string Description() const {
@@ -77,7 +79,7 @@
   runner_state& state;
   std::string own_address;
   boost::asio::steady_timer timer;
-  http::request<http::string_body> request;
+  beast_http::request<beast_http::string_body> request;
   std::shared_ptr<boost::beast::tcp_stream> stream;
 };
 
--- a/tools/runner_fake/runner_fake.cc
+++ b/tools/runner_fake/runner_fake.cc
@@ -10,7 +10,7 @@
 #include <thread>
 
 #include "src/base/thread_name.h"
-#include "src/entry/parse_endpoint.h"
+#include "src/http/address.h"
 #include "tools/runner_fake/runner_announcer.h"
 #include "tools/runner_fake/runner_session.h"
 
@@ -111,14 +111,11 @@
 runner_fake::runner_fake(std::unique_ptr<impl> impl) : impl_(std::move(impl)) {}
 
 result<std::unique_ptr<runner_fake>> runner_fake::Make(runner_options options) {
-  auto endpoint = entry::ParseEndpoint(options.address);
-  if (!endpoint) {
-    return failure{failure_kind::kInvalid,
-                   "address " + options.address + " is not ip:port"};
-  }
+  auto endpoint = http::ParseAddress(options.address);
+  if (!Ok(endpoint)) return Error(endpoint);
   auto made = std::make_unique<impl>(std::move(options));
   impl* p = made.get();
-  p->endpoint = *endpoint;
+  p->endpoint = Value(endpoint);
   p->state.set_fault = [p](runner_fault fault, runner_session* from) {
     p->SetFault(fault, from);
   };
