--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -21,6 +21,7 @@
 #include "src/entry/report_board.h"
 #include "src/entry/runner_attempt.h"
 #include "src/entry/serve_inbox.h"
+#include "src/entry/single_writer_counter.h"
 #include "src/rpc/entry_link.h"
 
 namespace radishwing::entry {
@@ -105,7 +106,9 @@
   void CancelForPeer(std::string_view id, std::string_view team);
 
   // Counters: entry_core_report.cc.
-  void CountAttempt(const request_state& state);
+  void CountAttempt() { attempts_.Add(1); }
+  /// Callable from any thread.
+  std::uint64_t Attempts() const { return attempts_.Get(); }
   void CountRetry(const request_state& state);
   void CountVerdict(const request_state& state, request_verdict verdict);
 
@@ -159,6 +162,7 @@
   std::uint64_t sequence_ = 0;
   std::uint64_t runs_ = 0;
   std::uint64_t refused_heads_ = 0;
+  single_writer_counter attempts_;
 
   std::vector<exchange*> active_;
   std::unordered_multimap<std::string, exchange*> by_id_;
--- a/src/entry/entry_core_report.cc
+++ b/src/entry/entry_core_report.cc
@@ -16,10 +16,6 @@
   return *by_team[team];
 }
 
-void entry_core::CountAttempt(const request_state& state) {
-  ++MetricsOf(state).attempts;
-}
-
 void entry_core::CountRetry(const request_state& state) {
   MetricsOf(state).CountRetry();
 }
--- a/src/entry/entry_server.cc
+++ b/src/entry/entry_server.cc
@@ -81,6 +81,8 @@
   return impl_->has_snapshot && !impl_->stopping;
 }
 
+std::uint64_t entry_server::Attempts() const { return impl_->core.Attempts(); }
+
 void entry_server::Stop(std::function<void()> stopped) {
   impl_->stopping = true;
   impl_->core.Inbox().Post([p = impl_.get(), stopped = std::move(stopped)] {
--- a/src/entry/entry_server.h
+++ b/src/entry/entry_server.h
@@ -38,6 +38,9 @@
   void OnCancel(std::string_view request_id, std::string_view team);
   rpc::entry_report MakeReport();
 
+  /// Attempts on runners since the start, refused connections included.
+  std::uint64_t Attempts() const;
+
   /// True once a snapshot is applied and until a stop begins.
   bool Ready() const;
 
--- a/src/entry/exchange_attempt.cc
+++ b/src/entry/exchange_attempt.cc
@@ -44,7 +44,7 @@
 void exchange::StartAttempt(routing::runner_state& runner) {
   millis now = core_.Now();
   ++state_.attempts;
-  core_.CountAttempt(state_);
+  core_.CountAttempt();
   attempt_ = {};
   attempt_.runner = &runner;
   attempt_.started_at = now;
--- a/src/entry/service_metrics.h
+++ b/src/entry/service_metrics.h
@@ -41,7 +41,6 @@
   std::uint64_t refused = 0;
   std::uint64_t unknown = 0;
   std::uint64_t late = 0;
-  std::uint64_t attempts = 0;
   std::uint32_t waiting = 0;  ///< Requests in the queue now.
   std::uint32_t running = 0;  ///< Requests at a runner now.
 
--- a/tests/entry/entry_fixture.cc
+++ b/tests/entry/entry_fixture.cc
@@ -90,6 +90,7 @@
       std::make_shared<const settings::fleet_settings>(settings);
   snapshot.table_version = ++table_version_;
   snapshot.runners = infos;
+  snapshot.cut_off_ms = cut_off_ms;
   std::uint64_t version = table_version_;
   server->OnSnapshot(std::move(snapshot));
   WaitUntil([&] { return server->MakeReport().table_version >= version; });
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -57,6 +57,7 @@
 
   // Behaviour of the fake link; may be changed before Start.
   std::uint32_t token_limit = 16;
+  millis cut_off_ms = 0;
   std::function<result<requests::claim_answer>(const requests::claim&)>
       on_claim;
   struct finish_call {
