--- a/tools/runner_fake/main.cc
+++ b/tools/runner_fake/main.cc
@@ -18,6 +18,8 @@
   app.add_option("--slots", options.slots, "requests it runs at once");
   app.add_option("--connections", options.connections,
                  "connections it accepts at once");
+  app.add_option("--record-file", options.record_file,
+                 "file for one line per start and completion");
   CLI11_PARSE(app, argc, argv);
   auto runner = runner_fake::Make(options);
   if (!radishwing::Ok(runner)) {
--- a/tools/runner_fake/runner_options.h
+++ b/tools/runner_fake/runner_options.h
@@ -16,6 +16,9 @@
   std::uint16_t connections = 64;
   /// Oldest records are dropped above this, to bound memory in benchmarks.
   std::size_t records_max = 500000;
+  /// Gets one line per start and completion, written through at once, so that
+  /// the records outlive a killed runner. Empty: no file.
+  std::string record_file;
 };
 
 }  // namespace radishwing::fake
--- a/tools/runner_fake/runner_state.h
+++ b/tools/runner_fake/runner_state.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <deque>
+#include <fstream>
 #include <functional>
 #include <mutex>
 #include <unordered_map>
@@ -21,7 +22,11 @@
 /// What the sessions of one fake runner share. Used on its thread only, except
 /// for the records and the counters.
 struct runner_state {
-  explicit runner_state(runner_options o) : options(std::move(o)) {}
+  explicit runner_state(runner_options o) : options(std::move(o)) {
+    if (!options.record_file.empty()) {
+      record_file_.open(options.record_file, std::ios::app);
+    }
+  }
 
   /// Notes the start of a run and returns its number.
   std::uint64_t Start(run_record record);
@@ -41,6 +46,7 @@
   mutable std::mutex mutex_;
   std::deque<run_record> records_;
   std::uint64_t first_ = 0;
+  std::ofstream record_file_;
 
  public:
   /// Last, so that it is destroyed first: pending handlers own sessions, which
