--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -162,7 +162,7 @@
   }
   if (stop_ != stop_phase::kNone) TickStop(now);
   if (stop_ == stop_phase::kDone) return;
-  timer_.expires_after(std::chrono::milliseconds(options_.tick_ms));
+  timer_.expires_after(std::chrono::milliseconds(NextTick()));
   timer_.async_wait([this](const error_code& error) {
     if (!error) Tick();
   });
@@ -182,6 +182,20 @@
     if (link) link->pool->CloseIdleSince(now - kIdleConnectionMs);
   }
   ReturnIdleTokens();
+  ShowGauges();
+}
+
+millis entry_core::NextTick() {
+  // Work waits although slots look free: a runner rejected it as full, and
+  // only another attempt shows when a slot of another entry becomes free.
+  constexpr millis kFullTickMs = 2;
+  for (const auto& service : directory_.Services()) {
+    if (service->pool && service->group->MayHaveRoom() &&
+        service->pool->queue.WaitingOfService(service->index) > 0) {
+      return std::min(kFullTickMs, options_.tick_ms);
+    }
+  }
+  return options_.tick_ms;
 }
 
 void entry_core::ApplySnapshot(rpc::snapshot snapshot) {
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -110,6 +110,8 @@
   /// Callable from any thread.
   std::uint64_t Attempts() const { return attempts_.Get(); }
   void CountRetry(const request_state& state);
+  void CountBytes(const request_state& state, std::uint64_t request,
+                  std::uint64_t response);
   void CountVerdict(const request_state& state, request_verdict verdict);
 
  private:
@@ -148,6 +150,11 @@
   runner_link& LinkOf(const routing::runner_state& runner);
   service_metrics& MetricsOf(const request_state& state);
   void Publish();
+  void CountSlotTime(const std::string& pool, const team_state& team,
+                     std::uint64_t slot_ms);
+  void ShowGauges();
+  void ShowRunners();
+  millis NextTick();
   millis CutOffMs() const;
 
   entry_options options_;
--- a/src/entry/entry_core_dispatch.cc
+++ b/src/entry/entry_core_dispatch.cc
@@ -96,7 +96,11 @@
     return false;
   }
   --state.team->waiting;
-  --MetricsOf(state).waiting;
+  service_metrics& metrics = MetricsOf(state);
+  --metrics.waiting;
+  if (state.attempts == 0) {
+    metrics.CountStart(state.cls, (Now() - state.queued_at) / 1000.0);
+  }
   e.StartAttempt(*runner);
   return true;
 }
--- a/src/entry/entry_core_report.cc
+++ b/src/entry/entry_core_report.cc
@@ -4,6 +4,8 @@
 
 namespace radishwing::entry {
 
+using metrics::metric;
+
 service_metrics& entry_core::MetricsOf(const request_state& state) {
   auto& by_team = state.service->metrics;
   std::uint32_t team = state.team ? state.team->index : 0;
@@ -31,6 +33,67 @@
   MetricsOf(state).Count(verdict, static_cast<double>(took) / 1000);
 }
 
+void entry_core::CountBytes(const request_state& state, std::uint64_t request,
+                            std::uint64_t response) {
+  if (state.service) MetricsOf(state).CountBytes(request, response);
+}
+
+void entry_core::ShowGauges() {
+  metrics::metric_registry* registry = options_.registry;
+  if (!registry) return;
+  auto show = [registry](metric id, double number, const char* value = "") {
+    metrics::series labels;
+    labels.value = value;
+    registry->Gauge(id, labels).Set(number);
+  };
+  std::size_t runner_connections = 0;
+  for (const auto& link : runner_links_) {
+    if (link) runner_connections += link->pool->Open();
+  }
+  show(metric::kConnections, static_cast<double>(callers_.size()), "caller");
+  show(metric::kConnections, static_cast<double>(runner_connections), "runner");
+  show(metric::kCutOffSeconds,
+       static_cast<double>(std::max<millis>(0, CutOffMs())) / 1000);
+  show(metric::kSettingsRevision, static_cast<double>(directory_.Revision()));
+  show(metric::kTableVersion, static_cast<double>(table_version_));
+  show(metric::kReady, has_snapshot_ && !Closing() ? 1 : 0);
+  ShowRunners();
+}
+
+void entry_core::ShowRunners() {
+  for (const auto& service : directory_.Services()) {
+    int serving = 0;
+    int ejected = 0;
+    int leaving = 0;
+    for (const auto& runner : service->group->Runners()) {
+      if (!runner->AcceptsWork()) {
+        ++leaving;
+      } else {
+        ++(runner->failures.Out() ? ejected : serving);
+      }
+    }
+    auto show = [&](const char* state, int number) {
+      metrics::series labels;
+      labels.service = service->name;
+      labels.value = state;
+      options_.registry->Gauge(metric::kRunners, labels).Set(number);
+    };
+    show("serving", serving);
+    show("ejected", ejected);
+    show("leaving", leaving);
+  }
+}
+
+void entry_core::CountSlotTime(const std::string& pool, const team_state& team,
+                               std::uint64_t slot_ms) {
+  if (!options_.registry || slot_ms == 0) return;
+  metrics::series labels;
+  labels.pool = pool;
+  labels.team = team.name;
+  options_.registry->Counter(metric::kSlotSeconds, labels)
+      .Increment(static_cast<double>(slot_ms) / 1000);
+}
+
 void entry_core::Publish() {
   rpc::entry_report report;
   report.settings_revision = directory_.Revision();
@@ -43,6 +106,7 @@
       usage.running = pool->queue.RunningOfTeam(team->index);
       if (usage.slot_ms + usage.queued + usage.running == 0) continue;
       usage.team = team->name;
+      CountSlotTime(name, *team, usage.slot_ms);
       usage.pool = name;
       report.usage.push_back(std::move(usage));
     }
--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -178,6 +178,7 @@
   }
   state_.phase = request_phase::kQueued;
   state_.pool = service.pool;
+  state_.queued_at = core_.Now();
   core_.Push(*this);
 }
 
@@ -218,6 +219,7 @@
                         request_verdict verdict) {
   if (state_.claimed) core_.FinishClaim(state_.id, how, status);
   core_.CountVerdict(state_, verdict);
+  core_.CountBytes(state_, body_bytes_, response_bytes_);
   core_.Deactivate(*this);
   core_.Buffers().Return(std::move(up_));
   core_.Buffers().Return(std::move(down_));
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -120,6 +120,7 @@
   bool upload_done_ = false;  ///< The runner has the whole body.
   bool uploading_ = false;    ///< Past the replayable start.
   std::uint64_t body_bytes_ = 0;
+  std::uint64_t response_bytes_ = 0;
   stream_buffer up_;
   std::string up_head_;
   stream_buffer down_;
--- a/src/entry/exchange_admission.cc
+++ b/src/entry/exchange_admission.cc
@@ -43,7 +43,7 @@
   state_.tried.clear();
   state_.received_at = core_.Now();
   state_.deadline_at = state_.received_at + 30000;
-  body_bytes_ = 0;
+  body_bytes_ = response_bytes_ = 0;
   upload_done_ = uploading_ = false;
   head_sent_ = caller_writing_ = runner_done_ = false;
   body_.clear();
--- a/src/entry/exchange_attempt.cc
+++ b/src/entry/exchange_attempt.cc
@@ -177,6 +177,8 @@
     // A request that the runner has not received whole is cut short instead.
     use = connection_use::kClose;
   }
+  // A rejected attempt did not run and does not count as one.
+  if (how == attempt_result::kFull) --state_.attempts;
   if (next == next_step::kRequeue) state_.phase = request_phase::kQueued;
   core_.EndAttempt(*this, attempt, how, next, use);
 }
--- a/src/entry/exchange_response.cc
+++ b/src/entry/exchange_response.cc
@@ -137,6 +137,7 @@
   static constexpr std::string_view kLastChunk = "\r\n0\r\n\r\n";
   static constexpr std::string_view kOnlyLastChunk = "0\r\n\r\n";
   head_sent_ = true;
+  response_bytes_ += size;
   std::string_view tail;
   if (chunked_) {
     if (size > 0) AppendChunkSize(size, out_);
--- a/src/entry/request_state.h
+++ b/src/entry/request_state.h
@@ -44,6 +44,7 @@
   std::string_view workspace;  ///< Likewise.
   fairness::ticket ticket = 0;
   millis received_at = 0;
+  millis queued_at = 0;
   millis deadline_at = 0;
   millis claim_again_at = 0;
   std::uint32_t attempts = 0;
--- a/src/entry/service_metrics.cc
+++ b/src/entry/service_metrics.cc
@@ -9,6 +9,9 @@
 constexpr const char* kVerdictNames[] = {
     "good", "late", "refused", "unknown", "truncated", "cut_off", "rejected"};
 
+// In the order of fairness::work_class.
+constexpr const char* kClassNames[] = {"urgent", "interactive", "long"};
+
 }  // namespace
 
 service_metrics::service_metrics(std::string s, std::string t,
@@ -19,6 +22,10 @@
   seconds_ = &registry_->Histogram(metric::kRequestSeconds, labels);
   waiting_ = &registry_->Gauge(metric::kWaitingRequests, labels);
   running_ = &registry_->Gauge(metric::kRunningRequests, labels);
+  labels.value = "request";
+  request_bytes_ = &registry_->Counter(metric::kRequestBytes, labels);
+  labels.value = "response";
+  response_bytes_ = &registry_->Counter(metric::kRequestBytes, labels);
 }
 
 metrics::series service_metrics::Labels() const {
@@ -74,6 +81,24 @@
   retries_->Increment();
 }
 
+void service_metrics::CountStart(fairness::work_class cls, double seconds) {
+  if (!registry_) return;
+  auto index = static_cast<std::size_t>(cls);
+  if (!waits_[index]) {
+    metrics::series labels = Labels();
+    labels.value = kClassNames[index];
+    waits_[index] = &registry_->Histogram(metric::kWaitSeconds, labels);
+  }
+  waits_[index]->Observe(seconds);
+}
+
+void service_metrics::CountBytes(std::uint64_t request,
+                                 std::uint64_t response) {
+  if (!registry_) return;
+  if (request > 0) request_bytes_->Increment(static_cast<double>(request));
+  if (response > 0) response_bytes_->Increment(static_cast<double>(response));
+}
+
 void service_metrics::ShowPresent() {
   if (!registry_) return;
   waiting_->Set(waiting);
--- a/src/entry/service_metrics.h
+++ b/src/entry/service_metrics.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <string>
 
+#include "src/fairness/work_class.h"
 #include "src/metrics/metric_registry.h"
 
 namespace radishwing::entry {
@@ -32,6 +33,12 @@
   void Count(request_verdict verdict, double seconds);
   void CountRetry();
 
+  /// A request left the queue after `seconds`.
+  void CountStart(fairness::work_class cls, double seconds);
+
+  /// Body bytes passed on.
+  void CountBytes(std::uint64_t request, std::uint64_t response);
+
   /// Sets the gauges of requests waiting and running now.
   void ShowPresent();
 
@@ -51,6 +58,9 @@
   metrics::metric_registry* registry_;
   prometheus::Counter* verdicts_[7] = {};
   prometheus::Counter* retries_ = nullptr;
+  prometheus::Counter* request_bytes_ = nullptr;
+  prometheus::Counter* response_bytes_ = nullptr;
+  prometheus::Histogram* waits_[fairness::kWorkClasses] = {};
   prometheus::Histogram* seconds_ = nullptr;
   prometheus::Gauge* waiting_ = nullptr;
   prometheus::Gauge* running_ = nullptr;
