Accept the table of a new control session; count refused retries

A control that was replaced on a host whose clock was set back numbers its tables lower; the entry would have ignored them. Sockets are destroyed before their context.

--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -35,8 +35,11 @@
 }
 
 entry_core::~entry_core() {
-  // Sockets go before the context that their handlers wait on.
+  // Sockets go before the context that they belong to.
   while (!callers_.empty()) callers_.back()->Abort();
+  closed_.clear();
+  for (lingering_run& run : lingering_) run.connection->Close();
+  lingering_.clear();
   for (auto& link : runner_links_) {
     if (link) link->pool->CloseIdle();
   }
@@ -204,7 +207,8 @@
       (snapshot.settings->revision >= directory_.Revision())) {
     directory_.Apply(*snapshot.settings);
   }
-  if (snapshot.table_version >= table_version_) {
+  if (new_session_ || snapshot.table_version >= table_version_) {
+    new_session_ = false;
     table_version_ = snapshot.table_version;
     runners_.Apply(snapshot.runners);
   }
@@ -235,6 +239,9 @@
 
 void entry_core::SetConnected(bool connected) {
   if (connected_ && !connected) disconnected_at_ = Now();
+  // A new control numbers its tables from its start time, which a clock that
+  // was set back makes lower.
+  if (connected) new_session_ = true;
   connected_ = connected;
 }
 
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -110,6 +110,8 @@
   /// Callable from any thread.
   std::uint64_t Attempts() const { return attempts_.Get(); }
   void CountRetry(const request_state& state);
+  /// The retry budget is used up.
+  void CountNoRetry(const request_state& state);
   void CountBytes(const request_state& state, std::uint64_t request,
                   std::uint64_t response);
   void CountVerdict(const request_state& state, request_verdict verdict);
@@ -181,6 +183,7 @@
   millis cut_off_ms_ = 0;
   millis snapshot_at_ = 0;
   bool connected_ = false;
+  bool new_session_ = false;
   millis disconnected_at_ = 0;
 
   stop_phase stop_ = stop_phase::kNone;
--- a/src/entry/entry_core_report.cc
+++ b/src/entry/entry_core_report.cc
@@ -19,7 +19,11 @@
 }
 
 void entry_core::CountRetry(const request_state& state) {
-  MetricsOf(state).CountRetry();
+  MetricsOf(state).CountRetry("sent");
+}
+
+void entry_core::CountNoRetry(const request_state& state) {
+  MetricsOf(state).CountRetry("budget_used_up");
 }
 
 void entry_core::CountVerdict(const request_state& state,
--- a/src/entry/exchange_attempt.cc
+++ b/src/entry/exchange_attempt.cc
@@ -187,7 +187,9 @@
   if (core_.Now() >= state_.deadline_at || uploading_) return false;
   if (!attempt_.written) return state_.attempts < kConnectsMax;
   if (!state_.idempotent || state_.attempts >= kAttemptsMax) return false;
-  return state_.service->budget.TryRetry();
+  bool allowed = state_.service->budget.TryRetry();
+  if (!allowed) core_.CountNoRetry(state_);
+  return allowed;
 }
 
 void exchange::Broken(broken how) {
--- a/src/entry/service_metrics.cc
+++ b/src/entry/service_metrics.cc
@@ -71,14 +71,11 @@
   if (complete) seconds_->Observe(seconds);
 }
 
-void service_metrics::CountRetry() {
+void service_metrics::CountRetry(const char* result) {
   if (!registry_) return;
-  if (!retries_) {
-    metrics::series labels = Labels();
-    labels.value = "sent";
-    retries_ = &registry_->Counter(metric::kRetries, labels);
-  }
-  retries_->Increment();
+  metrics::series labels = Labels();
+  labels.value = result;
+  registry_->Counter(metric::kRetries, labels).Increment();
 }
 
 void service_metrics::CountStart(fairness::work_class cls, double seconds) {
--- a/src/entry/service_metrics.h
+++ b/src/entry/service_metrics.h
@@ -31,7 +31,8 @@
                   metrics::metric_registry* registry);
 
   void Count(request_verdict verdict, double seconds);
-  void CountRetry();
+  /// `result` is "sent" or "budget_used_up".
+  void CountRetry(const char* result);
 
   /// A request left the queue after `seconds`.
   void CountStart(fairness::work_class cls, double seconds);
@@ -57,7 +58,6 @@
 
   metrics::metric_registry* registry_;
   prometheus::Counter* verdicts_[7] = {};
-  prometheus::Counter* retries_ = nullptr;
   prometheus::Counter* request_bytes_ = nullptr;
   prometheus::Counter* response_bytes_ = nullptr;
   prometheus::Histogram* waits_[fairness::kWorkClasses] = {};
