--- a/src/metrics/metric_registry.cc
+++ b/src/metrics/metric_registry.cc
@@ -10,6 +10,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "src/base/clock.h"
+
 namespace radishwing::metrics {
 namespace {
 
@@ -108,6 +110,8 @@
         break;
     }
   }
+  Gauge(metric::kProcessStart)
+      .Set(static_cast<double>(clock::Wall().Now()) / 1000);
 }
 
 metric_registry::~metric_registry() = default;
@@ -126,11 +130,11 @@
 
 prometheus::Histogram& metric_registry::Histogram(metric id,
                                                   const series& labels) {
-  static const std::vector<double> buckets(LatencyBuckets().begin(),
+  static const std::vector<double> kBounds(LatencyBuckets().begin(),
                                            LatencyBuckets().end());
   std::lock_guard<std::mutex> lock(impl_->mutex);
   return impl_->histograms.at(static_cast<std::size_t>(id))
-      .Get(MetricRow(id), labels, buckets);
+      .Get(MetricRow(id), labels, kBounds);
 }
 
 std::string metric_registry::Serialize() const {
