--- a/src/entry/exchange_attempt.cc
+++ b/src/entry/exchange_attempt.cc
@@ -177,6 +177,8 @@
     // A request that the runner has not received whole is cut short instead.
     use = connection_use::kClose;
   }
+  // A rejected attempt did not run and does not count as one.
+  if (how == attempt_result::kFull) --state_.attempts;
   if (next == next_step::kRequeue) state_.phase = request_phase::kQueued;
   core_.EndAttempt(*this, attempt, how, next, use);
 }
@@ -185,7 +187,9 @@
   if (core_.Now() >= state_.deadline_at || uploading_) return false;
   if (!attempt_.written) return state_.attempts < kConnectsMax;
   if (!state_.idempotent || state_.attempts >= kAttemptsMax) return false;
-  return state_.service->budget.TryRetry();
+  bool allowed = state_.service->budget.TryRetry();
+  if (!allowed) core_.CountNoRetry(state_);
+  return allowed;
 }
 
 void exchange::Broken(broken how) {
