--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -75,6 +75,26 @@
   };
 }
 
+void control_core::Stop(std::function<void()> completion) {
+  // A store that does not answer must not keep the process.
+  kj::Duration bound = 3 * options_.timing.store_deadline_ms * kj::MILLISECONDS;
+  tasks_.add(timer_.timeoutAfter(bound, StopDuties())
+                 .catch_([](kj::Exception&& reason) {
+                   LogWarning("control",
+                              std::string("stop incomplete, reason=") +
+                                  reason.getDescription().cStr());
+                 })
+                 .then([completion] {
+                   LogInfo("control", "duties stopped");
+                   completion();
+                 }));
+}
+
+kj::Promise<void> control_core::StopDuties() {
+  poller_->Stop();
+  return relay_->Stop().then([this] { return mesh_->Leave(); });
+}
+
 void control_core::FillDigest(peer_digest& digest) {
   digest.settings_revision = settings_.Revision();
   for (const auto& [host, record] : poller_->Sources().records) {
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -29,6 +29,10 @@
   /// the bound address.
   kj::Promise<std::string> Start();
 
+  /// Stops all duties in an order in which nothing is given up that another
+  /// duty still needs, then runs `completion`.
+  void Stop(std::function<void()> completion);
+
   /// How long this data centre cannot confirm its settings, in ms; 0 while it
   /// can: the store or another data centre answers.
   millis CutOffMs() const;
@@ -44,6 +48,7 @@
   void StartDuties(const std::string& bound);
   void WirePeers();
   void Tick();
+  kj::Promise<void> StopDuties();
   void FillDigest(peer_digest& digest);
 
   kj::AsyncIoContext& io_;
--- a/src/control/control_options.h
+++ b/src/control/control_options.h
@@ -14,7 +14,9 @@
   membership::member_timing members;
   millis call_deadline_ms = 2000;   ///< For one call to another process.
   millis store_deadline_ms = 3000;  ///< For one call to the platform.
-  millis watch_wait_ms = 20000;     ///< Long poll of a watch.
+  /// For one write, with the reads that resolve a lost answer (6 s at most).
+  millis put_deadline_ms = 7000;
+  millis watch_wait_ms = 20000;  ///< Long poll of a watch.
   /// Time to live of a duty lease. The relay of settings moves to another
   /// control within this plus `lease_poll_ms`; the whole way has 9 s.
   millis lease_ttl_ms = 4000;
--- a/src/control/control_process.cc
+++ b/src/control/control_process.cc
@@ -93,6 +93,13 @@
   return impl_->address;
 }
 
+void control_process::Stop(std::function<void()> completion) {
+  impl_->thread.PostWait([this, completion = std::move(completion)] {
+    if (impl_->core == nullptr) return completion();
+    impl_->core->Stop(completion);
+  });
+}
+
 void control_process::Inspect(std::function<void(control_core&)> action) {
   impl_->thread.Run([&] {
     if (impl_->core != nullptr) action(*impl_->core);
--- a/src/control/control_process.h
+++ b/src/control/control_process.h
@@ -30,6 +30,11 @@
   /// "ip:port" that was bound for entries and other controls.
   const std::string& RpcAddress() const;
 
+  /// Gives up tokens, leases and memberships, then runs `completion` on the
+  /// decide thread. Entries and peers are served until then; what the store
+  /// does not confirm in time is left to the recovery by others.
+  void Stop(std::function<void()> completion);
+
   /// Runs `action` on the decide thread and waits for it. For the operator
   /// port and tests.
   void Inspect(std::function<void(control_core&)> action);
--- a/src/control/duty_lease.cc
+++ b/src/control/duty_lease.cc
@@ -1,8 +1,10 @@
 #include "src/control/duty_lease.h"
 
+#include <boost/json.hpp>
 #include <utility>
 
 #include "src/base/log.h"
+#include "src/base/sha256.h"
 
 namespace radishwing::control {
 
@@ -51,7 +53,9 @@
 }
 
 kj::Promise<void> duty_lease::Save() {
-  return store_.Put(key_, holder_, 0, lease_)
+  value_ = boost::json::serialize(
+      boost::json::object{{"holder", holder_}, {"change_id", RandomHex(16)}});
+  return store_.Put(key_, value_, 0, lease_)
       .then([this](result<put_answer> answer) -> kj::Promise<void> {
         if (Ok(answer) && Value(answer).written) {
           Gained();
@@ -67,7 +71,7 @@
   return store_.Get(key_).then(
       [this](result<std::optional<stored_value>> found) -> kj::Promise<void> {
         bool own = Ok(found) && Value(found).has_value() &&
-                   Value(found)->value == holder_;
+                   Value(found)->value == value_;
         if (own) {
           Gained();
           return kj::READY_NOW;
--- a/src/control/duty_lease.h
+++ b/src/control/duty_lease.h
@@ -48,6 +48,7 @@
   store_port& store_;
   std::string key_;
   std::string holder_;
+  std::string value_;      // Written last; its change id makes it unique.
   std::string lease_;      // Empty without a platform lease.
   millis renewed_ms_ = 0;  // When the last successful renewal was sent.
   bool held_ = false;
--- a/src/control/store_port.cc
+++ b/src/control/store_port.cc
@@ -58,7 +58,7 @@
                                                 std::uint64_t expect,
                                                 const std::string& lease) {
   return Call<put_answer>(
-      seam_.put != nullptr, timing_.store_deadline_ms, [&](auto reply) {
+      seam_.put != nullptr, timing_.put_deadline_ms, [&](auto reply) {
         seam_.put(key, value, expect, lease, std::move(reply));
       });
 }
--- /dev/null
+++ b/src/programs/control.cc
@@ -0,0 +1,98 @@
+#include <CLI/CLI.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+
+#include "src/base/clock.h"
+#include "src/base/finding.h"
+#include "src/base/log.h"
+#include "src/control/control_process.h"
+#include "src/control/platform_thread.h"
+#include "src/settings/process_settings.h"
+
+namespace {
+
+using radishwing::control::control_options;
+using radishwing::control::control_process;
+using radishwing::control::platform_thread;
+
+control_options OptionsFrom(
+    const radishwing::settings::process_settings& settings) {
+  control_options options;
+  options.host = settings.host;
+  options.data_centre = settings.data_centre;
+  options.incarnation =
+      static_cast<std::uint64_t>(radishwing::clock::Wall().Now());
+  options.rpc_address = settings.control_address;
+  options.fleet_secret = settings.fleet_secret.Reveal();
+  options.peers = settings.peers;
+  return options;
+}
+
+/// The first signal starts a graceful stop, the second ends the process.
+void AwaitSignals(boost::asio::io_context& context,
+                  boost::asio::signal_set& signals, control_process& process,
+                  bool first) {
+  signals.async_wait([&, first](const boost::system::error_code& error, int) {
+    if (error) return;
+    if (!first) {
+      radishwing::LogWarning("control",
+                             "second signal, terminating, the graceful stop "
+                             "was interrupted");
+      std::_Exit(1);
+    }
+    radishwing::LogInfo("control", "stopping");
+    process.Stop([&context] {
+      boost::asio::post(context, [&context] { context.stop(); });
+    });
+    AwaitSignals(context, signals, process, false);
+  });
+}
+
+int Run(const radishwing::settings::process_settings& settings) {
+  radishwing::ConfigureLogs("radishwing-control", settings.minimum_level);
+  boost::asio::io_context context;
+  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+  auto platform = platform_thread::Make(settings.platform_address);
+  if (!radishwing::Ok(platform)) {
+    radishwing::LogError("control", radishwing::Error(platform).message);
+    return 1;
+  }
+  auto process = control_process::Make(OptionsFrom(settings),
+                                       radishwing::Value(platform)->Seam());
+  if (!radishwing::Ok(process)) {
+    radishwing::LogError("control", radishwing::Error(process).message);
+    return 1;
+  }
+  AwaitSignals(context, signals, *radishwing::Value(process), true);
+  std::cout << "radishwing-control: ready, control="
+            << radishwing::Value(process)->RpcAddress() << std::endl;
+  context.run();
+  radishwing::LogInfo("control", "stopped");
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::string file;
+  bool check = false;
+  CLI::App app{"radishwing control: decides for the entry beside it"};
+  app.add_option("--settings", file, "process settings file")->required();
+  app.add_flag("--check", check, "check the settings file and exit");
+  CLI11_PARSE(app, argc, argv);
+  auto settings = radishwing::settings::LoadProcessSettings(
+      file, radishwing::settings::daemon_kind::kControl);
+  if (const auto* findings =
+          std::get_if<std::vector<radishwing::finding>>(&settings)) {
+    for (const auto& f : *findings) {
+      std::cerr << radishwing::FormatFinding(f) << "\n";
+    }
+    return 2;
+  }
+  if (check) return 0;
+  return Run(std::get<0>(settings));
+}
--- a/tests/control/test_fleet.cc
+++ b/tests/control/test_fleet.cc
@@ -23,6 +23,7 @@
   timing.members.failed_ms = 1000;
   timing.call_deadline_ms = 200;
   timing.store_deadline_ms = 500;
+  timing.put_deadline_ms = 700;
   timing.watch_wait_ms = 1000;
   timing.lease_ttl_ms = 600;
   timing.lease_poll_ms = 100;
