Wire the team tokens

Change: token_service joins the records, takes, borrows, lends and gives back; token_recovery_duty carries limits into the records and recovers lost tokens in a new epoch.

--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -54,7 +54,14 @@
                                             *mesh_, settings_);
   poller_ = std::make_unique<fleet_poller>(timer_, options_, store_, settings_,
                                            table_);
+  tokens_of_teams_ = std::make_unique<token_service>(timer_, clock_, options_,
+                                                     store_, *mesh_, settings_);
+  recovery_ = std::make_unique<token_recovery_duty>(
+      timer_, clock_, options_, store_, *mesh_, settings_, *tokens_of_teams_);
   WirePeers();
+  WireTokens();
+  tokens_of_teams_->Start();
+  recovery_->Start();
   relay_->Start();
   poller_->Start();
   Tick();
@@ -64,6 +71,7 @@
   mesh_->fill = [this](peer_digest& digest) { FillDigest(digest); };
   mesh_->on_digest = [this](const peer_digest& digest) {
     relay_->OnDigest(digest.from, digest.settings_revision);
+    tokens_of_teams_->OnDigest(digest);
   };
   peer_handlers_->exchange = [this](const peer_digest& received) {
     return mesh_->Exchange(received);
@@ -75,6 +83,41 @@
   };
 }
 
+void control_core::WireTokens() {
+  token_service* tokens = tokens_of_teams_.get();
+  entry_handlers& entry = entries_.handlers;
+  entry.on_opened = [tokens](const std::string& owner, const auto& held) {
+    tokens->OnOpened(owner, held);
+  };
+  entry.on_broken = [tokens](const std::string& owner) {
+    tokens->OnBroken(owner);
+  };
+  entry.acquire = [tokens](const std::string& owner, const std::string& team,
+                           std::uint32_t want) {
+    return tokens->Acquire(owner, team, want);
+  };
+  entry.give_back = [tokens](const std::string& owner,
+                             const rpc::token_grant& given) {
+    tokens->GiveBack(owner, given);
+  };
+  peer_handlers_->lend = [tokens](const std::string& team, std::uint64_t epoch,
+                                  std::uint32_t want,
+                                  const std::string& taker) {
+    return tokens->Lend(team, epoch, want, taker);
+  };
+  peer_handlers_->balance = [tokens](const std::string& team,
+                                     std::uint64_t epoch) {
+    return tokens->Balance(team, epoch);
+  };
+  settings_.OnChange([this] {
+    millis longest = 0;
+    for (const auto& [name, service] : settings_.Tree()->services) {
+      longest = std::max(longest, service.longest_run_seconds * 1000);
+    }
+    entries_.entry_gone_ms = longest;
+  });
+}
+
 void control_core::Stop(std::function<void()> completion) {
   // A store that does not answer must not keep the process.
   kj::Duration bound = 3 * options_.timing.store_deadline_ms * kj::MILLISECONDS;
@@ -92,11 +135,15 @@
 
 kj::Promise<void> control_core::StopDuties() {
   poller_->Stop();
-  return relay_->Stop().then([this] { return mesh_->Leave(); });
+  return recovery_->Stop()
+      .then([this] { return tokens_of_teams_->Stop(); })
+      .then([this] { return relay_->Stop(); })
+      .then([this] { return mesh_->Leave(); });
 }
 
 void control_core::FillDigest(peer_digest& digest) {
   digest.settings_revision = settings_.Revision();
+  tokens_of_teams_->Fill(digest);
   for (const auto& [host, record] : poller_->Sources().records) {
     if (record.state != "draining") continue;
     auto use = entries_.HostUse(host, poller_->VersionOf(host));
@@ -117,6 +164,8 @@
   mesh_->Members().SetInForce(entries_.RevisionInForce(),
                               entries_.HostEpochsInForce());
   mesh_->Tick();
+  tokens_of_teams_->Tick();
+  recovery_->Tick();
   tasks_.add(
       timer_.afterDelay(options_.timing.members.heartbeat_ms * kj::MILLISECONDS)
           .then([this] { Tick(); }));
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -14,6 +14,8 @@
 #include "src/control/settings_keeper.h"
 #include "src/control/settings_relay.h"
 #include "src/control/store_port.h"
+#include "src/control/token_recovery_duty.h"
+#include "src/control/token_service.h"
 #include "src/rpc/gate_server.h"
 
 namespace radishwing::control {
@@ -42,11 +44,13 @@
   entry_registry& Entries() { return entries_; }
   peer_mesh& Mesh() { return *mesh_; }
   settings_relay& Relay() { return *relay_; }
+  token_service& Tokens() { return *tokens_of_teams_; }
 
  private:
   void taskFailed(kj::Exception&& exception) override;
   void StartDuties(const std::string& bound);
   void WirePeers();
+  void WireTokens();
   void Tick();
   kj::Promise<void> StopDuties();
   void FillDigest(peer_digest& digest);
@@ -63,6 +67,8 @@
   std::unique_ptr<peer_mesh> mesh_;
   std::unique_ptr<settings_relay> relay_;
   std::unique_ptr<fleet_poller> poller_;
+  std::unique_ptr<token_service> tokens_of_teams_;
+  std::unique_ptr<token_recovery_duty> recovery_;
   rpc::gate_server gate_;
   kj::TaskSet tasks_;  // Last, so that it is destroyed first.
 };
--- a/src/control/control_options.h
+++ b/src/control/control_options.h
@@ -24,6 +24,14 @@
   millis live_poll_ms = 1000;  ///< Runners must stop within 3 s of the list.
   millis hosts_poll_ms = 10000;
   millis snapshot_wait_ms = 5000;  ///< Long poll of an entry.
+  /// A recovery of tokens that did not succeed is tried again after this.
+  millis recovery_retry_ms = 10000;
+  /// Each team is recovered at least this often: a lost reply to a loan loses
+  /// tokens that nobody reports.
+  millis recovery_interval_ms = 600000;
+  /// Time after which a holder that is gone counts as holding nothing. 0: the
+  /// longest run time of the team's services plus its cut-off grace.
+  millis gone_bound_ms = 0;
   /// An entry session without a report for this long is broken.
   millis entry_silent_ms = 5000;
   /// Without contact to the store or another data centre for this long, the
--- a/src/control/peer_mesh.cc
+++ b/src/control/peer_mesh.cc
@@ -175,6 +175,15 @@
   });
 }
 
+std::string peer_mesh::ProcessAt(const std::string& host) {
+  const membership::member* row = members_.Find(host);
+  if (row == nullptr) return "";
+  auto found = links_.find(row->address);
+  if (found == links_.end() || !found->second->IsOpen()) return "";
+  const rpc::hello& other = found->second->Other();
+  return other.host + '#' + std::to_string(other.incarnation);
+}
+
 void peer_mesh::Distrust(const std::string& host) {
   const membership::member* row = members_.Find(host);
   if (row == nullptr) return;
--- a/src/control/peer_mesh.h
+++ b/src/control/peer_mesh.h
@@ -41,6 +41,11 @@
   /// if the host is unknown or cannot be reached.
   kj::Promise<rpc::Peer::Client> Reach(const std::string& host);
 
+  /// "<host>#<incarnation>" of the process that the open connection to `host`
+  /// leads to; empty without one. The incarnation in a member row does not
+  /// tell: it also grows by refutation.
+  std::string ProcessAt(const std::string& host);
+
   /// Drops the connection to `host` after a call over it got no answer.
   void Distrust(const std::string& host);
 
--- a/tests/control/test_fleet.cc
+++ b/tests/control/test_fleet.cc
@@ -29,6 +29,8 @@
   timing.lease_poll_ms = 100;
   timing.live_poll_ms = 100;
   timing.hosts_poll_ms = 200;
+  timing.recovery_retry_ms = 300;
+  timing.gone_bound_ms = 500;
   timing.entry_silent_ms = 1000;
   timing.cut_off_after_ms = 500;
   if (adjust) adjust(options);
--- a/tests/control/test_network.cc
+++ b/tests/control/test_network.cc
@@ -136,6 +136,10 @@
   std::string address;
   impl_->Run([&] {
     impl::forwarder& f = impl_->forwarders[host];
+    if (f.acceptor) {
+      address = http::FormatAddress(f.acceptor->local_endpoint());
+      return;
+    }
     f.host = host;
     f.acceptor = std::make_unique<tcp::acceptor>(
         impl_->io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
--- a/tests/control/test_network.h
+++ b/tests/control/test_network.h
@@ -13,9 +13,9 @@
   test_network();
   ~test_network();
 
-  /// Adds a forwarder for `host` and returns its "ip:port". Host names must
-  /// not be a part of other data: connections are told apart by the caller's
-  /// name in the handshake.
+  /// Adds a forwarder for `host`, unless it exists, and returns its "ip:port".
+  /// Host names must not be a part of other data: connections are told apart by
+  /// the caller's name in the handshake.
   std::string Add(const std::string& host);
 
   /// Where the forwarder of `host` connects to.
