Wire the request claims, the roster and cancellations

Change: claim_service carries claims to the primary and its second copy, keeps this control in the roster, hands claims over when the roster changes, removes failed members under lease/roster, and forwards a cancellation to the entry that the claim names. A graceful stop leaves the roster and hands its claims over first.

--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -60,6 +60,10 @@
       timer_, clock_, options_, store_, *mesh_, settings_, *tokens_of_teams_);
   WirePeers();
   WireTokens();
+  claims_ = std::make_unique<claim_service>(timer_, clock_, options_, store_,
+                                            *mesh_, settings_, entries_);
+  WireClaims();
+  claims_->Start();
   tokens_of_teams_->Start();
   recovery_->Start();
   relay_->Start();
@@ -118,6 +122,43 @@
   });
 }
 
+void control_core::WireClaims() {
+  claim_service* claims = claims_.get();
+  entries_.handlers.claim = [claims](const requests::claim& claim) {
+    return claims->Claim(claim);
+  };
+  entries_.handlers.finish =
+      [claims](const std::string& id, const std::string& owner,
+               requests::outcome outcome, std::uint16_t status) {
+        return claims->Finish(id, owner, outcome, status);
+      };
+  entries_.handlers.cancel = [claims](const std::string& id,
+                                      const std::string& team) {
+    return claims->Cancel(id, team);
+  };
+  peer_handlers_->claim = [claims](const requests::claim& claim,
+                                   std::uint64_t epoch) {
+    return claims->ClaimAsPrimary(claim, epoch);
+  };
+  peer_handlers_->replicate = [claims](const requests::claim& claim,
+                                       std::uint64_t epoch) {
+    return claims->Replicate(claim, epoch);
+  };
+  peer_handlers_->finish =
+      [claims](const std::string& id, const std::string& owner,
+               requests::outcome outcome, std::uint16_t status) {
+        claims->FinishHere(id, owner, outcome, status);
+      };
+  peer_handlers_->cancel = [claims](const std::string& id,
+                                    const std::string& team) {
+    return claims->CancelHere(id, team);
+  };
+  peer_handlers_->hand_over = [claims](std::uint64_t epoch, const auto& list,
+                                       const auto& answers) {
+    return claims->AcceptHandOver(epoch, list, answers);
+  };
+}
+
 void control_core::Stop(std::function<void()> completion) {
   // A store that does not answer must not keep the process.
   kj::Duration bound = 3 * options_.timing.store_deadline_ms * kj::MILLISECONDS;
@@ -137,6 +178,7 @@
   poller_->Stop();
   return recovery_->Stop()
       .then([this] { return tokens_of_teams_->Stop(); })
+      .then([this] { return claims_->Stop(); })
       .then([this] { return relay_->Stop(); })
       .then([this] { return mesh_->Leave(); });
 }
@@ -166,6 +208,7 @@
   mesh_->Tick();
   tokens_of_teams_->Tick();
   recovery_->Tick();
+  claims_->Tick();
   tasks_.add(
       timer_.afterDelay(options_.timing.members.heartbeat_ms * kj::MILLISECONDS)
           .then([this] { Tick(); }));
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "src/control/claim_service.h"
 #include "src/control/control_options.h"
 #include "src/control/entry_registry.h"
 #include "src/control/fleet_poller.h"
@@ -44,6 +45,7 @@
   entry_registry& Entries() { return entries_; }
   peer_mesh& Mesh() { return *mesh_; }
   settings_relay& Relay() { return *relay_; }
+  claim_service& Claims() { return *claims_; }
   token_service& Tokens() { return *tokens_of_teams_; }
 
  private:
@@ -51,6 +53,7 @@
   void StartDuties(const std::string& bound);
   void WirePeers();
   void WireTokens();
+  void WireClaims();
   void Tick();
   kj::Promise<void> StopDuties();
   void FillDigest(peer_digest& digest);
@@ -69,6 +72,7 @@
   std::unique_ptr<fleet_poller> poller_;
   std::unique_ptr<token_service> tokens_of_teams_;
   std::unique_ptr<token_recovery_duty> recovery_;
+  std::unique_ptr<claim_service> claims_;
   rpc::gate_server gate_;
   kj::TaskSet tasks_;  // Last, so that it is destroyed first.
 };
--- a/src/control/control_options.h
+++ b/src/control/control_options.h
@@ -26,6 +26,8 @@
   millis snapshot_wait_ms = 5000;  ///< Long poll of an entry.
   /// A recovery of tokens that did not succeed is tried again after this.
   millis recovery_retry_ms = 10000;
+  /// A member of the roster that failed is removed after this much silence.
+  millis roster_grace_ms = 15000;
   /// Each team is recovered at least this often: a lost reply to a loan loses
   /// tokens that nobody reports.
   millis recovery_interval_ms = 600000;
--- a/src/control/token_recovery_duty.cc
+++ b/src/control/token_recovery_duty.cc
@@ -25,6 +25,9 @@
 }  // namespace
 
 struct token_recovery_duty::attempt {
+  attempt(std::string t, std::uint64_t v, quota::token_record base)
+      : team(std::move(t)), version(v), recovery(std::move(base)) {}
+
   std::string team;
   std::uint64_t version = 0;
   quota::token_recovery recovery;
@@ -172,11 +175,8 @@
         tokens_.Observe(team, *Value(found));
         auto record = quota::ParseTokenRecord(Value(found)->value);
         if (!Ok(record)) return kj::READY_NOW;
-        auto run = std::make_shared<attempt>(
-            attempt{team,
-                    Value(found)->version,
-                    quota::token_recovery(Value(record)),
-                    {}});
+        auto run = std::make_shared<attempt>(team, Value(found)->version,
+                                             Value(record));
         for (const auto& [holder, grant] : Value(record).grants) {
           run->holders.push_back(holder);
         }
--- a/tests/control/test_fleet.cc
+++ b/tests/control/test_fleet.cc
@@ -30,6 +30,7 @@
   timing.live_poll_ms = 100;
   timing.hosts_poll_ms = 200;
   timing.recovery_retry_ms = 300;
+  timing.roster_grace_ms = 1200;
   timing.gone_bound_ms = 500;
   timing.entry_silent_ms = 1000;
   timing.cut_off_after_ms = 500;
