--- a/tools/load.cc
+++ b/tools/load.cc
@@ -156,6 +156,9 @@
       request.set("Radishwing-Request-Id", record.id);
     }
     request.set("Radishwing-Idempotent", record.idempotent ? "true" : "false");
+    if (!options_.work_class.empty()) {
+      request.set("Radishwing-Class", options_.work_class);
+    }
     for (const team_credential& key : options_.keys) {
       if (key.team != record.team) continue;
       request.set(http::field::authorization, "Bearer " + key.key);
--- a/tools/load/load_options.cc
+++ b/tools/load/load_options.cc
@@ -12,6 +12,7 @@
   app.add_option("--service", options.services, "service name, repeatable");
   app.add_option("--key", keys, "team=key, repeatable");
   app.add_option("--path", options.path, "path and query after the service");
+  app.add_option("--class", options.work_class, "class of the requests");
   app.add_option("--id-prefix", options.id_prefix, "start of identifiers");
   app.add_option("--records", options.record_file, "file for one line each");
   app.add_option("--connections", options.connections)
--- a/tools/load/load_options.h
+++ b/tools/load/load_options.h
@@ -18,6 +18,7 @@
   std::vector<std::string> services;  ///< An empty name sends the bare path.
   std::vector<team_credential> keys;
   std::string path = "/work";
+  std::string work_class;  ///< `Radishwing-Class`; empty sends none.
   std::string id_prefix = "load";
   std::string record_file;  ///< One line per request; empty writes none.
   int connections = 16;
