--- a/cmake/third_party.cmake
+++ b/cmake/third_party.cmake
@@ -10,7 +10,8 @@
 target_link_libraries(third_party_json PUBLIC Boost::headers)
 
 find_path(EASYLOGGINGPP_DIR easylogging++.cc REQUIRED)
-add_library(third_party_log STATIC ${EASYLOGGINGPP_DIR}/easylogging++.cc)
+add_library(third_party_log STATIC ${EASYLOGGINGPP_DIR}/easylogging++.cc
+  cmake/log_impl.cc)
 # The hosts have no disks: no default log file.
 target_compile_definitions(third_party_log PUBLIC ELPP_THREAD_SAFE
   ELPP_NO_DEFAULT_LOG_FILE ELPP_DISABLE_DEFAULT_CRASH_HANDLING)
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -5,8 +5,6 @@
 #include <atomic>
 #include <string>
 
-INITIALIZE_EASYLOGGINGPP
-
 namespace radishwing {
 namespace {
 
--- a/src/quota/holder_account.cc
+++ b/src/quota/holder_account.cc
@@ -129,7 +129,7 @@
 }
 
 void holder_account::BreakSession(std::string_view entry, millis now,
-                                  millis longest_run_ms) {
+                                  millis in_use_ms) {
   const auto found = entries_.find(entry);
   if (found == entries_.end() || found->second.broken) return;
   if (found->second.count == 0) {
@@ -137,7 +137,7 @@
     return;
   }
   found->second.broken = true;
-  found->second.free_at = now + longest_run_ms;
+  found->second.free_at = now + in_use_ms;
 }
 
 void holder_account::Restate(std::string_view entry, std::uint32_t held) {
--- a/src/quota/holder_account.h
+++ b/src/quota/holder_account.h
@@ -68,9 +68,11 @@
   /// Takes tokens back from an entry, at most as many as it holds.
   void Return(std::string_view entry, std::uint32_t count);
 
-  /// The session of `entry` broke. Its tokens count as in use until
-  /// `now + longest_run_ms`, unless the entry states its tokens before.
-  void BreakSession(std::string_view entry, millis now, millis longest_run_ms);
+  /// The session of `entry` broke. Its tokens count as in use for `in_use_ms`,
+  /// unless the entry states its tokens before: how long an entry starts work
+  /// on tokens without a session, plus the longest run time of the team's
+  /// services.
+  void BreakSession(std::string_view entry, millis now, millis in_use_ms);
 
   /// `entry` opened a session and states what it holds. Tokens of a broken
   /// session that it does not state become free. Tokens that this account did
--- a/src/quota/token_record.h
+++ b/src/quota/token_record.h
@@ -42,6 +42,11 @@
   bool operator==(const token_record&) const = default;
 };
 
+/// The host part of a holder "<host>#<incarnation>".
+inline std::string_view HostOfHolder(std::string_view holder) {
+  return holder.substr(0, holder.find('#'));
+}
+
 /// JSON text of `record` for the store.
 std::string FormatTokenRecord(const token_record& record);
 
--- a/src/quota/token_recovery.cc
+++ b/src/quota/token_recovery.cc
@@ -25,11 +25,24 @@
                              std::int64_t{balance.free} + balance.in_use);
 }
 
-void token_recovery::Gone(std::string_view holder, millis gone_ms,
-                          millis longest_run_ms) {
-  if (gone_ms < longest_run_ms || !base_.Lists(holder)) return;
-  // A balance that it reported before it went may have moved to nobody: what
-  // it held is free again either way.
+void token_recovery::HostGone(std::string_view holder, millis gone_ms,
+                              millis in_use_ms) {
+  if (gone_ms >= in_use_ms) CountAsEmpty(holder);
+}
+
+void token_recovery::Superseded(std::string_view holder, millis listed_ms,
+                                millis in_use_ms) {
+  const bool replaced = std::any_of(
+      base_.grants.begin(), base_.grants.end(), [holder](const auto& item) {
+        return item.first != holder &&
+               HostOfHolder(item.first) == HostOfHolder(holder);
+      });
+  if (replaced && listed_ms >= in_use_ms) CountAsEmpty(holder);
+}
+
+// A balance that it reported before it went is free again as well.
+void token_recovery::CountAsEmpty(std::string_view holder) {
+  if (!base_.Lists(holder)) return;
   balances_.erase(std::string(holder));
   gone_.insert(std::string(holder));
 }
--- a/src/quota/token_recovery.h
+++ b/src/quota/token_recovery.h
@@ -32,18 +32,24 @@
   /// A holder's reply. Unsettled replies are ignored: ask again later.
   void Reply(std::string_view holder, const token_balance& balance);
 
-  /// `holder` has been off the live list, or replaced by a newer incarnation
-  /// on its host, for `gone_ms`. It counts as holding nothing once that reaches
-  /// `longest_run_ms`: the longest run time of the team's services, plus the
-  /// team's cut-off grace if the data centre of the holder may only be
-  /// partitioned, since it keeps using its tokens during that time.
-  void Gone(std::string_view holder, millis gone_ms, millis longest_run_ms);
+  /// The host of `holder` has been off the live list for `gone_ms`. The holder
+  /// counts as holding nothing once that reaches `in_use_ms`, the longest time
+  /// for which tokens may still be in use there: how long its entry uses them
+  /// without a session (the cut-off grace, if the data centre may only be
+  /// partitioned) plus the longest run time of the team's services.
+  void HostGone(std::string_view holder, millis gone_ms, millis in_use_ms);
+
+  /// A later incarnation on the host of `holder` has been listed in the record
+  /// for `listed_ms`; SucceedHolder made it state what the entry holds.
+  void Superseded(std::string_view holder, millis listed_ms, millis in_use_ms);
 
   /// The record of the next epoch: each holder's balance plus an equal part of
   /// the tokens that were lost. Fails with kUnavailable while any is missing.
   result<token_record> Next(std::string_view change_id) const;
 
  private:
+  void CountAsEmpty(std::string_view holder);
+
   token_record base_;
   std::map<std::string, std::int64_t, std::less<>> balances_;
   std::set<std::string, std::less<>> gone_;
--- a/src/quota/token_transitions.cc
+++ b/src/quota/token_transitions.cc
@@ -33,7 +33,11 @@
 result<token_record> JoinHolder(const token_record& record,
                                 std::string_view holder, std::uint32_t want,
                                 std::string_view change_id) {
-  if (record.Lists(holder)) return Conflict(holder, "is listed already");
+  for (const auto& [listed, grant] : record.grants) {
+    if (HostOfHolder(listed) == HostOfHolder(holder)) {
+      return Conflict(holder, "finds its host listed as \"" + listed + "\"");
+    }
+  }
   token_record next = Next(record, change_id);
   next.grants.emplace(holder, Available(record, want));
   return next;
--- a/src/quota/token_transitions.h
+++ b/src/quota/token_transitions.h
@@ -17,7 +17,8 @@
 token_record NewTokenRecord(std::uint32_t limit, std::string_view change_id);
 
 /// Adds a holder that has no tokens yet; it takes up to `want` of the
-/// unallocated ones.
+/// unallocated ones. Fails if an earlier incarnation on its host is listed: use
+/// SucceedHolder then.
 result<token_record> JoinHolder(const token_record& record,
                                 std::string_view holder, std::uint32_t want,
                                 std::string_view change_id);
@@ -41,10 +42,11 @@
                                  std::string_view change_id);
 
 /// Adds the control incarnation that runs in the place of a dead one on the
-/// same host. `held` is what the entry beside it states it holds; these tokens
-/// move from the grant of the dead one to the new one. The dead one stays
-/// listed: its other tokens may still be in use and only a recovery after the
-/// longest run time brings them back.
+/// same host. `held` is what the entry beside it states it holds (0 if no entry
+/// has opened a session for as long as entries use tokens without one). These
+/// tokens move from the grant of the dead one to the new one. The dead one
+/// stays listed: its other tokens may still be in use, and only a recovery
+/// brings them back (token_recovery::Superseded).
 result<token_record> SucceedHolder(const token_record& record,
                                    std::string_view dead,
                                    std::string_view holder, std::uint32_t held,
