--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -142,6 +142,7 @@
 void entry_core::Tick() {
   closed_.clear();
   millis now = Now();
+  last_tick_.Set(static_cast<std::uint64_t>(now));
   // Backwards: an exchange that ends is replaced by the last one.
   for (std::size_t i = active_.size(); i-- > 0;) {
     if (i < active_.size()) active_[i]->OnTick(now);
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -108,6 +108,7 @@
   // Counters: entry_core_report.cc.
   void CountAttempt() { attempts_.Add(1); }
   /// Callable from any thread.
+  millis LastTick() const { return static_cast<millis>(last_tick_.Get()); }
   std::uint64_t Attempts() const { return attempts_.Get(); }
   void CountRetry(const request_state& state);
   /// The retry budget is used up.
@@ -172,6 +173,7 @@
   std::uint64_t runs_ = 0;
   std::uint64_t refused_heads_ = 0;
   single_writer_counter attempts_;
+  single_writer_counter last_tick_;
 
   std::vector<exchange*> active_;
   std::unordered_multimap<std::string, exchange*> by_id_;
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -1,17 +1,14 @@
 #include "src/entry/entry_process.h"
 
-#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <optional>
-#include <thread>
 
 #include "src/base/log.h"
-#include "src/base/thread_name.h"
 #include "src/entry/entry_server.h"
-#include "src/http/server.h"
 #include "src/metrics/metric_registry.h"
+#include "src/metrics/metrics_port.h"
 
 namespace radishwing::entry {
 namespace {
@@ -37,17 +34,14 @@
       : context(c), registry(labels), flush(c) {}
 
   ~impl() {
+    metrics_port.reset();
     if (server) server->Halt();
     link.reset();
-    metrics_context.stop();
-    if (metrics_thread.joinable()) metrics_thread.join();
   }
 
   std::optional<failure> StartServer(entry_options options);
   std::optional<failure> StartLink(rpc::entry_link_options options);
   std::optional<failure> StartMetrics(const std::string& address);
-  void HandleMetrics(const http::server_request& request,
-                     const http::server::responder& respond);
 
   boost::asio::io_context& context;
   metrics::metric_registry registry;
@@ -55,9 +49,7 @@
   std::unique_ptr<entry_server> server;
   /// Completions of the link run in the server, so it is destroyed first.
   std::unique_ptr<rpc::entry_link> link;
-  boost::asio::io_context metrics_context{1};
-  std::unique_ptr<http::server> metrics_server;
-  std::thread metrics_thread;
+  std::unique_ptr<metrics::metrics_port> metrics_port;
 };
 
 std::optional<failure> entry_process::impl::StartServer(entry_options options) {
@@ -90,43 +82,15 @@
 std::optional<failure> entry_process::impl::StartMetrics(
     const std::string& address) {
   if (address.empty()) return std::nullopt;
-  http::server_options options;
-  options.address = address;
-  options.max_connections = 64;
-  auto made = http::server::Make(
-      metrics_context, options,
-      [this](http::server_request request, http::server::responder respond) {
-        HandleMetrics(request, respond);
-      });
+  metrics::metrics_hooks hooks;
+  hooks.ready = [this] { return server->Ready(); };
+  hooks.healthy = [this] { return server->Healthy(); };
+  auto made = metrics::metrics_port::Make(address, registry, std::move(hooks));
   if (!Ok(made)) return Error(made);
-  metrics_server = std::move(Value(made));
-  metrics_thread = std::thread([this] {
-    NameThread("metrics");
-    auto guard = boost::asio::make_work_guard(metrics_context);
-    metrics_context.run();
-  });
+  metrics_port = std::move(Value(made));
   return std::nullopt;
 }
 
-void entry_process::impl::HandleMetrics(
-    const http::server_request& request,
-    const http::server::responder& respond) {
-  http::server_response response;
-  response.content_type = "text/plain; version=0.0.4";
-  if (request.target.path == "/metrics") {
-    response.body = registry.Serialize();
-  } else if (request.target.path == "/healthz") {
-    response.body = "ok\n";
-  } else if (request.target.path == "/readyz") {
-    bool ready = server->Ready();
-    response.status = ready ? 200 : 503;
-    response.body = ready ? "ready\n" : "not ready\n";
-  } else {
-    response.status = 404;
-  }
-  respond(std::move(response));
-}
-
 entry_process::entry_process(std::unique_ptr<impl> impl)
     : impl_(std::move(impl)) {}
 
@@ -162,7 +126,7 @@
 }
 
 std::string entry_process::MetricsAddress() const {
-  return impl_->metrics_server ? impl_->metrics_server->Address() : "";
+  return impl_->metrics_port ? impl_->metrics_port->Address() : "";
 }
 
 void entry_process::Stop() {
--- a/src/entry/entry_server.cc
+++ b/src/entry/entry_server.cc
@@ -81,6 +81,11 @@
   return impl_->has_snapshot && !impl_->stopping;
 }
 
+bool entry_server::Healthy() const {
+  constexpr millis kStalledMs = 5000;
+  return impl_->core.Now() - impl_->core.LastTick() < kStalledMs;
+}
+
 std::uint64_t entry_server::Attempts() const { return impl_->core.Attempts(); }
 
 void entry_server::Stop(std::function<void()> stopped) {
--- a/src/entry/entry_server.h
+++ b/src/entry/entry_server.h
@@ -44,6 +44,9 @@
   /// True once a snapshot is applied and until a stop begins.
   bool Ready() const;
 
+  /// False if the serve thread has not run its timer for 5 s.
+  bool Healthy() const;
+
   /// Stops gracefully: after the balancer delay no new work is accepted, and
   /// when nothing is in flight tokens are returned and `stopped` is called, on
   /// the serve thread.
--- a/src/entry/single_writer_counter.h
+++ b/src/entry/single_writer_counter.h
@@ -12,6 +12,9 @@
     value_.store(value_.load(std::memory_order_relaxed) + by,
                  std::memory_order_relaxed);
   }
+  void Set(std::uint64_t value) {
+    value_.store(value, std::memory_order_relaxed);
+  }
   std::uint64_t Get() const { return value_.load(std::memory_order_relaxed); }
 
  private:
