--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -54,6 +54,8 @@
                                             *mesh_, settings_);
   poller_ = std::make_unique<fleet_poller>(timer_, options_, store_, settings_,
                                            table_);
+  operators_ = std::make_unique<operator_service>(clock_, options_, store_,
+                                                  settings_, *mesh_);
   WirePeers();
   relay_->Start();
   poller_->Start();
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -8,6 +8,7 @@
 #include "src/control/control_options.h"
 #include "src/control/entry_registry.h"
 #include "src/control/fleet_poller.h"
+#include "src/control/operator_service.h"
 #include "src/control/peer_handlers.h"
 #include "src/control/peer_mesh.h"
 #include "src/control/runner_table.h"
@@ -42,6 +43,7 @@
   entry_registry& Entries() { return entries_; }
   peer_mesh& Mesh() { return *mesh_; }
   settings_relay& Relay() { return *relay_; }
+  operator_service& Operators() { return *operators_; }
 
  private:
   void taskFailed(kj::Exception&& exception) override;
@@ -63,6 +65,7 @@
   std::unique_ptr<peer_mesh> mesh_;
   std::unique_ptr<settings_relay> relay_;
   std::unique_ptr<fleet_poller> poller_;
+  std::unique_ptr<operator_service> operators_;
   rpc::gate_server gate_;
   kj::TaskSet tasks_;  // Last, so that it is destroyed first.
 };
--- a/src/control/control_process.cc
+++ b/src/control/control_process.cc
@@ -100,6 +100,12 @@
   });
 }
 
+bool control_process::Post(std::function<void(control_core&)> action) {
+  return impl_->thread.Post([this, action = std::move(action)] {
+    if (impl_->core != nullptr) action(*impl_->core);
+  });
+}
+
 void control_process::Inspect(std::function<void(control_core&)> action) {
   impl_->thread.Run([&] {
     if (impl_->core != nullptr) action(*impl_->core);
--- a/src/control/control_process.h
+++ b/src/control/control_process.h
@@ -35,6 +35,10 @@
   /// does not confirm in time is left to the recovery by others.
   void Stop(std::function<void()> completion);
 
+  /// Runs `action` on the decide thread later. Returns false and drops it if
+  /// the ring to that thread is full. Callable from any thread.
+  bool Post(std::function<void(control_core&)> action);
+
   /// Runs `action` on the decide thread and waits for it. For the operator
   /// port and tests.
   void Inspect(std::function<void(control_core&)> action);
--- a/src/programs/control.cc
+++ b/src/programs/control.cc
@@ -10,6 +10,8 @@
 #include "src/base/finding.h"
 #include "src/base/log.h"
 #include "src/control/control_process.h"
+#include "src/control/operator_port.h"
+#include "src/control/operator_wiring.h"
 #include "src/control/platform_thread.h"
 #include "src/settings/process_settings.h"
 
@@ -68,8 +70,17 @@
     return 1;
   }
   AwaitSignals(context, signals, *radishwing::Value(process), true);
+  auto operators = radishwing::control::operator_port::Make(
+      context, settings.operator_address, settings.operator_secret,
+      radishwing::control::MakeOperatorHooks(*radishwing::Value(process)));
+  if (!radishwing::Ok(operators)) {
+    radishwing::LogError("control", radishwing::Error(operators).message);
+    return 1;
+  }
   std::cout << "radishwing-control: ready, control="
-            << radishwing::Value(process)->RpcAddress() << std::endl;
+            << radishwing::Value(process)->RpcAddress()
+            << " operator=" << radishwing::Value(operators)->Address()
+            << std::endl;
   context.run();
   radishwing::LogInfo("control", "stopped");
   return 0;
