--- a/src/ctl/app_options.h
+++ b/src/ctl/app_options.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,7 @@
   std::vector<std::string> files;
   std::string file;
   std::uint64_t revision = 0;
+  std::optional<std::uint64_t> base_revision;
   std::string team;
   double share = 0;
   std::uint32_t upper_limit = 0;
--- a/src/ctl/command_tree.cc
+++ b/src/ctl/command_tree.cc
@@ -74,11 +74,12 @@
   CLI::App* apply =
       add.Add("apply", "Apply a file and wait until every member has confirmed",
               [&o](const command_context& c) {
-                return ApplySettings(c, o.file, o.revision);
+                return ApplySettings(c, o.file, o.base_revision);
               });
   apply->add_option("file", o.file)->required();
-  apply->add_option("--base", o.revision, "Revision the file was made from")
-      ->required();
+  apply->add_option(
+      "--base", o.base_revision,
+      "Revision the file was made from; needed once there are settings");
   add.Add("get", "Print the settings in force, or an older revision",
           [&o](const command_context& c) { return GetSettings(c, o.revision); })
       ->add_option("--revision", o.revision, "Revision from the history");
--- a/src/ctl/settings_applier.cc
+++ b/src/ctl/settings_applier.cc
@@ -5,6 +5,7 @@
 
 #include "src/ctl/json_field.h"
 #include "src/ctl/text_diff.h"
+#include "src/ctl/text_table.h"
 #include "src/settings/finding_json.h"
 #include "src/settings/fleet_parser.h"
 
@@ -23,12 +24,11 @@
                                     const std::string& target) {
   result<boost::json::value> reply = client.Fetch({"GET", target, ""});
   if (!Ok(reply)) return Error(reply);
-  settings_record record = RecordFromJson(Value(reply));
-  if (record.revision == 0) {
+  if (!FindField(Value(reply), "revision")) {
     return failure{failure_kind::kInternal,
                    "the answer to " + target + " has no revision"};
   }
-  return record;
+  return RecordFromJson(Value(reply));
 }
 
 std::string RevisionLabel(std::uint64_t revision) {
@@ -38,7 +38,11 @@
 }  // namespace
 
 result<settings_record> FetchSettings(operator_client& client) {
-  return FetchRecord(client, "/v1/settings");
+  result<settings_record> record = FetchRecord(client, "/v1/settings");
+  if (!Ok(record) && Error(record).kind == failure_kind::kNotFound) {
+    return settings_record();
+  }
+  return record;
 }
 
 result<settings_record> FetchRevision(operator_client& client,
@@ -94,7 +98,7 @@
   }
   const operator_reply& reply = Value(sent);
   if (reply.status == 200) {
-    return AwaitConfirmations(CountField(reply.body, "revision"));
+    return AwaitConfirmations(change, CountField(reply.body, "revision"));
   }
   if (reply.status == 409) {
     return ShowConflict(change, RecordFromJson(reply.body));
@@ -113,7 +117,9 @@
   const millis deadline = context_.now.Now() + context_.lost_answer_wait_ms;
   for (;;) {
     const lookup seen = LookUp(change.base_revision);
-    if (seen.found == state::kApplied) return AwaitConfirmations(seen.revision);
+    if (seen.found == state::kApplied) {
+      return AwaitConfirmations(change, seen.revision);
+    }
     if (seen.found == state::kNotApplied) {
       result<settings_record> theirs = FetchSettings(*context_.client);
       if (!Ok(theirs)) return Fail(context_, Error(theirs));
@@ -122,12 +128,27 @@
     if (context_.now.Now() >= deadline) break;
     context_.sleep(kPollIntervalMs);
   }
-  return Fail(context_,
-              {failure_kind::kTimeout,
-               "the outcome of change " + change_id_ +
-                   " is unknown; `radishwingctl settings history` shows "
-                   "whether it was applied on revision " +
-                   std::to_string(change.base_revision)});
+  return ReportUnknown(change);
+}
+
+exit_code settings_applier::ReportUnknown(const settings_change& change) {
+  const std::string message =
+      "the outcome of change " + change_id_ +
+      " is unknown; `radishwingctl settings history` shows whether it was "
+      "applied on revision " +
+      std::to_string(change.base_revision);
+  if (context_.format == output_format::kJson) {
+    boost::json::object result = {
+        {"error", FailureKindName(failure_kind::kTimeout)},
+        {"message", message},
+        {"change_id", change_id_}};
+    for (const auto& member : change.shown) result.insert(member);
+    PrintJson(*context_.out, result);
+  } else {
+    *context_.err << "radishwingctl: " << message << '\n';
+    PrintMembers(*context_.out, change.shown);
+  }
+  return exit_code::kUnknown;
 }
 
 settings_applier::lookup settings_applier::LookUp(std::uint64_t base_revision) {
@@ -178,19 +199,20 @@
   return exit_code::kConflict;
 }
 
-exit_code settings_applier::AwaitConfirmations(std::uint64_t revision) {
+exit_code settings_applier::AwaitConfirmations(const settings_change& change,
+                                               std::uint64_t revision) {
   const millis deadline = context_.now.Now() + context_.confirm_wait_ms;
   std::optional<std::vector<std::string>> missing;
   for (;;) {
     if (auto now = Unconfirmed(revision)) missing = std::move(now);
     if (missing && missing->empty()) {
-      return Report(revision, {}, exit_code::kDone);
+      return Report(change, revision, {}, exit_code::kDone);
     }
     if (context_.now.Now() >= deadline) break;
     context_.sleep(kPollIntervalMs);
   }
   if (!missing) missing = {"every member (no control answers)"};
-  return Report(revision, *missing, exit_code::kUnconfirmed);
+  return Report(change, revision, *missing, exit_code::kUnconfirmed);
 }
 
 // Nothing if no control answers now. A fleet without members cannot have
@@ -214,27 +236,28 @@
   return missing;
 }
 
-exit_code settings_applier::Report(std::uint64_t revision,
+exit_code settings_applier::Report(const settings_change& change,
+                                   std::uint64_t revision,
                                    const std::vector<std::string>& unconfirmed,
                                    exit_code code) {
   if (context_.format == output_format::kJson) {
-    PrintJson(*context_.out,
-              {{"result", unconfirmed.empty() ? "in_force" : "unconfirmed"},
-               {"revision", revision},
-               {"change_id", change_id_},
-               {"unconfirmed",
-                boost::json::array(unconfirmed.begin(), unconfirmed.end())}});
-    return code;
-  }
-  *context_.out << "applied as " << RevisionLabel(revision);
-  if (unconfirmed.empty()) {
-    *context_.out << ", in force on every member\n";
+    boost::json::object result = {
+        {"result", unconfirmed.empty() ? "in_force" : "unconfirmed"},
+        {"revision", revision},
+        {"change_id", change_id_},
+        {"unconfirmed",
+         boost::json::array(unconfirmed.begin(), unconfirmed.end())}};
+    for (const auto& member : change.shown) result.insert(member);
+    PrintJson(*context_.out, result);
     return code;
   }
-  *context_.out << ", not yet confirmed by:\n";
+  *context_.out << "applied as " << RevisionLabel(revision)
+                << (unconfirmed.empty() ? ", in force on every member\n"
+                                        : ", not yet confirmed by:\n");
   for (const std::string& member : unconfirmed) {
     *context_.out << "  " << Printable(member) << '\n';
   }
+  PrintMembers(*context_.out, change.shown);
   return code;
 }
 
--- a/src/ctl/settings_applier.h
+++ b/src/ctl/settings_applier.h
@@ -36,16 +36,18 @@
   lookup LookUp(std::uint64_t base_revision);
   exit_code ShowConflict(const settings_change& change,
                          const settings_record& theirs);
-  exit_code AwaitConfirmations(std::uint64_t revision);
+  exit_code AwaitConfirmations(const settings_change& change,
+                               std::uint64_t revision);
+  exit_code ReportUnknown(const settings_change& change);
   std::optional<std::vector<std::string>> Unconfirmed(std::uint64_t revision);
-  exit_code Report(std::uint64_t revision,
+  exit_code Report(const settings_change& change, std::uint64_t revision,
                    const std::vector<std::string>& unconfirmed, exit_code code);
 
   const command_context& context_;
   std::string change_id_;
 };
 
-/// The settings now in force.
+/// The settings now in force; revision 0 if none have been applied yet.
 result<settings_record> FetchSettings(operator_client& client);
 
 /// An older revision from the history.
--- a/src/ctl/settings_change.h
+++ b/src/ctl/settings_change.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <boost/json/object.hpp>
 #include <cstdint>
 #include <string>
 
@@ -19,6 +20,8 @@
   std::uint64_t base_revision = 0;
   std::string base_text;
   std::string text;
+  /// Shown together with the outcome if the change is, or may be, applied.
+  boost::json::object shown;
 };
 
 }  // namespace radishwing::ctl
--- a/src/ctl/settings_commands.cc
+++ b/src/ctl/settings_commands.cc
@@ -58,14 +58,28 @@
 }
 
 exit_code ApplySettings(const command_context& context, const std::string& file,
-                        std::uint64_t base_revision) {
+                        std::optional<std::uint64_t> base_revision) {
   result<std::string> text =
       settings::ReadTextFile(file, settings::kMaxTextBytes);
   if (!Ok(text)) return Fail(context, Error(text));
-  settings_change change{file, base_revision, "", Value(text)};
-  // Only for showing a conflict: an unreachable history does not matter.
-  result<settings_record> base = FetchRevision(*context.client, base_revision);
-  if (Ok(base)) change.base_text = Value(base).text;
+  settings_change change{file, base_revision.value_or(0), "", Value(text), {}};
+  if (!base_revision) {
+    result<settings_record> now = FetchSettings(*context.client);
+    if (!Ok(now)) return Fail(context, Error(now));
+    if (Value(now).revision != 0) {
+      return Fail(context,
+                  {failure_kind::kInvalid,
+                   "the settings are at revision " +
+                       std::to_string(Value(now).revision) + " by " +
+                       Value(now).author + "; name the revision that " + file +
+                       " was made from with --base"});
+    }
+  } else if (*base_revision != 0) {
+    // Only for showing a conflict: an unreachable history does not matter.
+    result<settings_record> base =
+        FetchRevision(*context.client, *base_revision);
+    if (Ok(base)) change.base_text = Value(base).text;
+  }
   return settings_applier(context).Apply(change);
 }
 
@@ -73,6 +87,10 @@
   result<settings_record> record = FetchEither(context, revision);
   if (!Ok(record)) return Fail(context, Error(record));
   const settings_record& r = Value(record);
+  if (r.revision == 0) {
+    return Fail(context, {failure_kind::kNotFound,
+                          "no settings have been applied yet"});
+  }
   if (context.format == output_format::kJson) {
     PrintJson(*context.out, {{"revision", r.revision},
                              {"author", r.author},
--- a/src/ctl/settings_commands.h
+++ b/src/ctl/settings_commands.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,9 +16,11 @@
 /// `settings diff`: differences between the settings in force and a file.
 exit_code DiffSettings(const command_context& context, const std::string& file);
 
-/// `settings apply`: applies a file that was made from `base_revision`.
+/// `settings apply`: applies a file that was made from `base_revision`. Only
+/// the first settings of a fleet need no base: without one, a change that
+/// somebody made meanwhile would be reverted unseen.
 exit_code ApplySettings(const command_context& context, const std::string& file,
-                        std::uint64_t base_revision);
+                        std::optional<std::uint64_t> base_revision);
 
 /// `settings get`: prints a text; revision 0 means the one in force.
 exit_code GetSettings(const command_context& context, std::uint64_t revision);
--- a/src/ctl/settings_edit.cc
+++ b/src/ctl/settings_edit.cc
@@ -8,10 +8,15 @@
 namespace radishwing::ctl {
 
 exit_code EditSettings(const command_context& context,
-                       const settings_edit& edit) {
+                       const settings_edit& edit,
+                       const boost::json::object& shown) {
   result<settings_record> now = FetchSettings(*context.client);
   if (!Ok(now)) return Fail(context, Error(now));
   const settings_record& base = Value(now);
+  if (base.revision == 0) {
+    return Fail(context,
+                {failure_kind::kNotFound, "no settings have been applied yet"});
+  }
   auto made = settings::text_editor::Make("settings", base.text);
   if (made.index() == 1) {
     return FailWithFindings(context, std::get<1>(made));
@@ -20,7 +25,7 @@
   result<done> edited = edit(editor);
   if (!Ok(edited)) return Fail(context, Error(edited));
   return settings_applier(context).Apply(
-      {"settings", base.revision, base.text, editor.Text()});
+      {"settings", base.revision, base.text, editor.Text(), shown});
 }
 
 result<done> EnsureBranch(settings::text_editor& editor,
--- a/src/ctl/team_commands.cc
+++ b/src/ctl/team_commands.cc
@@ -103,19 +103,14 @@
                    const std::string& key_id) {
   const std::string key = "rw_" + RandomHex(kKeyBytes);
   const std::string hash = Sha256Hex(key);
-  const exit_code code = EditSettings(context, [&](text_editor& editor) {
-    return AddKeyHash(editor, team, key_id, hash);
-  });
-  const bool may_be_applied = code == exit_code::kDone ||
-                              code == exit_code::kUnconfirmed ||
-                              code == exit_code::kUnknown;
-  if (context.mode == run_mode::kDryRun || !may_be_applied) return code;
-  if (context.format == output_format::kJson) {
-    PrintJson(*context.out, {{"team", team}, {"id", key_id}, {"key", key}});
-  } else {
-    *context.out << "key " << key << "\nIt is not shown again.\n";
-  }
-  return code;
+  return EditSettings(context,
+                      [&](text_editor& editor) {
+                        return AddKeyHash(editor, team, key_id, hash);
+                      },
+                      {{"team", team},
+                       {"id", key_id},
+                       {"key", key},
+                       {"note", "the key is not shown again"}});
 }
 
 exit_code WithdrawKey(const command_context& context, const std::string& team,
--- a/tests/ctl/app_test.cc
+++ b/tests/ctl/app_test.cc
@@ -1,6 +1,7 @@
 #include "src/ctl/app.h"
 
 #define BOOST_TEST_DYN_LINK
+#include <boost/json/parse.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "src/base/sha256.h"
@@ -120,6 +121,31 @@
   BOOST_TEST(control.history.back().text.find("sha256") == std::string::npos);
 }
 
+// Guards against a key that is lost although its hash may be in force, and
+// against JSON output that is not one document.
+BOOST_AUTO_TEST_CASE(ctl_grant_key_unknown_outcome_still_shows_key) {
+  control.next_answer = answer::kLostBeforeWrite;
+  BOOST_TEST(Run({"team", "grant-key", "uva", "k1", "--output", "json"}) ==
+             exit_code::kUnknown);
+  const auto shown = boost::json::parse(out.str());
+  BOOST_TEST(shown.at("key").get_string().starts_with("rw_"));
+  BOOST_TEST(shown.at("error").get_string() == "timeout");
+}
+
+// Guards against a file that silently reverts somebody else's change.
+BOOST_AUTO_TEST_CASE(ctl_apply_without_base_only_for_first_settings) {
+  const std::string file =
+      std::string(RADISHWING_SOURCE_DIR) + "/resources/voetnoot.json";
+  BOOST_TEST(Run({"settings", "apply", file}) == exit_code::kUsage);
+  BOOST_TEST(Shows("revision 1 by anna"));
+  BOOST_TEST(control.posts == 0);
+  control.history.clear();
+  control.members = {{"h1", 1, 10}};
+  BOOST_TEST(Run({"team", "set-limit", "uva", "5"}) == exit_code::kNotFound);
+  BOOST_TEST(Run({"settings", "apply", file}) == exit_code::kDone);
+  BOOST_TEST(control.history.size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(ctl_wave_order_must_fit_its_state) {
   control.members = {{"h1", 9, 1}};
   BOOST_TEST(Run({"wave", "plan", "w1", "--pool", "p"}) == exit_code::kDone);
--- a/tests/ctl/fake_control.h
+++ b/tests/ctl/fake_control.h
@@ -22,8 +22,12 @@
 
   /// Writes a change of somebody else.
   void Write(std::string change_id, std::string author, std::string text) {
-    history.push_back({history.back().revision + 1, std::move(change_id),
-                       std::move(author), std::move(text)});
+    history.push_back({Revision() + 1, std::move(change_id), std::move(author),
+                       std::move(text)});
+  }
+
+  std::uint64_t Revision() const {
+    return history.empty() ? 0 : history.back().revision;
   }
 
   operator_transport Transport() {
@@ -64,14 +68,18 @@
 
   control::operator_hooks Hooks() {
     control::operator_hooks hooks;
-    hooks.get_settings = [this](auto done) { done(history.back()); };
+    hooks.get_settings = [this](auto done) {
+      if (history.empty())
+        return done(failure{failure_kind::kNotFound, "none"});
+      done(history.back());
+    };
     hooks.settings_history = [this](auto done) { done(history); };
     hooks.settings_at = [this](std::uint64_t revision, auto done) {
       done(history.at(revision - 1));
     };
     hooks.confirmations = [this](std::uint64_t, auto done) { done(members); };
     hooks.apply_settings = [this](control::settings_proposal p, auto done) {
-      if (p.base_revision != history.back().revision) {
+      if (p.base_revision != Revision()) {
         return done(control::settings_conflict{history.back()});
       }
       Write(p.change_id, p.author, p.text);
