--- a/src/ctl/settings_commands.cc
+++ b/src/ctl/settings_commands.cc
@@ -88,8 +88,8 @@
   if (!Ok(record)) return Fail(context, Error(record));
   const settings_record& r = Value(record);
   if (r.revision == 0) {
-    return Fail(context, {failure_kind::kNotFound,
-                          "no settings have been applied yet"});
+    return Fail(context,
+                {failure_kind::kNotFound, "no settings have been applied yet"});
   }
   if (context.format == output_format::kJson) {
     PrintJson(*context.out, {{"revision", r.revision},
--- a/src/settings/fleet_checker.cc
+++ b/src/settings/fleet_checker.cc
@@ -184,9 +184,11 @@
 
 void fleet_checker::CheckReference(const node& value, std::string_view branch,
                                    const std::string& path) {
-  std::vector<std::string> known;
   for (const node_member& member : Members(branch)) {
     if (member.name == value.text) return;
+  }
+  std::vector<std::string> known;
+  for (const node_member& member : Members(branch)) {
     known.push_back(member.name);
   }
   std::string allowed = "a name in " + std::string(branch);
