--- a/src/control/operator_port.h
+++ b/src/control/operator_port.h
@@ -15,11 +15,13 @@
 /// number of connections are bounded.
 class operator_port {
  public:
-  /// Binds "ip:port" on the thread that runs `io`; port 0 picks a free port.
+  /// Binds "ip:port"; port 0 picks a free port. Call it before `io` runs or on
+  /// its thread. `io` must outlive every completion that is still pending.
   static result<std::unique_ptr<operator_port>> Make(
       boost::asio::io_context& io, const std::string& address,
       settings::secret_text secret, operator_hooks hooks);
-  /// Closes every connection. Completions that arrive later are ignored.
+  /// Closes every connection; on the thread of `io` or after it has stopped.
+  /// Completions that arrive later are ignored.
   ~operator_port();
   operator_port(const operator_port&) = delete;
   operator_port& operator=(const operator_port&) = delete;
--- a/src/ctl/command_context.cc
+++ b/src/ctl/command_context.cc
@@ -1,6 +1,5 @@
 #include "src/ctl/command_context.h"
 
-#include <algorithm>
 #include <boost/json/serialize.hpp>
 
 #include "src/base/result.h"
@@ -69,13 +68,17 @@
 }
 
 std::string Printable(std::string_view text) {
-  std::string printable(text);
-  std::replace_if(
-      printable.begin(), printable.end(),
-      [](unsigned char c) {
-        return (c < 0x20 && c != '\n' && c != '\t') || c == 0x7f;
-      },
-      '?');
+  std::string printable;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const auto c = static_cast<unsigned char>(text[i]);
+    const auto next =
+        static_cast<unsigned char>(i + 1 < text.size() ? text[i + 1] : 0);
+    const bool c0 = (c < 0x20 && c != '\n' && c != '\t') || c == 0x7f;
+    // U+0080 to U+009F, among them another introducer of control sequences.
+    const bool c1 = c == 0xc2 && next >= 0x80 && next < 0xa0;
+    printable += c0 || c1 ? '?' : text[i];
+    if (c1) ++i;
+  }
   return printable;
 }
 
--- a/tests/ctl/app_test.cc
+++ b/tests/ctl/app_test.cc
@@ -162,10 +162,11 @@
 BOOST_AUTO_TEST_CASE(ctl_errors_contain_no_secret_and_no_escapes) {
   transport = [](const std::string&, const operator_request&,
                  const settings::secret_text&) -> result<raw_reply> {
-    return raw_reply{401, "{\"reason\":\"x\",\"message\":\"no \\u001b[2J\"}"};
+    return raw_reply{401,
+                     "{\"reason\":\"x\",\"message\":\"no \\u001b[2J\\u009b\"}"};
   };
   BOOST_TEST(Run({"status"}) == exit_code::kDenied);
-  BOOST_TEST(Shows("no ?[2J"));
+  BOOST_TEST(Shows("no ?[2J?\n"));
   BOOST_TEST(Run({"status", "--output", "json"}) == exit_code::kDenied);
   BOOST_TEST(!Shows("operator-secret-of-the-test"));
   BOOST_TEST(!Shows("\x1b"));
--- a/tests/report/collector_test.cc
+++ b/tests/report/collector_test.cc
@@ -14,6 +14,8 @@
 using metrics::metric;
 using metrics::metric_registry;
 
+constexpr millis kStart = 1'700'000'000'000;
+
 constexpr const char* kText =
     "{\"fleet\": {\"name\": \"f\"}, \"teams\": {\"uva\": {\"share\": 0.5, "
     "\"upper_limit\": 9}}, \"pools\": {\"p\": {\"target_hosts\": 2, "
@@ -60,7 +62,6 @@
 // Runs the registry's own text through the report, so that a renamed metric,
 // label or outcome shows up here.
 BOOST_FIXTURE_TEST_CASE(collector_computes_burn_from_daemon_metrics, fixture) {
-  constexpr millis kStart = 1'700'000'000'000;
   Report(kStart);
   Count("good", 95);
   Count("late", 3);
@@ -93,7 +94,7 @@
 // Guards against a page that loads something or that a daemon's message can
 // inject markup into.
 BOOST_FIXTURE_TEST_CASE(html_page_is_self_contained_and_escaped, fixture) {
-  const burn_report report = Report(1'700'000'000'000);
+  const burn_report report = Report(kStart);
   const std::string page = HtmlPage(report);
   BOOST_TEST(page.find("daemon gone: &lt;gone&gt;") != std::string::npos);
   for (const char* loads : {"http:", "https:", "src=", "@import", "<script"}) {
