--- a/src/maintenance/host_record.cc
+++ b/src/maintenance/host_record.cc
@@ -28,6 +28,7 @@
   object["epoch"] = static_cast<std::int64_t>(record.epoch);
   object["reason"] = record.reason;
   object["next_pool"] = record.next_pool;
+  object["home_pool"] = record.home_pool;
   object["maintained_by"] = record.maintained_by;
   object["change_id"] = record.change_id;
   return boost::json::serialize(object);
@@ -45,6 +46,7 @@
   record.epoch = fields.Unsigned("epoch");
   record.reason = fields.Text("reason");
   record.next_pool = fields.Text("next_pool");
+  record.home_pool = fields.Text("home_pool");
   record.maintained_by = fields.Text("maintained_by");
   record.change_id = fields.Text("change_id");
   const std::string state = fields.Text("state");
--- a/src/maintenance/host_record.h
+++ b/src/maintenance/host_record.h
@@ -10,6 +10,9 @@
 
 enum class host_state { kActive, kDraining, kEmpty, kMaintenance, kFailed };
 
+/// Reason of a drain that lends a spare host.
+inline constexpr std::string_view kLendReason = "lend";
+
 /// Stable lower-case name of a state, as in the store and in JSON.
 std::string_view HostStateName(host_state state);
 
@@ -27,6 +30,7 @@
   std::string reason;
   /// The pool to which it returns; empty: the same one.
   std::string next_pool;
+  std::string home_pool;  ///< The spare pool that lent the host; else empty.
   std::string maintained_by;  ///< The wave that last completed here.
   std::string change_id;
 
--- a/src/maintenance/host_transitions.cc
+++ b/src/maintenance/host_transitions.cc
@@ -90,7 +90,10 @@
   const bool moves =
       !record.next_pool.empty() && record.state != host_state::kFailed;
   host_record next = Next(record, host_state::kActive, change_id);
-  if (moves) next.pool = record.next_pool;
+  if (moves) {
+    next.home_pool = record.reason == kLendReason ? record.pool : "";
+    next.pool = record.next_pool;
+  }
   if (!completed_wave.empty()) next.maintained_by = completed_wave;
   next.reason.clear();
   next.next_pool.clear();
