--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -17,6 +17,14 @@
 // on its way is told 503 instead of seeing a broken connection.
 constexpr millis kDrainLeastMs = 500;
 constexpr millis kPublishMs = 100;
+// Longer than any pause within a load peak; runners keep 64 connections for
+// all entries together.
+constexpr millis kIdleConnectionMs = 30000;
+// Work waits although slots look free: a runner rejected it as full, and
+// only another attempt shows when a slot of another entry becomes free.
+constexpr millis kFullTickMs = 2;
+// A control that restarts is no partition.
+constexpr millis kControlRestartMs = 5000;
 }  // namespace
 
 entry_core::entry_core(entry_options options, link_port port)
@@ -173,9 +181,6 @@
 }
 
 void entry_core::TickSecond(millis now) {
-  // Longer than any pause within a load peak; runners keep 64 connections for
-  // all entries together.
-  constexpr millis kIdleConnectionMs = 30000;
   for (auto& [name, pool] : directory_.Pools()) pool->queue.Sweep();
   for (std::uint32_t index : runners_.RemoveGone()) {
     if (index >= runner_links_.size() || !runner_links_[index]) continue;
@@ -190,9 +195,6 @@
 }
 
 millis entry_core::NextTick() {
-  // Work waits although slots look free: a runner rejected it as full, and
-  // only another attempt shows when a slot of another entry becomes free.
-  constexpr millis kFullTickMs = 2;
   for (const auto& service : directory_.Services()) {
     if (service->pool && service->group->MayHaveRoom() &&
         service->pool->queue.WaitingOfService(service->index) > 0) {
@@ -253,8 +255,6 @@
 }
 
 millis entry_core::CutOffMs() const {
-  // A control that restarts is no partition.
-  constexpr millis kControlRestartMs = 5000;
   millis now = Now();
   millis told = cut_off_ms_ > 0 ? cut_off_ms_ + (now - snapshot_at_) : 0;
   if (connected_) return told;
--- a/src/entry/entry_server.cc
+++ b/src/entry/entry_server.cc
@@ -9,6 +9,11 @@
 #include "src/entry/entry_core.h"
 
 namespace radishwing::entry {
+namespace {
+
+constexpr millis kStalledMs = 5000;
+
+}  // namespace
 
 struct entry_server::impl {
   impl(entry_options options, link_port port)
@@ -82,7 +87,6 @@
 }
 
 bool entry_server::Healthy() const {
-  constexpr millis kStalledMs = 5000;
   return impl_->core.Now() - impl_->core.LastTick() < kStalledMs;
 }
 
--- a/src/entry/exchange_admission.cc
+++ b/src/entry/exchange_admission.cc
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::string_view kOwnPrefix = "/radishwing/";
+constexpr std::string_view kJobs = "jobs/";
+constexpr std::string_view kRequests = "requests/";
+constexpr std::string_view kResult = "/result";
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 /// The first segment of a target, without its slash.
@@ -159,8 +162,6 @@
   }
   state_.team = &core_.Team(owner->team);
   state_.key_number = owner->number;
-  constexpr std::string_view kJobs = "jobs/";
-  constexpr std::string_view kRequests = "requests/";
   if (path.starts_with(kJobs)) {
     return BeginJob(head, path.substr(kJobs.size()));
   }
@@ -212,7 +213,6 @@
   job_.team = state_.team->name;
   state_.phase = request_phase::kJob;
   state_.deadline_at = state_.received_at + head.deadline_ms.value_or(10000);
-  constexpr std::string_view kResult = "/result";
   if (method == http::verb::post) {
     state_.service = core_.FindService(rest);
     if (!state_.service) {
--- a/src/entry/request_head.cc
+++ b/src/entry/request_head.cc
@@ -6,6 +6,7 @@
 namespace radishwing::entry {
 namespace {
 
+constexpr std::string_view kScheme = "Bearer ";
 constexpr std::size_t kNameMax = 128;  // User and workspace, in bytes.
 
 failure Invalid(std::string message) {
@@ -20,7 +21,6 @@
 }
 
 std::string_view ReadKey(std::string_view authorization) {
-  constexpr std::string_view kScheme = "Bearer ";
   if (authorization.size() <= kScheme.size() ||
       !boost::beast::iequals(authorization.substr(0, kScheme.size()),
                              kScheme)) {
--- a/src/entry/serve_inbox.cc
+++ b/src/entry/serve_inbox.cc
@@ -23,6 +23,8 @@
     return true;
   }
   for (int i = 0; i < kWaits; ++i) {
+    // A full ring leaves `work` unchanged.
+    // NOLINTNEXTLINE(bugprone-use-after-move)
     if (ring_.TryPush(std::move(work))) return true;
     std::this_thread::sleep_for(kWait);
   }
--- a/tests/entry/runner_failure_test.cc
+++ b/tests/entry/runner_failure_test.cc
@@ -8,6 +8,10 @@
 
 using fake::runner_fault_mode;
 
+constexpr int kThreads = 10;
+constexpr int kEach = 1000;  // Requests per thread.
+constexpr std::uint64_t kRequests = 500;
+
 // Guards against giving up, or running twice, when nothing was sent.
 BOOST_FIXTURE_TEST_CASE(runner_refuses_other_runner_serves, entry_fixture) {
   Start(2);
@@ -112,8 +116,6 @@
 // The death of a runner costs idempotent callers no request.
 BOOST_FIXTURE_TEST_CASE(runner_killed_half_way_no_idempotent_request_fails,
                         entry_fixture) {
-  constexpr int kThreads = 10;
-  constexpr int kEach = 1000;
   token_limit = 64;
   Start(4);
   std::atomic<int> sent{0};
@@ -143,7 +145,6 @@
     runners[i]->SetFault(
         {i < 2 ? runner_fault_mode::kRefuse : runner_fault_mode::kDieBefore});
   }
-  constexpr std::uint64_t kRequests = 500;
   for (std::uint64_t i = 0; i < kRequests; ++i) {
     BOOST_TEST(SendIdempotent("/sums/x").status == 200u);
   }
