--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -153,6 +153,7 @@
   runner_link& LinkOf(const routing::runner_state& runner);
   service_metrics& MetricsOf(const request_state& state);
   void Publish();
+  void ReportInFlight(rpc::entry_report& report);
   void CountSlotTime(const std::string& pool, const team_state& team,
                      std::uint64_t slot_ms);
   void ShowGauges();
--- a/src/entry/entry_core_report.cc
+++ b/src/entry/entry_core_report.cc
@@ -98,6 +98,21 @@
       .Increment(static_cast<double>(slot_ms) / 1000);
 }
 
+void entry_core::ReportInFlight(rpc::entry_report& report) {
+  std::map<std::string_view, std::uint32_t> by_host;
+  for (const auto& [service, group] : runners_.Groups()) {
+    for (const auto& runner : group->Runners()) {
+      if (runner->in_flight > 0) {
+        by_host[runner->info.host] += runner->in_flight;
+      }
+    }
+  }
+  for (const lingering_run& run : lingering_) ++by_host[run.host];
+  for (const auto& [host, count] : by_host) {
+    report.in_flight.push_back({std::string(host), count});
+  }
+}
+
 void entry_core::Publish() {
   rpc::entry_report report;
   report.settings_revision = directory_.Revision();
@@ -116,18 +131,7 @@
     }
     pool->slot_ms.clear();
   }
-  std::map<std::string_view, std::uint32_t> by_host;
-  for (const auto& [service, group] : runners_.Groups()) {
-    for (const auto& runner : group->Runners()) {
-      if (runner->in_flight > 0) {
-        by_host[runner->info.host] += runner->in_flight;
-      }
-    }
-  }
-  for (const lingering_run& run : lingering_) ++by_host[run.host];
-  for (const auto& [host, count] : by_host) {
-    report.in_flight.push_back({std::string(host), count});
-  }
+  ReportInFlight(report);
   for (const auto& team : directory_.Teams()) {
     std::uint32_t held = team->tokens.Free() + team->tokens.InUse();
     if (held == 0) continue;
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -71,17 +71,25 @@
   // exchange_admission.cc
   std::optional<rejection> Admit(const request_head& head);
   std::optional<rejection> AdmitTeam(const request_head& head);
+  void StartBody(std::size_t limit);
+
+  // exchange_own.cc
   void BeginOwn(const request_head& head);
   void BeginJob(const request_head& head, std::string_view rest);
-  void BeginCancel(const request_head& head, std::string_view id);
-  void StartBody(std::size_t limit);
+  std::optional<rejection> ReadJob(const request_head& head,
+                                   std::string_view rest);
+  std::optional<rejection> ReadSubmission(const request_head& head,
+                                          std::string_view service);
+  void BeginCancel(std::string_view id);
   void SubmitJob();
   std::optional<rejection> ReadJobNeeds();
 
-  // exchange.cc
-  void BodyReady();
+  // exchange_claim.cc
   void SendClaim();
   void RejectUnclaimed();
+
+  // exchange.cc
+  void BodyReady();
   void Enqueue();
   void Reject(rejection r);
   void Complete(requests::outcome outcome, std::uint16_t status,
--- a/src/entry/http_types.h
+++ b/src/entry/http_types.h
@@ -3,6 +3,7 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <string_view>
 
 namespace radishwing::entry {
 
@@ -18,4 +19,7 @@
 /// Size of the buffers that bodies stream through, in bytes.
 constexpr std::size_t kStreamBuffer = 64 * 1024;
 
+/// Start of the targets that radishwing answers itself.
+constexpr std::string_view kOwnPathPrefix = "/radishwing/";
+
 }  // namespace radishwing::entry
