--- a/tests/entry/runner_failure_test.cc
+++ b/tests/entry/runner_failure_test.cc
@@ -113,6 +113,42 @@
   BOOST_TEST(runners[0]->Attempts() <= 4u);
 }
 
+// Guards against a rejection of a full runner that reaches a caller, or a
+// rejected request that is lost or run twice.
+BOOST_FIXTURE_TEST_CASE(runner_full_requests_wait_for_its_slots,
+                        entry_fixture) {
+  fake::runner_options narrow;
+  narrow.slots = 2;
+  AddRunner(narrow);
+  infos[0].slots = 8;  // As if other entries held the rest.
+  Start(0);
+  std::vector<std::thread> threads;
+  std::atomic<int> good{0};
+  for (int i = 0; i < 8; ++i) {
+    threads.emplace_back([&] {
+      if (Send("POST", "/sums/x?work_ms=20").status == 200) ++good;
+    });
+  }
+  for (auto& thread : threads) thread.join();
+  BOOST_TEST(good == 8);
+  BOOST_TEST(Runs() == 8u);
+}
+
+// Guards against a body that is sent again although only its start is kept.
+BOOST_FIXTURE_TEST_CASE(runner_dies_in_upload_is_unknown_without_retry,
+                        entry_fixture) {
+  Start(2);
+  for (auto& runner : runners) {
+    runner->SetFault({runner_fault_mode::kDieBefore});
+  }
+  http_answer answer =
+      Send("POST", "/sums/x", {{"Radishwing-Idempotent", "true"}},
+           std::string(1000000, 'x'));
+  BOOST_TEST(answer.status == 502u);
+  BOOST_TEST(answer.outcome == "unknown");
+  BOOST_TEST(Runs() == 1u);
+}
+
 // The death of a runner costs idempotent callers no request.
 BOOST_FIXTURE_TEST_CASE(runner_killed_half_way_no_idempotent_request_fails,
                         entry_fixture) {
