--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -13,9 +13,6 @@
 
 namespace {
 constexpr std::size_t kInboxCapacity = 4096;
-// After the last request, connections stay open this long, so that a request
-// on its way is told 503 instead of seeing a broken connection.
-constexpr millis kDrainLeastMs = 500;
 constexpr millis kPublishMs = 100;
 // Longer than any pause within a load peak; runners keep 64 connections for
 // all entries together.
@@ -224,16 +221,27 @@
   DispatchAll();
 }
 
+std::optional<rejection> entry_core::Revoked(const request_state& state) const {
+  if (!directory_.HasKey(state.key_number)) {
+    return rejection{401, "invalid_key", "The API key was revoked"};
+  }
+  if (!state.service->listed) {
+    return rejection{503, "service_removed", "The service was removed"};
+  }
+  if (state.key_number != 0 && !Admits(*state.service, *state.team)) {
+    return rejection{403, "team_not_admitted",
+                     "The service does not admit this team any more"};
+  }
+  return std::nullopt;
+}
+
 void entry_core::RecheckQueued() {
   for (std::size_t i = active_.size(); i-- > 0;) {
     if (i >= active_.size()) continue;
     exchange& e = *active_[i];
-    const request_state& state = e.State();
-    if (state.phase != request_phase::kQueued) continue;
-    if (!directory_.HasKey(state.key_number)) {
-      e.RejectQueued({401, "invalid_key", "The API key was revoked"});
-    } else if (!state.service->listed) {
-      e.RejectQueued({503, "service_removed", "The service was removed"});
+    if (e.State().phase != request_phase::kQueued) continue;
+    if (auto revoked = Revoked(e.State())) {
+      e.RejectQueued(std::move(*revoked));
     } else {
       e.ChangePool();
     }
@@ -268,33 +276,4 @@
          since > team.settings.cut_off_grace_seconds * 1000;
 }
 
-void entry_core::Stop(std::function<void()> stopped) {
-  if (stop_ != stop_phase::kNone) return;
-  stop_ = stop_phase::kDelay;
-  stop_at_ = Now() + options_.balancer_delay_ms;
-  stopped_ = std::move(stopped);
-  LogInfo("entry",
-          "stop requested, in_flight=" + std::to_string(active_.size()) +
-              " delay_ms=" + std::to_string(options_.balancer_delay_ms));
-}
-
-void entry_core::TickStop(millis now) {
-  if (stop_ == stop_phase::kDelay && now >= stop_at_) {
-    stop_ = stop_phase::kDraining;
-    stop_at_ = now + kDrainLeastMs;
-    error_code ignored;
-    acceptor_.close(ignored);
-  }
-  if (stop_ != stop_phase::kDraining || now < stop_at_ || !active_.empty()) {
-    return;
-  }
-  stop_ = stop_phase::kDone;
-  for (int i = 0; i < 2; ++i) ReturnIdleTokens();
-  while (!callers_.empty()) callers_.back()->Abort();
-  Publish();
-  if (port_.report_now) port_.report_now();
-  LogInfo("entry", "drained");
-  if (stopped_) stopped_();
-}
-
 }  // namespace radishwing::entry
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -69,6 +69,8 @@
   team_state& Team(std::uint32_t index) { return directory_.Team(index); }
   bool Admits(const service_state& service, const team_state& team) const;
   bool CutOff(const team_state& team) const;
+  /// Why a request that was admitted may not start any more.
+  std::optional<rejection> Revoked(const request_state& state) const;
   /// No new work is accepted.
   bool Stopping() const { return stop_ >= stop_phase::kDraining; }
   /// Responses ask the callers to reconnect elsewhere.
--- a/src/entry/entry_core_dispatch.cc
+++ b/src/entry/entry_core_dispatch.cc
@@ -142,6 +142,8 @@
     state.pool->queue.Finish(state.ticket, used);
   }
   Dispatch(*state.service);
+  // The token may be what the team's requests of other services wait for.
+  if (team.waiting > 0 && team.tokens.HasFree()) DispatchAll();
 }
 
 void entry_core::Linger(exchange& e, runner_attempt& attempt) {
--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -68,6 +68,8 @@
 
 void exchange::Enqueue() {
   service_state& service = *state_.service;
+  // The settings may have changed while the body or the claim was awaited.
+  if (auto revoked = core_.Revoked(state_)) return Reject(std::move(*revoked));
   if (core_.IsFull(service)) {
     if (state_.team->NeedsToken() && state_.team->tokens.AtLimit()) {
       rejection r{429, "team_at_limit",
--- a/src/entry/exchange_attempt.cc
+++ b/src/entry/exchange_attempt.cc
@@ -185,6 +185,7 @@
 
 bool exchange::MayRetry() const {
   if (core_.Now() >= state_.deadline_at || uploading_) return false;
+  if (core_.Revoked(state_)) return false;
   if (!attempt_.written) return state_.attempts < kConnectsMax;
   if (!state_.idempotent || state_.attempts >= kAttemptsMax) return false;
   bool allowed = state_.service->budget.TryRetry();
