--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -69,6 +69,8 @@
   team_state& Team(std::uint32_t index) { return directory_.Team(index); }
   bool Admits(const service_state& service, const team_state& team) const;
   bool CutOff(const team_state& team) const;
+  /// Why a request that was admitted may not start any more.
+  std::optional<rejection> Revoked(const request_state& state) const;
   /// No new work is accepted.
   bool Stopping() const { return stop_ >= stop_phase::kDraining; }
   /// Responses ask the callers to reconnect elsewhere.
@@ -153,6 +155,7 @@
   runner_link& LinkOf(const routing::runner_state& runner);
   service_metrics& MetricsOf(const request_state& state);
   void Publish();
+  void ReportInFlight(rpc::entry_report& report);
   void CountSlotTime(const std::string& pool, const team_state& team,
                      std::uint64_t slot_ms);
   void ShowGauges();
