--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -9,6 +9,7 @@
 #include "src/control/control_options.h"
 #include "src/control/entry_registry.h"
 #include "src/control/fleet_poller.h"
+#include "src/control/operator_service.h"
 #include "src/control/peer_handlers.h"
 #include "src/control/peer_mesh.h"
 #include "src/control/runner_table.h"
@@ -46,6 +47,7 @@
   peer_mesh& Mesh() { return *mesh_; }
   settings_relay& Relay() { return *relay_; }
   claim_service& Claims() { return *claims_; }
+  operator_service& Operators() { return *operators_; }
   token_service& Tokens() { return *tokens_of_teams_; }
 
  private:
@@ -70,6 +72,7 @@
   std::unique_ptr<peer_mesh> mesh_;
   std::unique_ptr<settings_relay> relay_;
   std::unique_ptr<fleet_poller> poller_;
+  std::unique_ptr<operator_service> operators_;
   std::unique_ptr<token_service> tokens_of_teams_;
   std::unique_ptr<token_recovery_duty> recovery_;
   std::unique_ptr<claim_service> claims_;
--- a/src/control/control_options.h
+++ b/src/control/control_options.h
@@ -31,7 +31,7 @@
   /// Each team is recovered at least this often: a lost reply to a loan loses
   /// tokens that nobody reports.
   millis recovery_interval_ms = 600000;
-  /// Time after which a holder that is gone counts as holding nothing. 0: the
+  /// Longest time for which tokens may be in use at a silent host. 0: the
   /// longest run time of the team's services plus its cut-off grace.
   millis gone_bound_ms = 0;
   /// An entry session without a report for this long is broken.
--- a/src/control/token_records.cc
+++ b/src/control/token_records.cc
@@ -129,12 +129,13 @@
     return quota::TakeTokens(record, holder_, state.account.Epoch(), amount,
                              ChangeId());
   }
-  for (const auto& [holder, grant] : record.grants) {
-    bool dead = holder.substr(0, holder.rfind('#')) == options_.host;
-    if (dead && state.account.Unbacked() > 0) {
-      return quota::SucceedHolder(record, holder, holder_,
-                                  state.account.Unbacked(), ChangeId());
+  std::string predecessor = Predecessor(record);
+  if (!predecessor.empty()) {
+    if (!MayRegister(team)) {
+      return failure{failure_kind::kUnavailable, "no entry has stated tokens"};
     }
+    return quota::SucceedHolder(record, predecessor, holder_,
+                                state.account.Unbacked(), ChangeId());
   }
   return quota::JoinHolder(record, holder_, amount, ChangeId());
 }
--- a/src/control/token_recovery_duty.cc
+++ b/src/control/token_recovery_duty.cc
@@ -14,10 +14,6 @@
 namespace radishwing::control {
 namespace {
 
-// Beyond the bounds that settings give: entries notice that they are cut off
-// by reports every few seconds.
-constexpr millis kGoneMarginMs = 10000;
-
 std::string HostOf(const std::string& holder) {
   return holder.substr(0, holder.rfind('#'));
 }
@@ -32,10 +28,6 @@
   std::uint64_t version = 0;
   quota::token_recovery recovery;
   std::vector<std::string> holders;
-  /// Processes that run in the place of a holder that is gone, and are not
-  /// listed themselves.
-  std::vector<std::string> successors;
-  bool blocked = false;
 };
 
 token_recovery_duty::token_recovery_duty(kj::Timer& timer, clock now,
@@ -67,7 +59,11 @@
   }
   std::erase_if(gone_since_,
                 [&](const auto& gone) { return !listed.contains(gone.first); });
+  std::erase_if(listed_since_, [&](const auto& since) {
+    return !listed.contains(since.first);
+  });
   for (const std::string& holder : listed) {
+    listed_since_.emplace(holder, clock_.Now());
     std::string host = HostOf(holder);
     const membership::member* row = mesh_.Members().Find(host);
     std::string process =
@@ -83,13 +79,24 @@
   }
 }
 
-millis token_recovery_duty::GoneBoundMs(const std::string& team) const {
-  if (options_.timing.gone_bound_ms > 0) return options_.timing.gone_bound_ms;
-  millis bound = tokens_.LongestRunMs(team) + kGoneMarginMs;
-  if (!keeper_.Tree()) return bound;
-  auto settings = keeper_.Tree()->teams.find(team);
-  if (settings == keeper_.Tree()->teams.end()) return bound;
-  return bound + settings->second.cut_off_grace_seconds * 1000;
+void token_recovery_duty::CountGone(attempt& run, const std::string& holder) {
+  millis bound = tokens_.InUseMs(run.team);
+  auto gone = gone_since_.find(holder);
+  if (gone == gone_since_.end()) return;
+  std::string host = HostOf(holder);
+  const membership::member* row = mesh_.Members().Find(host);
+  bool down = row == nullptr || row->state >= membership::member_state::kFailed;
+  if (down) {
+    run.recovery.HostGone(holder, clock_.Now() - gone->second, bound);
+    return;
+  }
+  // Another process runs there. Until it is listed itself, it has not said
+  // what the entry of its predecessor still uses.
+  std::string process =
+      host == options_.host ? tokens_.Holder() : mesh_.ProcessAt(host);
+  auto listed = listed_since_.find(process);
+  if (listed == listed_since_.end()) return;
+  run.recovery.Superseded(holder, clock_.Now() - listed->second, bound);
 }
 
 bool token_recovery_duty::Wanted(const std::string& team,
@@ -107,7 +114,7 @@
                      [&](const auto& grant) {
                        auto gone = gone_since_.find(grant.first);
                        return gone != gone_since_.end() &&
-                              now - gone->second >= GoneBoundMs(team);
+                              now - gone->second >= tokens_.InUseMs(team);
                      });
 }
 
@@ -209,59 +216,17 @@
         asked.push_back(holder);
         continue;
       }
-      std::string process =
-          host == options_.host ? tokens_.Holder() : mesh_.ProcessAt(host);
-      bool listed = std::find(run->holders.begin(), run->holders.end(),
-                              process) != run->holders.end();
-      if (!process.empty() && !listed) run->successors.push_back(process);
-      auto gone = gone_since_.find(holder);
-      millis gone_ms =
-          gone == gone_since_.end() ? 0 : clock_.Now() - gone->second;
-      run->recovery.Gone(holder, gone_ms, GoneBoundMs(run->team));
+      CountGone(*run, holder);
     }
     std::size_t missing = run->recovery.Missing().size();
     run->holders = std::move(asked);
     if (missing != run->holders.size()) {
       return kj::Promise<void>(kj::READY_NOW);
     }
-    return CheckSuccessors(run);
+    return AskHolders(run);
   });
 }
 
-kj::Promise<void> token_recovery_duty::CheckSuccessors(attempt_ptr run) {
-  // The entry beside a process that is gone may work on under its successor.
-  // While the successor has tokens in use that no record shows, the ones of
-  // its predecessor are not free.
-  kj::Vector<kj::Promise<void>> checked;
-  for (const std::string& process : run->successors) {
-    if (process == tokens_.Holder()) {
-      team_state* own = tokens_.Find(run->team);
-      run->blocked |= own != nullptr && own->account.Unbacked() > 0;
-      continue;
-    }
-    auto call = mesh_.Reach(HostOf(process)).then([run](rpc::Peer::Client p) {
-      auto request = p.tokenBalanceRequest();
-      request.setTeam(rpc::ToText(run->team));
-      request.setEpoch(run->recovery.Epoch());
-      return request.send();
-    });
-    checked.add(
-        timer_
-            .timeoutAfter(options_.timing.call_deadline_ms * kj::MILLISECONDS,
-                          std::move(call))
-            .then(
-                [run](capnp::Response<rpc::Peer::TokenBalanceResults> reply) {
-                  run->blocked |= reply.getSettled() || reply.getInUse() > 0;
-                },
-                [run](kj::Exception&&) { run->blocked = true; }));
-  }
-  return kj::joinPromises(checked.releaseAsArray())
-      .then([this, run]() -> kj::Promise<void> {
-        if (run->blocked) return kj::READY_NOW;
-        return AskHolders(run);
-      });
-}
-
 kj::Promise<void> token_recovery_duty::AskHolders(attempt_ptr run) {
   kj::Vector<kj::Promise<void>> asked;
   for (const std::string& holder : run->holders) {
--- a/src/control/token_service.h
+++ b/src/control/token_service.h
@@ -56,6 +56,11 @@
   /// Longest run of any request of `team`, in ms.
   millis LongestRunMs(const std::string& team) const;
 
+  /// Longest time for which tokens may be in use at a host that is silent: how
+  /// long its entry works without a session (the team's cut-off grace), and the
+  /// longest run.
+  millis InUseMs(const std::string& team) const;
+
   /// The state of a team; made if the settings name the team, else null.
   team_state* Find(const std::string& team);
   std::map<std::string, std::unique_ptr<team_state>>& Teams() { return teams_; }
@@ -81,6 +86,8 @@
   std::string ChooseLender(team_state& state);
   void WriteGiveBack(const std::string& team, std::uint32_t count);
   kj::Promise<void> Leave(const std::string& team);
+  bool MayRegister(const std::string& team) const;
+  std::string Predecessor(const quota::token_record& record) const;
   std::uint32_t FirstShare(const quota::token_record& record) const;
 
   kj::Timer& timer_;
@@ -91,6 +98,8 @@
   settings_keeper& keeper_;
   std::string holder_;
   bool stopping_ = false;
+  millis started_ms_;
+  bool entry_stated_ = false;
   std::uint64_t records_revision_ = 0;
   std::string next_spare_;  // Team from which the next digest continues.
   std::map<std::string, std::unique_ptr<team_state>> teams_;
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -69,6 +69,8 @@
   team_state& Team(std::uint32_t index) { return directory_.Team(index); }
   bool Admits(const service_state& service, const team_state& team) const;
   bool CutOff(const team_state& team) const;
+  /// Why a request that was admitted may not start any more.
+  std::optional<rejection> Revoked(const request_state& state) const;
   /// No new work is accepted.
   bool Stopping() const { return stop_ >= stop_phase::kDraining; }
   /// Responses ask the callers to reconnect elsewhere.
@@ -108,6 +110,7 @@
   // Counters: entry_core_report.cc.
   void CountAttempt() { attempts_.Add(1); }
   /// Callable from any thread.
+  millis LastTick() const { return static_cast<millis>(last_tick_.Get()); }
   std::uint64_t Attempts() const { return attempts_.Get(); }
   void CountRetry(const request_state& state);
   /// The retry budget is used up.
@@ -152,6 +155,7 @@
   runner_link& LinkOf(const routing::runner_state& runner);
   service_metrics& MetricsOf(const request_state& state);
   void Publish();
+  void ReportInFlight(rpc::entry_report& report);
   void CountSlotTime(const std::string& pool, const team_state& team,
                      std::uint64_t slot_ms);
   void ShowGauges();
@@ -172,6 +176,7 @@
   std::uint64_t runs_ = 0;
   std::uint64_t refused_heads_ = 0;
   single_writer_counter attempts_;
+  single_writer_counter last_tick_;
 
   std::vector<exchange*> active_;
   std::unordered_multimap<std::string, exchange*> by_id_;
--- a/src/entry/entry_server.cc
+++ b/src/entry/entry_server.cc
@@ -9,6 +9,11 @@
 #include "src/entry/entry_core.h"
 
 namespace radishwing::entry {
+namespace {
+
+constexpr millis kStalledMs = 5000;
+
+}  // namespace
 
 struct entry_server::impl {
   impl(entry_options options, link_port port)
@@ -81,6 +86,10 @@
   return impl_->has_snapshot && !impl_->stopping;
 }
 
+bool entry_server::Healthy() const {
+  return impl_->core.Now() - impl_->core.LastTick() < kStalledMs;
+}
+
 std::uint64_t entry_server::Attempts() const { return impl_->core.Attempts(); }
 
 void entry_server::Stop(std::function<void()> stopped) {
--- a/tests/control/token_service_test.cc
+++ b/tests/control/token_service_test.cc
@@ -133,6 +133,8 @@
 // Guards against an entry whose session broke getting its tokens twice.
 BOOST_FIXTURE_TEST_CASE(token_service_broken_session_keeps_tokens_in_use,
                         token_fixture) {
+  // The quarantine of the settings, not the short one of the other tests.
+  adjust = [](control_options& options) { options.timing.gone_bound_ms = 0; };
   StartWithEntry("host-one", "ams");
   std::uint32_t held = AcquireAll("host-one", 4);
   BOOST_REQUIRE(held == 4U);
