--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "src/control/claim_service.h"
 #include "src/control/control_options.h"
 #include "src/control/entry_registry.h"
 #include "src/control/fleet_poller.h"
@@ -45,6 +46,7 @@
   entry_registry& Entries() { return entries_; }
   peer_mesh& Mesh() { return *mesh_; }
   settings_relay& Relay() { return *relay_; }
+  claim_service& Claims() { return *claims_; }
   operator_service& Operators() { return *operators_; }
   token_service& Tokens() { return *tokens_of_teams_; }
 
@@ -53,6 +55,7 @@
   void StartDuties(const std::string& bound);
   void WirePeers();
   void WireTokens();
+  void WireClaims();
   void Tick();
   kj::Promise<void> StopDuties();
   void FillDigest(peer_digest& digest);
@@ -72,6 +75,7 @@
   std::unique_ptr<operator_service> operators_;
   std::unique_ptr<token_service> tokens_of_teams_;
   std::unique_ptr<token_recovery_duty> recovery_;
+  std::unique_ptr<claim_service> claims_;
   rpc::gate_server gate_;
   kj::TaskSet tasks_;  // Last, so that it is destroyed first.
 };
--- a/src/control/control_options.h
+++ b/src/control/control_options.h
@@ -26,10 +26,12 @@
   millis snapshot_wait_ms = 5000;  ///< Long poll of an entry.
   /// A recovery of tokens that did not succeed is tried again after this.
   millis recovery_retry_ms = 10000;
+  /// A member of the roster that failed is removed after this much silence.
+  millis roster_grace_ms = 15000;
   /// Each team is recovered at least this often: a lost reply to a loan loses
   /// tokens that nobody reports.
   millis recovery_interval_ms = 600000;
-  /// Time after which a holder that is gone counts as holding nothing. 0: the
+  /// Longest time for which tokens may be in use at a silent host. 0: the
   /// longest run time of the team's services plus its cut-off grace.
   millis gone_bound_ms = 0;
   /// An entry session without a report for this long is broken.
--- a/src/control/token_recovery_duty.h
+++ b/src/control/token_recovery_duty.h
@@ -38,11 +38,10 @@
   void taskFailed(kj::Exception&& exception) override;
   void WatchHolders();
   bool Wanted(const std::string& team, const team_state& state) const;
-  millis GoneBoundMs(const std::string& team) const;
+  void CountGone(attempt& run, const std::string& holder);
   void SetLimit(const std::string& team, std::uint32_t limit);
   kj::Promise<void> Recover(std::string team);
   kj::Promise<void> ReachHolders(attempt_ptr run);
-  kj::Promise<void> CheckSuccessors(attempt_ptr run);
   kj::Promise<void> AskHolders(attempt_ptr run);
   kj::Promise<void> AskHolder(attempt_ptr run, std::string holder);
   kj::Promise<void> Write(attempt_ptr run);
@@ -56,7 +55,8 @@
   token_service& tokens_;
   duty_lease lease_;
   bool busy_ = false;  ///< One change of a record at a time.
-  std::map<std::string, millis> gone_since_;  ///< By holder.
+  std::map<std::string, millis> gone_since_;    ///< By holder.
+  std::map<std::string, millis> listed_since_;  ///< By holder.
   kj::Own<kj::TaskSet> tasks_;
 };
 
--- a/src/control/token_service.cc
+++ b/src/control/token_service.cc
@@ -12,6 +12,10 @@
 // deadline of the entry, with room for a slow decide thread.
 constexpr millis kAcquireWaitMs = 500;
 
+// Beyond the bounds that settings give: an entry notices within some seconds
+// that it is cut off.
+constexpr millis kInUseMarginMs = 10000;
+
 // Teams whose free tokens one digest names. All of 250 teams would take more
 // than the 5 KB/s of a control.
 constexpr std::size_t kSparesInDigest = 16;
@@ -28,6 +32,7 @@
       mesh_(mesh),
       keeper_(keeper),
       holder_(options.host + '#' + std::to_string(options.incarnation)),
+      started_ms_(clock_.Now()),
       tasks_(kj::heap<kj::TaskSet>(
           static_cast<kj::TaskSet::ErrorHandler&>(*this))) {}
 
@@ -55,8 +60,32 @@
   return longest;
 }
 
+millis token_service::InUseMs(const std::string& team) const {
+  if (options_.timing.gone_bound_ms > 0) return options_.timing.gone_bound_ms;
+  millis bound = LongestRunMs(team) + kInUseMarginMs;
+  if (!keeper_.Tree()) return bound;
+  auto settings = keeper_.Tree()->teams.find(team);
+  if (settings == keeper_.Tree()->teams.end()) return bound;
+  return bound + settings->second.cut_off_grace_seconds * 1000;
+}
+
+bool token_service::MayRegister(const std::string& team) const {
+  return entry_stated_ || clock_.Now() - started_ms_ >= InUseMs(team);
+}
+
+std::string token_service::Predecessor(
+    const quota::token_record& record) const {
+  std::string latest;
+  for (const auto& [holder, grant] : record.grants) {
+    bool here = quota::HostOfHolder(holder) == options_.host;
+    if (here && holder != holder_) latest = holder;
+  }
+  return latest;
+}
+
 void token_service::OnOpened(const std::string& owner,
                              const std::vector<rpc::token_grant>& held) {
+  entry_stated_ = true;
   for (const auto& tokens : held) {
     // The settings may not be known yet after a restart of this control.
     auto& state = teams_[tokens.team];
@@ -73,7 +102,7 @@
 
 void token_service::OnBroken(const std::string& owner) {
   for (auto& [team, state] : teams_) {
-    state->account.BreakSession(owner, clock_.Now(), LongestRunMs(team));
+    state->account.BreakSession(owner, clock_.Now(), InUseMs(team));
   }
 }
 
@@ -117,9 +146,7 @@
   team_state& state = *found->second;
   quota::token_balance balance = state.account.Freeze(epoch);
   if (balance.settled) state.frozen_since_ms = clock_.Now();
-  // A holder that is not listed yet still says what its entry uses.
-  if (!balance.settled) return {0, state.account.Unbacked(), false};
-  return {balance.free, balance.in_use, true};
+  return {balance.free, balance.in_use, balance.settled};
 }
 
 void token_service::Fill(peer_digest& digest) {
@@ -150,9 +177,12 @@
 void token_service::Tick() {
   for (auto& [team, state] : teams_) {
     state->account.Expire(clock_.Now());
-    // The entry holds tokens that a previous process here lent to it. They
-    // must be in the record before a recovery takes that process for gone.
-    if (state->account.Unbacked() > 0 && !state->account.Listed()) {
+    // The entry may hold tokens that a previous process here lent to it. The
+    // record must say so before a recovery counts that process as empty.
+    bool succeeds =
+        state->record.has_value() && !Predecessor(*state->record).empty();
+    bool owes = state->account.Unbacked() > 0 || succeeds;
+    if (owes && !state->account.Listed() && MayRegister(team)) {
       FetchTokens(team, 0);
     }
     if (state->giving_back) continue;
