--- a/src/requests/claim_table.cc
+++ b/src/requests/claim_table.cc
@@ -91,6 +91,8 @@
     if (!Reopens(held->second, claim)) {
       return {AnswerFrom(held->second, claim), {}, 0};
     }
+    // A lost copy may know of a later run.
+    if (PossiblyLost(claim.request_id)) return {};
     replaced_[claim.request_id] = held->second;
   } else if (PossiblyLost(claim.request_id) || !HasRoom(now)) {
     return {};
@@ -143,6 +145,7 @@
   const auto held = entries_.find(claim.request_id);
   if (held != entries_.end()) {
     if (!Reopens(held->second, claim)) return AnswerFrom(held->second, claim);
+    if (PossiblyLost(claim.request_id)) return {};
   } else if (PossiblyLost(claim.request_id) || !HasRoom(now)) {
     return {};
   }
