--- a/src/maintenance/wave_planner.cc
+++ b/src/maintenance/wave_planner.cc
@@ -6,49 +6,14 @@
 #include <optional>
 #include <string>
 
+#include "src/maintenance/wave_queries.h"
+
 namespace radishwing::maintenance {
 namespace {
 
 // Two failures with something in common are taken as one cause.
 constexpr std::size_t kCorrelated = 2;
 
-bool Remains(const wave_view& view, const wave_host& host) {
-  return host.record.maintained_by != view.wave &&
-         host.record.home_pool.empty();
-}
-
-bool Ready(const wave_view& view, const wave_pool& pool,
-           const wave_host& host) {
-  return Remains(view, host) && host.record.state == host_state::kActive &&
-         !pool.ledger.unavailable.contains(host.record.host);
-}
-
-bool ReturnedUnhealthy(const wave_view& view, const wave_host& host) {
-  return host.record.maintained_by == view.wave &&
-         (!host.healthy || host.record.state == host_state::kFailed) &&
-         !view.excused.contains(host.record.host);
-}
-
-std::map<std::string, std::uint32_t> ReadyByRack(const wave_view& view,
-                                                 const wave_pool& pool) {
-  std::map<std::string, std::uint32_t> racks;
-  for (const wave_host& host : pool.hosts) {
-    if (Ready(view, pool, host)) ++racks[host.record.rack];
-  }
-  return racks;
-}
-
-// Available hosts of the failure domain whose loss would cost most.
-std::uint32_t LargestRack(const wave_pool& pool) {
-  std::map<std::string, std::uint32_t, std::less<>> racks;
-  std::uint32_t largest = 0;
-  for (const auto& [host, rack] : pool.ledger.hosts) {
-    if (pool.ledger.unavailable.contains(host)) continue;
-    largest = std::max(largest, ++racks[rack]);
-  }
-  return largest;
-}
-
 /// One planning pass over a view.
 class planner {
  public:
@@ -139,13 +104,21 @@
         return;
       }
       if (ReadyByRack(view_, *pool).empty()) continue;
-      if (first == nullptr || pool->ledger.Margin() > first->ledger.Margin()) {
-        first = pool;
-      }
+      if (first == nullptr || GoesBefore(*pool, *first)) first = pool;
     }
     if (first != nullptr) PlanPool(*first);
   }
 
+  // The first host helps the pool with most rounds, as long as that can lose a
+  // rack besides; otherwise the pool with the widest margin takes the risk.
+  bool GoesBefore(const wave_pool& a, const wave_pool& b) const {
+    const bool a_safe = a.ledger.Margin() > LargestRack(a);
+    const bool b_safe = b.ledger.Margin() > LargestRack(b);
+    if (a_safe != b_safe) return a_safe;
+    if (!a_safe) return a.ledger.Margin() > b.ledger.Margin();
+    return RemainingRounds(view_, a) > RemainingRounds(view_, b);
+  }
+
   void PlanPool(const wave_pool& pool) {
     const auto racks = ReadyByRack(view_, pool);
     const std::uint32_t stopped = pool.ledger.PlannedStops();
--- a/src/maintenance/wave_planner.h
+++ b/src/maintenance/wave_planner.h
@@ -7,13 +7,13 @@
 
 namespace radishwing::maintenance {
 
-/// The next steps of a wave. One host goes first, in the pool with the widest
-/// margin. The number of hosts that each pool may have stopped then grows with
-/// the hosts that returned healthy over the whole wave (1, 2, 4 up to
-/// `wave_hosts_max`). Each pool drains one rack at a time, the rack with fewest
-/// remaining hosts first, so that the narrow first steps are spent on small
-/// racks. Pools with most remaining steps come first, and so get spare hosts
-/// first.
+/// The next steps of a wave. One host goes first, in the pool with most rounds
+/// among those that can lose a rack besides. The number of hosts that each pool
+/// may have stopped then grows with the hosts that returned healthy over the
+/// whole wave (1, 2, 4 up to `wave_hosts_max`). Each pool drains one rack at a
+/// time, the rack with fewest remaining hosts first, so that the narrow first
+/// steps are spent on small racks. Pools with most remaining steps come first,
+/// and so get spare hosts first.
 ///
 /// The wave pauses while two of its hosts returned unhealthy or two hosts of a
 /// rack have failed, a pool while one of its hosts returned unhealthy or
--- a/src/placement/host_index.h
+++ b/src/placement/host_index.h
@@ -1,10 +1,11 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
+#include <functional>
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "src/base/result.h"
@@ -63,6 +64,12 @@
     resource_tree free;
     resource_tree capacity;
   };
+  struct string_hash {
+    using is_transparent = void;
+    std::size_t operator()(std::string_view text) const {
+      return std::hash<std::string_view>()(text);
+    }
+  };
   struct location {
     bool accelerated = false;
     std::size_t index = 0;
@@ -78,7 +85,8 @@
 
   host_class plain_;
   host_class accelerated_;
-  std::map<std::string, location, std::less<>> places_;
+  std::unordered_map<std::string, location, string_hash, std::equal_to<>>
+      places_;
 };
 
 }  // namespace radishwing::placement
