Let entries that share full runners even out their slots

After a completion under load an entry now leaves a slot for 8 ms with odds that cost at most 0.5% of the slot time, and a rejection limits it to what it has in flight.

--- a/src/entry/entry_core_dispatch.cc
+++ b/src/entry/entry_core_dispatch.cc
@@ -121,6 +121,10 @@
   millis used = now - attempt.started_at;
   team_state& team = *state.team;
   state.service->group->Finished(*attempt.runner, attempt.probe, how, now);
+  if (how == attempt_result::kSuccess &&
+      state.pool->queue.WaitingOfService(state.service->index) > 0) {
+    state.service->group->MaybeYield(*attempt.runner, used, now);
+  }
   --team.running;
   --MetricsOf(state).running;
   state.pool->slot_ms[team.index] += static_cast<std::uint64_t>(used);
--- a/src/routing/runner_group.cc
+++ b/src/routing/runner_group.cc
@@ -5,10 +5,17 @@
 namespace radishwing::routing {
 namespace {
 
-// A rejection marks the runner as full for this long, doubling while it goes
-// on: other entries hold its slots, and only time can tell when they are free.
+// After a rejection no more than the present requests are sent for this long,
+// doubling while it goes on: other entries hold the slots, and only an attempt
+// can tell when they are free. The longest wait is that of a yield, so that a
+// slot left by one entry is found by another.
 constexpr millis kFullBackoffFirstMs = 2;
-constexpr millis kFullBackoffLongestMs = 64;
+constexpr millis kFullBackoffLongestMs = 8;
+constexpr millis kYieldMs = 8;
+// Part of the slot time that yields may leave idle if no other entry wants it.
+constexpr double kYieldCost = 0.005;
+// Pause after a refused connection to a runner that cannot be ejected.
+constexpr millis kRefusedPauseMs = 50;
 
 // Draws before falling back to a scan. At half load two draws succeed with
 // 15/16.
@@ -56,8 +63,8 @@
 bool runner_group::Eligible(const runner_state& runner, millis now,
                             bool idempotent,
                             std::span<runner_state* const> tried) const {
-  if (!runner.AcceptsWork() || runner.in_flight >= runner.info.slots ||
-      now < runner.full_until_ms || !runner.failures.Admits(now, idempotent)) {
+  if (!runner.AcceptsWork() || runner.in_flight >= runner.Room(now) ||
+      !runner.failures.Admits(now, idempotent)) {
     return false;
   }
   return std::find(tried.begin(), tried.end(), &runner) == tried.end();
@@ -113,11 +120,11 @@
   switch (how) {
     case attempt_result::kSuccess:
       runner.failures.Success(probe);
-      runner.full_until_ms = 0;
-      runner.full_backoff_ms = 0;
+      if (now >= runner.limit_until_ms) runner.full_backoff_ms = 0;
       break;
     case attempt_result::kRefused:
       runner.failures.Failure(now, probe, ejection::kEjectAfter, MayEject());
+      if (!runner.failures.Out()) runner.LimitUntil(now + kRefusedPauseMs);
       break;
     case attempt_result::kFailed:
       runner.failures.Failure(now, probe, 1, MayEject());
@@ -128,7 +135,7 @@
       runner.full_backoff_ms =
           std::clamp(runner.full_backoff_ms * 2, kFullBackoffFirstMs,
                      kFullBackoffLongestMs);
-      runner.full_until_ms = now + runner.full_backoff_ms;
+      runner.LimitUntil(now + runner.full_backoff_ms);
       break;
     case attempt_result::kNoVerdict:
       runner.failures.Abandon(probe);
@@ -136,6 +143,16 @@
   }
 }
 
+void runner_group::MaybeYield(runner_state& runner, millis run_ms, millis now) {
+  double odds = std::min(0.5, kYieldCost * static_cast<double>(run_ms) /
+                                  static_cast<double>(kYieldMs));
+  double drawn = static_cast<double>(random_() - random_.min()) /
+                 static_cast<double>(random_.max() - random_.min());
+  if (drawn < odds) {
+    runner.LimitUntil(std::max(runner.limit_until_ms, now + kYieldMs));
+  }
+}
+
 bool runner_group::MayEject() const {
   std::size_t out = 0;
   std::size_t listed = 0;
--- a/src/routing/runner_group.h
+++ b/src/routing/runner_group.h
@@ -38,6 +38,12 @@
   void Finished(runner_state& runner, bool probe, attempt_result how,
                 millis now);
 
+  /// After a request that used `run_ms`, while others wait: now and then leaves
+  /// its slot to the other entries for a moment. An entry that refills each
+  /// slot at once would keep the others out for seconds. The larger its part
+  /// of the slots, the more it leaves, so that the parts even out.
+  void MaybeYield(runner_state& runner, millis run_ms, millis now);
+
   /// False if every slot is in use from here; Pick would return nullptr.
   bool MayHaveRoom() const { return in_flight_ < slots_; }
 
--- a/src/routing/runner_state.h
+++ b/src/routing/runner_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 
 #include "src/base/clock.h"
@@ -16,14 +17,26 @@
   std::uint32_t in_flight = 0;
   bool listed = true;    ///< In the newest runner table.
   bool leaving = false;  ///< It said so itself.
-  /// Until then it counts as full: it rejected a request although fewer than
-  /// its slots were in flight from here.
-  millis full_until_ms = 0;
+  /// Until then at most `limit` requests may be in flight from here: it
+  /// rejected one more, or a slot is left to other entries.
+  millis limit_until_ms = 0;
+  std::uint32_t limit = 0;
   millis full_backoff_ms = 0;
   ejection failures;
 
   bool AcceptsWork() const { return listed && info.accepts_work && !leaving; }
 
+  std::uint32_t Room(millis now) const {
+    return now < limit_until_ms ? std::min<std::uint32_t>(limit, info.slots)
+                                : info.slots;
+  }
+
+  /// Keeps the requests in flight from here to the present number.
+  void LimitUntil(millis until) {
+    limit = in_flight;
+    limit_until_ms = until;
+  }
+
   /// In-flight requests per slot after one more.
   double LoadWithOneMore() const {
     return (in_flight + 1.0) / (info.slots == 0 ? 1 : info.slots);
