--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -8,12 +8,15 @@
 #include "src/control/control_options.h"
 #include "src/control/entry_registry.h"
 #include "src/control/fleet_poller.h"
+#include "src/control/operator_service.h"
 #include "src/control/peer_handlers.h"
 #include "src/control/peer_mesh.h"
 #include "src/control/runner_table.h"
 #include "src/control/settings_keeper.h"
 #include "src/control/settings_relay.h"
 #include "src/control/store_port.h"
+#include "src/control/token_recovery_duty.h"
+#include "src/control/token_service.h"
 #include "src/rpc/gate_server.h"
 
 namespace radishwing::control {
@@ -42,11 +45,14 @@
   entry_registry& Entries() { return entries_; }
   peer_mesh& Mesh() { return *mesh_; }
   settings_relay& Relay() { return *relay_; }
+  operator_service& Operators() { return *operators_; }
+  token_service& Tokens() { return *tokens_of_teams_; }
 
  private:
   void taskFailed(kj::Exception&& exception) override;
   void StartDuties(const std::string& bound);
   void WirePeers();
+  void WireTokens();
   void Tick();
   kj::Promise<void> StopDuties();
   void FillDigest(peer_digest& digest);
@@ -63,6 +69,9 @@
   std::unique_ptr<peer_mesh> mesh_;
   std::unique_ptr<settings_relay> relay_;
   std::unique_ptr<fleet_poller> poller_;
+  std::unique_ptr<operator_service> operators_;
+  std::unique_ptr<token_service> tokens_of_teams_;
+  std::unique_ptr<token_recovery_duty> recovery_;
   rpc::gate_server gate_;
   kj::TaskSet tasks_;  // Last, so that it is destroyed first.
 };
