--- a/tools/load.cc
+++ b/tools/load.cc
@@ -79,9 +79,7 @@
 
   void Start() {
     start_ = steady::now();
-    for (int i = 0; i < options_.connections; ++i) {
-      asio::co_spawn(context_, Worker(i), asio::detached);
-    }
+    asio::co_spawn(context_, Run(), asio::detached);
   }
 
   int Report() {
@@ -109,6 +107,20 @@
                std::chrono::duration<double>(options_.seconds);
   }
 
+  asio::awaitable<void> Run() {
+    for (int i = 0; i < options_.idle_connections; ++i) {
+      std::unique_ptr<connection> open;
+      load_record record = NewRecord(-1, i);
+      co_await Send(open, record);
+      if (open) idle_.push_back(std::move(open));
+    }
+    start_ = steady::now();
+    workers_left_ = options_.connections;
+    for (int i = 0; i < options_.connections; ++i) {
+      asio::co_spawn(context_, Worker(i), asio::detached);
+    }
+  }
+
   /// Paces the whole run to the wanted rate; a rate of 0 means closed loop.
   asio::awaitable<void> Pace(std::uint64_t sequence) {
     if (options_.rate <= 0) co_return;
@@ -128,6 +140,7 @@
       co_await Send(open, record);
       Finish(record);
     }
+    if (--workers_left_ == 0) idle_.clear();
   }
 
   load_record NewRecord(int worker, std::uint64_t sequence) {
@@ -227,9 +240,9 @@
     }
   }
 
-  static void Classify(beast::error_code error,
-                       const http::response<http::string_body>& response,
-                       load_record& record) {
+  void Classify(beast::error_code error,
+                const http::response<http::string_body>& response,
+                load_record& record) {
     if (error) {
       record.outcome = load_outcome::kUnknown;
       return;
@@ -246,7 +259,8 @@
     // The runner stand-in repeats the identifier, which shows that the answer
     // belongs to this request.
     const auto echoed = response["Radishwing-Request-Id"];
-    record.mismatched = record.outcome == load_outcome::kAnswered &&
+    record.mismatched = options_.send_identifiers &&
+                        record.outcome == load_outcome::kAnswered &&
                         !echoed.empty() && echoed != record.id;
   }
 
@@ -261,6 +275,8 @@
   std::vector<target_state> targets_;
   std::size_t next_target_ = 0;
   std::uint64_t issued_ = 0;
+  int workers_left_ = 0;
+  std::vector<std::unique_ptr<connection>> idle_;
   steady::time_point start_;
   std::ofstream records_;
   load_summary summary_;
--- a/tools/load/load_options.cc
+++ b/tools/load/load_options.cc
@@ -17,6 +17,9 @@
   app.add_option("--records", options.record_file, "file for one line each");
   app.add_option("--connections", options.connections)
       ->check(CLI::Range(1, 20000));
+  app.add_option("--idle-connections", options.idle_connections,
+                 "connections to open, use once and hold")
+      ->check(CLI::Range(0, 20000));
   app.add_option("--requests", options.requests, "total number of requests");
   app.add_option("--seconds", options.seconds, "length of the run");
   app.add_option("--rate", options.rate, "requests per second, 0: closed loop");
--- a/tools/load/load_options.h
+++ b/tools/load/load_options.h
@@ -22,6 +22,7 @@
   std::string id_prefix = "load";
   std::string record_file;  ///< One line per request; empty writes none.
   int connections = 16;
+  int idle_connections = 0;  ///< Opened first, with one request each, and held.
   std::uint64_t requests = 0;  ///< 0: until `seconds` have passed.
   double seconds = 0;
   double rate =
