Bound the calls of jobs during an outage of the platform

Each waiting job retried its start every 500 ms, and each running one its lease, so an outage cost calls in proportion to the jobs. Starts now pause together after one fails, and renewals back off within the lease. Attempts to start are no longer written to the store: the task's id already tells a successor whether the job was started, and jobs that wait for room made their batch dirty all the time. Recovered jobs that may run count as running at once.

The server disarms its read timer for good before a request is handled, since an expiry already queued could cancel the write of the response.

--- a/src/http/server_session.cc
+++ b/src/http/server_session.cc
@@ -134,7 +134,8 @@
 void server_session::Handle() {
   const auto owner = owner_.lock();
   if (!owner) return Close();
-  timer_.cancel();
+  // Unlike cancel, also disarms an expiry whose handler is already queued.
+  timer_.expires_at(std::chrono::steady_clock::time_point::max());
   stage_ = stage::kHandling;
   in_flight_ = true;
   ++owner->in_flight;
--- a/src/jobs/job_driver.cc
+++ b/src/jobs/job_driver.cc
@@ -59,6 +59,10 @@
   if (p.busy) return;
   if (HasEnded(job->state)) return DriveEnded(id, p);
   const job_action action = NextAction(*job);
+  if (action == job_action::kStart && Now() < start_after) {
+    Schedule(id, p, start_after - Now());
+    return;
+  }
   if (p.token == token_state::kNone) AskToken(id, p);
   switch (action) {
     case job_action::kStart:
@@ -145,6 +149,13 @@
                     options.poll_most_ms);
 }
 
+millis job_driver::impl::RetryDelay(const progress& p) const {
+  // Several attempts fit into a lease, and an outage of the platform does not
+  // turn into a call per job every `retry_ms`.
+  return std::max(options.retry_ms,
+                  std::min(PollDelay(p), options.lease_ms / 6));
+}
+
 std::uint32_t job_driver::impl::FailureLimit(const job_record& job) const {
   const auto hosts = hooks.hosts();
   const auto fitting = static_cast<std::uint32_t>(
@@ -194,7 +205,8 @@
   std::map<std::string, std::uint32_t> running;
   for (const auto& [id, p] : impl_->known) {
     const job_record* job = impl_->store.Find(id);
-    if (job && !HasEnded(job->state) && job->state != job_state::kAccepted) {
+    if (!job || HasEnded(job->state)) continue;
+    if (job->state != job_state::kAccepted || job->in_doubt) {
       ++running[p.team];
     }
   }
--- a/src/jobs/job_driver_calls.cc
+++ b/src/jobs/job_driver_calls.cc
@@ -22,7 +22,9 @@
     Schedule(job.id, p, options.retry_ms);
     return;
   }
-  if (ApplyStarting(job, *host)) store.Touch(job.id);
+  // Not written to the store: the task's id tells whoever recovers the job
+  // whether it was started, and a job may wait for room for long.
+  ApplyStarting(job, *host);
   BeginCall(p);
   platform::task_spec spec;
   spec.id = TaskIdOf(job);
@@ -57,10 +59,12 @@
   const bool refused = outcome.state == start_state::kRefused;
   if (refused) {
     p.refused_by.push_back(host);
-  } else if (!job.in_doubt) {
-    ReleaseToken(p);  // Of no use while the platform is out of reach.
+  } else {
+    start_after = Now() + options.retry_ms;
+    // Of no use while the platform is out of reach.
+    if (!job.in_doubt) ReleaseToken(p);
   }
-  Changed(job, p, changed, refused ? 0 : options.retry_ms);
+  Changed(job, p, HasEnded(job.state), refused ? 0 : options.retry_ms);
 }
 
 void job_driver::impl::Renew(job_record& job, progress& p) {
@@ -74,7 +78,7 @@
                            Error(renewed).kind == failure_kind::kNotFound) {
                   self.Poll(j, pr);
                 } else {
-                  self.Schedule(j.id, pr, self.options.retry_ms);
+                  self.Schedule(j.id, pr, self.RetryDelay(pr));
                 }
               }));
 }
@@ -92,8 +96,7 @@
                                 const result<task_status>& status) {
   if (!Ok(status)) {
     const bool no_task = Error(status).kind == failure_kind::kNotFound;
-    Changed(job, p, no_task && ApplyNoTask(job),
-            no_task ? 0 : options.retry_ms);
+    Changed(job, p, no_task && ApplyNoTask(job), no_task ? 0 : RetryDelay(p));
     return;
   }
   const platform::task_state state = Value(status).state;
--- a/src/jobs/job_driver_impl.h
+++ b/src/jobs/job_driver_impl.h
@@ -85,6 +85,8 @@
   void Changed(job_record& job, progress& p, bool changed, millis after);
   void ReleaseToken(progress& p);
   millis PollDelay(const progress& p) const;
+  /// Pause after a call that did not reach the platform.
+  millis RetryDelay(const progress& p) const;
   std::uint32_t FailureLimit(const job_record& job) const;
 
   job_store& store;
@@ -96,6 +98,7 @@
   std::set<due_entry> due;
   worker_health health;
   std::size_t calls = 0;
+  millis start_after = 0;  ///< No starts before; set while starts fail.
   bool stopped = false;
 };
 
--- a/tests/jobs/job_manager_test.cc
+++ b/tests/jobs/job_manager_test.cc
@@ -97,6 +97,7 @@
   manager = MakeManager("c1#2");
   tokens = 10;
   AwaitState(running, "running");
+  RunUntil([&] { return manager->RunningByTeam()["uva"] > 0; });
   time.Advance(1000);
   AwaitState(running, "finished");
   AwaitState(waiting, "running");
