--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -205,6 +205,10 @@
   millis now = Now();
   if (snapshot.settings &&
       (snapshot.settings->revision >= directory_.Revision())) {
+    if (snapshot.settings->revision > directory_.Revision()) {
+      LogInfo("entry", "settings in force, revision=" +
+                           std::to_string(snapshot.settings->revision));
+    }
     directory_.Apply(*snapshot.settings);
   }
   if (new_session_ || snapshot.table_version >= table_version_) {
