Fence a host before a granted stop is released

Cause: a control that was granted a stop may begin the drain after another one found the host active and released the grant; the host then drains although the ledger counts it as available. Change: FenceHost moves the epoch of an active host; BeginDrain is swapped against the version read before the grant and fails after it. The test lets drains and releases happen late, adds operators' drains and uses floors that a rack in maintenance would break. Conclusion: whoever releases a stop of an active host writes FenceHost first.

--- a/bench/rollout_bench.cc
+++ b/bench/rollout_bench.cc
@@ -4,12 +4,13 @@
 namespace radishwing::bench {
 namespace {
 
+constexpr double kHour = 3'600'000;
+
 std::vector<figure> Rollout(std::uint64_t seed) {
   rollout_simulation fleet(seed);
   const auto bound = static_cast<double>(fleet.LowerBound());
   const auto with_growth = static_cast<double>(fleet.LowerBoundWithGrowth());
   const auto length = static_cast<double>(fleet.Run());
-  constexpr double kHour = 3'600'000;
   return {
       {"length", length / kHour, "h", "", false},
       {"lower bound", bound / kHour, "h", "", false},
--- a/src/maintenance/host_transitions.cc
+++ b/src/maintenance/host_transitions.cc
@@ -36,6 +36,14 @@
   return next;
 }
 
+result<host_record> FenceHost(const host_record& record,
+                              std::string_view change_id) {
+  if (record.state != host_state::kActive) {
+    return Conflict(record, "only an active host is fenced");
+  }
+  return Next(record, host_state::kActive, change_id);
+}
+
 result<host_record> CancelDrain(const host_record& record,
                                 std::string_view change_id) {
   if (record.state != host_state::kDraining &&
--- a/src/maintenance/host_transitions.h
+++ b/src/maintenance/host_transitions.h
@@ -29,6 +29,13 @@
                                std::string_view next_pool,
                                std::string_view change_id);
 
+/// Changes nothing but the epoch of an active host. Write it before releasing a
+/// granted stop of an active host: BeginDrain must be swapped against the
+/// version of the record that was read before the grant, so that it fails after
+/// this and cannot follow a release.
+result<host_record> FenceHost(const host_record& record,
+                              std::string_view change_id);
+
 /// Returns a draining or empty host to its pool.
 result<host_record> CancelDrain(const host_record& record,
                                 std::string_view change_id);
--- a/tests/maintenance/fleet_world.cc
+++ b/tests/maintenance/fleet_world.cc
@@ -9,7 +9,7 @@
   for (const std::string pool : {"alpha", "beta", "spare"}) {
     ledger_record ledger;
     ledger.pool = pool;
-    ledger.floor = pool == "alpha" ? 4 : pool == "beta" ? 3 : 0;
+    ledger.floor = pool == "alpha" ? 5 : pool == "beta" ? 4 : 0;
     for (int i = 0; i < (pool == "spare" ? 2 : 6); ++i) {
       host_record host;
       host.host = "h" + std::to_string(number++);
@@ -68,9 +68,27 @@
              GrantDrain(ledger.record, action.host, reason, "grant"))) {
     return;
   }
-  const auto& host = control.seen_hosts[action.host];
-  Write(action.host, host.version,
-        BeginDrain(host.record, reason, action.next_pool, "drain"));
+  drains_.push_back(
+      {control.seen_hosts[action.host], reason, action.next_pool});
+}
+
+// An operator asks for a drain that no plan has weighed.
+void fleet_world::OperatorDrain(const std::string& name) {
+  const versioned<host_record> host = hosts_[name];
+  const versioned<ledger_record> ledger = ledgers_[host.record.pool];
+  if (Write(host.record.pool, ledger.version,
+            GrantDrain(ledger.record, name, "operator", "grant"))) {
+    drains_.push_back({host, "operator", ""});
+  }
+}
+
+void fleet_world::Drain() {
+  if (drains_.empty()) return;
+  const std::size_t index = choices_.Below(drains_.size());
+  const granted_drain drain = drains_[index];
+  drains_.erase(drains_.begin() + static_cast<long>(index));
+  Write(drain.host.record.host, drain.host.version,
+        BeginDrain(drain.host.record, drain.reason, drain.next_pool, "drain"));
 }
 
 void fleet_world::Advance(const std::string& name) {
@@ -105,7 +123,7 @@
     const bool listed = ledger.record.hosts.contains(name);
     const bool stopped = ledger.record.unavailable.contains(name);
     if (pool == host.pool && listed && stopped) {
-      Write(pool, ledger.version, ReleaseHost(ledger.record, name, "release"));
+      releases_.push_back({pool, ledger.version, name});
       return;
     }
     if (pool != host.pool && listed) {
@@ -117,6 +135,20 @@
   Write(host.pool, own.version, ListHost(own.record, name, host.rack, "list"));
 }
 
+// The write to the host record comes first: a control that was granted the stop
+// and has not begun it yet then fails.
+void fleet_world::Release() {
+  if (releases_.empty()) return;
+  const pending_release release = releases_.back();
+  releases_.pop_back();
+  const versioned<host_record> host = hosts_[release.host];
+  if (!Write(release.host, host.version, FenceHost(host.record, "fence"))) {
+    return;
+  }
+  Write(release.pool, release.version,
+        ReleaseHost(ledgers_[release.pool].record, release.host, "release"));
+}
+
 void fleet_world::Fail(const std::string& name) {
   const versioned<host_record> host = hosts_[name];
   const versioned<ledger_record> ledger = ledgers_[host.record.pool];
@@ -138,6 +170,7 @@
       break;
     case 2:
       if (choices_.Chance(10)) Fail(name);
+      if (choices_.Chance(30)) OperatorDrain(name);
       break;
     case 3:
     case 4:
@@ -145,6 +178,12 @@
     case 6:
       Act(control);
       break;
+    case 7:
+      Drain();
+      break;
+    case 8:
+      Release();
+      break;
     default:
       Advance(name);
   }
--- a/tests/maintenance/fleet_world.h
+++ b/tests/maintenance/fleet_world.h
@@ -31,6 +31,16 @@
   };
   using ledgers = std::map<std::string, versioned<maintenance::ledger_record>>;
   using hosts = std::map<std::string, versioned<maintenance::host_record>>;
+  struct granted_drain {
+    versioned<maintenance::host_record> host;  ///< As read before the grant.
+    std::string reason;
+    std::string next_pool;
+  };
+  struct pending_release {
+    std::string pool;
+    std::uint64_t version = 0;
+    std::string host;
+  };
   /// What one control read last.
   struct control {
     ledgers seen_ledgers;
@@ -44,6 +54,9 @@
              const result<maintenance::host_record>& next);
   void Plan(control& control);
   void Act(control& control);
+  void OperatorDrain(const std::string& name);
+  void Drain();
+  void Release();
   void Advance(const std::string& name);
   void Fail(const std::string& name);
   void Reconcile(const std::string& name);
@@ -53,7 +66,8 @@
   ledgers ledgers_;
   hosts hosts_;
   control controls_[2];
-  std::map<std::string, std::uint32_t> planned_available_;
+  std::vector<granted_drain> drains_;
+  std::vector<pending_release> releases_;
 };
 
 }  // namespace radishwing::test
