--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -205,13 +205,23 @@
   millis now = Now();
   if (snapshot.settings &&
       (snapshot.settings->revision >= directory_.Revision())) {
+    bool newer = snapshot.settings->revision > directory_.Revision();
     directory_.Apply(*snapshot.settings);
+    if (newer) {
+      LogInfo("settings", "settings applied, revision=" +
+                              std::to_string(directory_.Revision()));
+    }
   }
   if (new_session_ || snapshot.table_version >= table_version_) {
     new_session_ = false;
     table_version_ = snapshot.table_version;
     runners_.Apply(snapshot.runners);
   }
+  if ((cut_off_ms_ > 0) != (snapshot.cut_off_ms > 0)) {
+    LogWarning("settings", snapshot.cut_off_ms > 0
+                               ? "data centre is cut off"
+                               : "data centre is no longer cut off");
+  }
   cut_off_ms_ = snapshot.cut_off_ms;
   snapshot_at_ = now;
   has_snapshot_ = true;
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -151,6 +151,7 @@
                 const std::weak_ptr<caller_connection>& caller,
                 std::uint64_t sequence);
   void ReturnIdleTokens();
+  void CountFullRing();
   void RecheckQueued();
   runner_link& LinkOf(const routing::runner_state& runner);
   service_metrics& MetricsOf(const request_state& state);
--- a/src/entry/entry_core_dispatch.cc
+++ b/src/entry/entry_core_dispatch.cc
@@ -1,3 +1,4 @@
+#include "src/base/log.h"
 #include "src/entry/entry_core.h"
 #include "src/http/address.h"
 
@@ -120,7 +121,14 @@
   millis now = Now();
   millis used = now - attempt.started_at;
   team_state& team = *state.team;
+  bool was_out = attempt.runner->failures.Out();
   state.service->group->Finished(*attempt.runner, attempt.probe, how, now);
+  if (attempt.runner->failures.Out() != was_out) {
+    LogInfo("routing",
+            std::string(was_out ? "runner returned" : "runner ejected") +
+                ", runner=" + attempt.runner->info.id +
+                " service=" + state.service->name);
+  }
   if (how == attempt_result::kSuccess &&
       state.pool->queue.WaitingOfService(state.service->index) > 0) {
     state.service->group->MaybeYield(*attempt.runner, used, now);
--- a/src/entry/entry_core_link.cc
+++ b/src/entry/entry_core_link.cc
@@ -35,6 +35,7 @@
   }
   team.tokens.AskFailed(Now());
   if (Error(answer).kind != failure_kind::kFull) return;
+  CountFullRing();
   // The ring to the link is full: the request that needed it is rejected.
   auto connection = caller.lock();
   if (!connection || connection->Exchange().State().sequence != sequence) {
@@ -59,6 +60,9 @@
   port_.claim(std::move(claim), [this, id, caller, sequence](
                                     result<requests::claim_answer> answer) {
     inbox_.Post([this, id, caller, sequence, answer] {
+      if (!Ok(answer) && Error(answer).kind == failure_kind::kFull) {
+        CountFullRing();
+      }
       auto connection = caller.lock();
       if (connection && connection->Exchange().OnClaim(sequence, answer)) {
         return;
--- a/src/entry/entry_core_report.cc
+++ b/src/entry/entry_core_report.cc
@@ -37,6 +37,13 @@
   MetricsOf(state).Count(verdict, static_cast<double>(took) / 1000);
 }
 
+void entry_core::CountFullRing() {
+  if (!options_.registry) return;
+  metrics::series labels;
+  labels.value = "serve_to_link";
+  options_.registry->Counter(metric::kRingDrops, labels).Increment();
+}
+
 void entry_core::CountBytes(const request_state& state, std::uint64_t request,
                             std::uint64_t response) {
   if (state.service) MetricsOf(state).CountBytes(request, response);
