Share the host list with jobs instead of copying it

The hook was called for each submission and copied every host of the fleet, 1,100 at the target scale. It now returns a shared list, and the hosts that fit a job are only counted after a failure.

--- a/bench/jobs_store_calls.cc
+++ b/bench/jobs_store_calls.cc
@@ -76,10 +76,10 @@
   options.data_centre = "dc1";
   options.owner = "c1#1";
   jobs::job_hooks hooks;
-  hooks.hosts = [] {
-    return std::vector<platform::host_info>{
-        {"h1", "dc1", "r1", 16, 65536, 0, platform::host_state::kUp}};
-  };
+  const auto hosts = std::make_shared<const std::vector<platform::host_info>>(
+      std::vector<platform::host_info>{
+          {"h1", "dc1", "r1", 16, 65536, 0, platform::host_state::kUp}});
+  hooks.hosts = [hosts] { return hosts; };
   hooks.choose_host = [](const jobs::job_record&,
                          std::span<const std::string>) {
     return std::optional<std::string>("h1");
--- a/src/jobs/job_driver.cc
+++ b/src/jobs/job_driver.cc
@@ -158,8 +158,9 @@
 
 std::uint32_t job_driver::impl::FailureLimit(const job_record& job) const {
   const auto hosts = hooks.hosts();
+  if (!hosts) return options.failure_limit;
   const auto fitting = static_cast<std::uint32_t>(
-      std::count_if(hosts.begin(), hosts.end(),
+      std::count_if(hosts->begin(), hosts->end(),
                     [&](const auto& host) { return Fits(job, host); }));
   return std::clamp(fitting, 1u, options.failure_limit);
 }
--- a/src/jobs/job_driver_calls.cc
+++ b/src/jobs/job_driver_calls.cc
@@ -106,7 +106,11 @@
     health.OnFinished(job.host);
   }
   const bool at_fault = health.AtFault(job.host);
-  const bool changed = ApplyTask(job, state, FailureLimit(job), at_fault);
+  // Counting the hosts that fit is only worth it after a failure.
+  const std::uint32_t limit = state == platform::task_state::kFailed
+                                  ? FailureLimit(job)
+                                  : options.failure_limit;
+  const bool changed = ApplyTask(job, state, limit, at_fault);
   Changed(job, p, changed, changed ? 0 : PollDelay(p));
 }
 
--- a/src/jobs/job_hooks.h
+++ b/src/jobs/job_hooks.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <memory>
 #include <optional>
 #include <span>
 #include <string>
@@ -14,9 +15,11 @@
 /// What jobs need from the control process. All run on the thread of the
 /// io_context.
 struct job_hooks {
-  /// Every host that may run jobs, those that are down included. Empty while
-  /// they are not known.
-  std::function<std::vector<platform::host_info>()> hosts;
+  /// Every host that may run jobs, those that are down included. Null or empty
+  /// while they are not known. Shared, as it is asked for with each submission
+  /// and there are over a thousand.
+  std::function<std::shared_ptr<const std::vector<platform::host_info>>()>
+      hosts;
   /// A host with room for the job now, none of `avoid`; nothing if there is
   /// none now.
   std::function<std::optional<std::string>(const job_record& job,
--- a/src/jobs/job_manager.cc
+++ b/src/jobs/job_manager.cc
@@ -135,10 +135,10 @@
     return completion(Refusal(413, "too_large", "the job's body is too large"));
   }
   const auto hosts = hooks_.hosts();
-  if (hosts.empty()) {
+  if (!hosts || hosts->empty()) {
     return completion(Refusal(503, "hosts_unknown", "no host is known yet"));
   }
-  const std::string missing = MissingFor(job, hosts);
+  const std::string missing = MissingFor(job, *hosts);
   if (!missing.empty()) {
     return completion(Refusal(422, "never_fits", missing));
   }
--- a/tests/jobs/job_fixture.h
+++ b/tests/jobs/job_fixture.h
@@ -34,7 +34,10 @@
     options.retry_ms = 0;
     options.poll_least_ms = 0;
     job_hooks hooks;
-    hooks.hosts = [this] { return known_hosts; };
+    hooks.hosts = [this] {
+      return std::make_shared<const std::vector<platform::host_info>>(
+          known_hosts);
+    };
     hooks.choose_host =
         [this](
             const job_record& job,
