Look for the jobs of a failed process more than once

A test with random faults found jobs that nobody drove: the last write of a process reached the store after its successor had read the batches. The successor now looks again until two refresh intervals have passed.

A prefix watch pauses if the store answers early without changes, since each call counts.

--- a/src/jobs/job_store.cc
+++ b/src/jobs/job_store.cc
@@ -240,7 +240,9 @@
 }
 
 void job_store::Adopt(std::string_view host) {
-  impl_->adopt_after.emplace(std::string(host), impl_->Now());
+  const millis now = impl_->Now();
+  impl_->adoptions[std::string(host)] = {now,
+                                         now + 2 * impl_->options.refresh_ms};
 }
 
 void job_store::Append(job_record job,
--- a/src/jobs/job_store_impl.h
+++ b/src/jobs/job_store_impl.h
@@ -37,6 +37,13 @@
     bool was_dirty = false;
   };
 
+  /// A host whose batches are looked for. Looked for more than once, since
+  /// its last write may reach the store after the first look.
+  struct adoption {
+    millis look_at = 0;
+    millis until = 0;
+  };
+
   impl(boost::asio::io_context& io, platform::kv_store& store,
        job_options options, job_store_hooks hooks);
 
@@ -92,7 +99,7 @@
   /// Submissions whose write has an unknown effect, by batch.
   std::map<std::string, std::set<std::uint32_t>> doubtful;
   std::map<std::string, std::vector<waiter>> waiters;
-  std::map<std::string, millis> adopt_after;  ///< Hosts to take over, by time.
+  std::map<std::string, adoption> adoptions;  ///< Hosts to take over.
   std::deque<job_batch> orphans;              ///< Read, to be taken over.
   bool adopting = false;
   bool orphan_turn = false;
--- a/src/jobs/job_store_read.cc
+++ b/src/jobs/job_store_read.cc
@@ -40,9 +40,9 @@
 
 void job_store::impl::ReadDue() {
   const millis now = Now();
-  for (auto& [host, when] : adopt_after) {
-    if (now < when) continue;
-    when = now + 2 * options.refresh_ms;  // Erased when it has succeeded.
+  for (auto& [host, adoption] : adoptions) {
+    if (now < adoption.look_at) continue;
+    adoption.look_at = now + options.refresh_ms;
     FindOrphans(host);
   }
   if (!reading.empty()) return;
@@ -143,10 +143,12 @@
   store.ReadPrefix(
       prefix, Guard([host, prefix](impl& self, result<kv_page> page) {
         if (!Ok(page)) {
-          self.adopt_after[host] = self.Now() + self.options.retry_ms;
+          self.adoptions[host].look_at = self.Now() + self.options.retry_ms;
           return;
         }
-        self.adopt_after.erase(host);
+        if (self.Now() >= self.adoptions[host].until) {
+          self.adoptions.erase(host);
+        }
         for (const kv_item& item : Value(page).items) {
           auto batch = ParseBatch(item.key.substr(prefix.size()), item.value,
                                   item.version);
@@ -181,7 +183,9 @@
         // whether another process has the batch now.
         LogInfo("jobs", "batch not taken over, batch=" + batch.id +
                             " cause=" + outcome.message);
-        self.adopt_after[host] = self.Now() + self.options.retry_ms;
+        adoption& again = self.adoptions[host];
+        again.look_at = self.Now() + self.options.retry_ms;
+        again.until = std::max(again.until, again.look_at);
       }));
 }
 
--- a/src/platform/prefix_watch.cc
+++ b/src/platform/prefix_watch.cc
@@ -25,6 +25,7 @@
   }
 
   void Wait() {
+    wait_began = std::chrono::steady_clock::now();
     store.Watch(options.prefix, revision, options.wait_ms,
                 [weak = weak_from_this()](result<kv_page> page) {
                   const auto self = weak.lock();
@@ -44,8 +45,14 @@
     }
     const bool first = !std::exchange(known, true);
     revision = Value(page).revision;
-    if (first || !Value(page).items.empty()) hook(std::move(Value(page)));
-    if (!stopped) Wait();
+    const bool empty = Value(page).items.empty();
+    if (first || !empty) hook(std::move(Value(page)));
+    // Each call counts: a store that answers early without changes must not be
+    // asked again at once.
+    const auto waited = std::chrono::steady_clock::now() - wait_began;
+    const bool early = !first && empty &&
+                       waited < std::chrono::milliseconds(options.wait_ms / 2);
+    if (!stopped) early ? Retry() : Wait();
   }
 
   void Retry() {
@@ -69,6 +76,7 @@
   prefix_watch_options options;
   prefix_watch_hooks hooks;
   boost::asio::steady_timer timer;
+  std::chrono::steady_clock::time_point wait_began;
   std::uint64_t revision = 0;
   bool known = false;  ///< A snapshot as of `revision` has been delivered.
   bool reached = false;
--- a/tools/platform_fake/task_table.h
+++ b/tools/platform_fake/task_table.h
@@ -39,6 +39,10 @@
 
   boost::json::object Json(const fake_task& task, millis now) const;
   std::size_t Running() const;
+  /// Every task ever started, by id.
+  const std::map<std::string, fake_task, std::less<>>& All() const {
+    return tasks_;
+  }
 
  private:
   bool HasRoom(const fake_task& task, const fake_host& host) const;
