Take over a batch whose take-over was not acknowledged

A process that took a batch over but lost the answer found its own name in the record, skipped it, and nobody drove the jobs. What counts is now whether the process holds the batch.

--- a/src/jobs/job_store_read.cc
+++ b/src/jobs/job_store_read.cc
@@ -155,7 +155,9 @@
           if (!Ok(batch)) {
             LogError("jobs", Error(batch).message);
           } else if (HostOf(Value(batch).owner) == host &&
-                     Value(batch).owner != self.options.owner) {
+                     !self.batches.contains(Value(batch).id)) {
+            // Also one that this process took over without getting to know:
+            // the answer was lost.
             self.orphans.push_back(std::move(Value(batch)));
           }
         }
