Judge silence by the slowest first byte of the last minutes

A service of mostly short runs took a run of 2 s for a silent connection, ended it and counted a failure against a healthy runner. The memory of slow first bytes now halves in 5 minutes instead of 700 samples, with a floor of 2 s.

--- a/src/entry/entry_options.h
+++ b/src/entry/entry_options.h
@@ -25,6 +25,8 @@
   millis idle_part_timeout_ms = 30000;    ///< Between parts of a body.
   millis keep_alive_timeout_ms = 120000;  ///< Between requests.
   millis connect_timeout_ms = 1000;
+  /// A first byte is not taken for missing before this.
+  millis silent_least_ms = 2000;
   millis balancer_delay_ms = 0;  ///< From failing readiness to no new work.
   millis tick_ms = 20;           ///< Resolution of every deadline.
 };
--- a/src/entry/exchange_attempt.cc
+++ b/src/entry/exchange_attempt.cc
@@ -18,7 +18,6 @@
 // a silent connection, once enough samples are known.
 constexpr double kSilentFactor = 4;
 constexpr std::uint32_t kSilentSamples = 20;
-constexpr millis kSilentLeastMs = 1000;
 
 /// The target without its first segment.
 std::string_view RunnerTarget(std::string_view target, std::string& scratch) {
@@ -38,7 +37,7 @@
   if (service.first_bytes < kSilentSamples) return longest;
   auto slow =
       static_cast<millis>(service.slowest_first_byte_ms * kSilentFactor);
-  return std::min(longest, std::max(kSilentLeastMs, slow));
+  return std::min(longest, std::max(core_.Options().silent_least_ms, slow));
 }
 
 void exchange::StartAttempt(routing::runner_state& runner) {
--- a/src/entry/exchange_response.cc
+++ b/src/entry/exchange_response.cc
@@ -17,7 +17,8 @@
   if (state_.phase == request_phase::kStreaming) return Pump();
   if (!attempt_.first_byte) {
     attempt_.first_byte = true;
-    state_.service->NoteFirstByte(core_.Now() - attempt_.started_at);
+    millis now = core_.Now();
+    state_.service->NoteFirstByte(now - attempt_.started_at, now);
   }
   ParseResponse();
 }
--- a/src/entry/service_state.h
+++ b/src/entry/service_state.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -25,7 +27,8 @@
   routing::retry_budget budget;
   double mean_run_ms = 1;  ///< Of recent attempts; expected cost of the next.
   double slowest_first_byte_ms = 0;  ///< Decaying maximum.
-  std::uint32_t first_bytes = 0;     ///< Samples in it.
+  millis first_byte_decay_at = 0;
+  std::uint32_t first_bytes = 0;  ///< Samples in it.
   bool dispatching = false;
   bool dispatch_again = false;
   std::vector<std::unique_ptr<service_metrics>> metrics;  ///< By team index.
@@ -34,9 +37,17 @@
   void NoteRun(millis used) {
     mean_run_ms += (static_cast<double>(used) - mean_run_ms) / 16;
   }
-  void NoteFirstByte(millis after) {
+  void NoteFirstByte(millis after, millis now) {
+    // Halves in 5 minutes, so that a service of mostly short runs does not
+    // take a rare long one for a silent connection.
+    constexpr millis kHalfLifeMs = 300000;
+    if (now - first_byte_decay_at >= 1000) {
+      auto age = static_cast<double>(now - first_byte_decay_at);
+      slowest_first_byte_ms *= std::exp2(-age / kHalfLifeMs);
+      first_byte_decay_at = now;
+    }
     slowest_first_byte_ms =
-        std::max(slowest_first_byte_ms * 0.999, static_cast<double>(after));
+        std::max(slowest_first_byte_ms, static_cast<double>(after));
     ++first_bytes;
   }
 };
--- a/tests/entry/runner_failure_test.cc
+++ b/tests/entry/runner_failure_test.cc
@@ -95,6 +95,19 @@
   BOOST_TEST(runners[0]->Connections() == 2u);
 }
 
+// Guards against an idempotent request that waits for a silent connection
+// until its deadline although another connection would serve it.
+BOOST_FIXTURE_TEST_CASE(runner_connection_silent_idempotent_is_retried,
+                        entry_fixture) {
+  options.silent_least_ms = 50;
+  Start(1);
+  for (int i = 0; i < 30; ++i) SendIdempotent("/sums/x");
+  runners[0]->SetFault({runner_fault_mode::kSilent});
+  http_answer answer = SendIdempotent("/sums/x");
+  BOOST_TEST(answer.status == 200u);
+  BOOST_TEST(runners[0]->Connections() == 2u);
+}
+
 // Guards against new work for a runner that said it is leaving (I8).
 BOOST_FIXTURE_TEST_CASE(runner_leaving_gets_no_more_work, entry_fixture) {
   Start(2);
