--- a/tests/control/claim_service_test.cc
+++ b/tests/control/claim_service_test.cc
@@ -125,6 +125,24 @@
   BOOST_TEST((state == claim_state::kRunning));
 }
 
+// Guards against requests that stop because the store is down for long.
+BOOST_FIXTURE_TEST_CASE(claim_service_store_down_requests_continue,
+                        claim_fixture) {
+  auto& entry = *entries["host-one"];
+  BOOST_REQUIRE(Eventually([&] { return entry.Acquire("uva", 1) == 1; }));
+  store.SetFaultForAll(fake_store::fault::kDown);
+  BOOST_REQUIRE(Eventually([&] {
+    bool held = true;
+    Get("host-one").Inspect([&](control_core& core) {
+      held = core.Relay().HoldsWatch();
+    });
+    return !held;
+  }));
+  BOOST_TEST(entry.Acquire("uva", 1) == 1U);
+  BOOST_TEST((entry.Claim("during").state == claim_state::kFresh));
+  BOOST_TEST(Sees("host-one", "host-two") == "alive");
+}
+
 // Guards against a cancellation that reaches the wrong entry or none.
 BOOST_FIXTURE_TEST_CASE(claim_service_cancel_reaches_the_running_entry,
                         claim_fixture) {
--- a/tests/control/entry_link_test.cc
+++ b/tests/control/entry_link_test.cc
@@ -6,6 +6,7 @@
 
 #include "src/control/control_core.h"
 #include "src/control/control_process.h"
+#include "tests/control/test_entry.h"
 #include "tests/control/test_fleet.h"
 
 namespace radishwing::control {
@@ -66,5 +67,21 @@
   BOOST_TEST(got.runners[0].id == "r1");
 }
 
+// Guards against an entry that waits for a connection that fell silent, and
+// against its tokens being lent again while it uses them.
+BOOST_FIXTURE_TEST_CASE(entry_link_silent_link_is_replaced, test_fleet) {
+  Start("host-one", "ams");
+  Publish(1);
+  test_entry entry("host-one", "ams", network.Add("host-one"));
+  BOOST_REQUIRE(Eventually([&] { return entry.revision == 1; }));
+  std::uint32_t held = entry.Acquire("uva", 3);
+  BOOST_REQUIRE(held > 0);
+  network.SilenceOpenConnections();
+  BOOST_TEST(Eventually([&] { return entry.sessions >= 2; }));
+  Get("host-one").Inspect([&](control_core& core) {
+    BOOST_TEST(core.Tokens().Find("uva")->account.InUse() == held);
+  });
+}
+
 }  // namespace
 }  // namespace radishwing::control
--- a/tests/control/test_entry.h
+++ b/tests/control/test_entry.h
@@ -29,7 +29,10 @@
     options.report_interval_ms = 100;
     options.reconnect_ms = 50;
     rpc::entry_link_hooks hooks;
-    hooks.on_connected = [this](bool open) { connected = open; };
+    hooks.on_connected = [this](bool open) {
+      if (open) ++sessions;
+      connected = open;
+    };
     hooks.on_snapshot = [this](rpc::snapshot snapshot) {
       revision = snapshot.settings->revision;
       table_version = snapshot.table_version;
@@ -70,6 +73,7 @@
   std::string owner;
   int claims = 0;
   std::atomic<bool> connected{false};
+  std::atomic<int> sessions{0};
   std::atomic<int> cancels{0};
   std::atomic<std::uint64_t> revision{0};
   std::atomic<std::uint64_t> table_version{0};
