Fix the lint findings of the control lane

Cause: clang-tidy reported a use after move in a retry loop, a captured structured binding and the case of a constant in tests. Change: the retry pushes a copy; the tests use the fixture's own names.

--- a/src/rpc/event_thread.cc
+++ b/src/rpc/event_thread.cc
@@ -101,7 +101,7 @@
 
 void event_thread::PostWait(std::function<void()> task) {
   // The consumer empties the ring without blocking, so room appears soon.
-  while (!impl_->stopped && !impl_->ring.TryPush(std::move(task))) {
+  while (!impl_->stopped && !impl_->ring.TryPush(std::function<void()>(task))) {
     std::this_thread::sleep_for(std::chrono::milliseconds(1));
   }
 }
--- a/tests/control/claim_service_test.cc
+++ b/tests/control/claim_service_test.cc
@@ -9,7 +9,6 @@
 
 using requests::claim_state;
 using requests::outcome;
-constexpr auto Eventually = test_fleet::Eventually;
 
 struct claim_fixture : test_fleet {
   std::map<std::string, std::unique_ptr<test_entry>> entries;
@@ -26,8 +25,8 @@
       return RosterSize("host-one") == 3 && RosterSize("host-two") == 3 &&
              RosterSize("host-three") == 3;
     }));
-    for (auto& [name, entry] : entries) {
-      BOOST_REQUIRE(Eventually([&] { return entry->connected.load(); }));
+    for (auto& item : entries) {
+      BOOST_REQUIRE(Eventually([&] { return item.second->connected.load(); }));
     }
   }
 
--- a/tests/control/peer_mesh_test.cc
+++ b/tests/control/peer_mesh_test.cc
@@ -13,7 +13,6 @@
 namespace {
 
 namespace asio = boost::asio;
-constexpr auto Eventually = test_fleet::Eventually;
 
 // Guards against a control that is killed and stays alive for the others, and
 // against its replacement being taken for the dead one.
--- a/tests/control/settings_relay_test.cc
+++ b/tests/control/settings_relay_test.cc
@@ -6,8 +6,6 @@
 namespace radishwing::control {
 namespace {
 
-constexpr auto Eventually = test_fleet::Eventually;
-
 struct relay_fixture : test_fleet {
   bool AllAt(std::uint64_t revision, std::vector<std::string> names) {
     return Eventually([&] {
--- a/tests/control/token_service_test.cc
+++ b/tests/control/token_service_test.cc
@@ -8,7 +8,6 @@
 namespace radishwing::control {
 namespace {
 
-constexpr auto Eventually = test_fleet::Eventually;
 constexpr std::uint32_t kLimit = 12;  // Of team uva in the test settings.
 
 struct token_fixture : test_fleet {
