--- a/bench/rollout_bench.cc
+++ b/bench/rollout_bench.cc
@@ -1,10 +1,14 @@
 #include "bench/bench_case.h"
 #include "bench/rollout_simulation.h"
+#include "src/pools/move_planner.h"
+#include "src/pools/pool_size.h"
+#include "src/quota/lending.h"
 
 namespace radishwing::bench {
 namespace {
 
 constexpr double kHour = 3'600'000;
+constexpr int kTeams = 250;
 
 std::vector<figure> Rollout(std::uint64_t seed) {
   rollout_simulation fleet(seed);
@@ -31,9 +35,10 @@
     {"rollout",
      "1,100 hosts in 106 pools, racks of 4, 44 spare, 15 min +-10% per host",
      Rollout});
-const registration kPass({"wave_planning_pass",
-                          "1,100 hosts in 106 pools at the start of a wave",
-                          PlanningPass});
+const registration kPass(
+    {"planning_pass",
+     "wave, pool sizes, moves and lenders: 1,100 hosts, 106 pools, 250 teams",
+     PlanningPass});
 
 }  // namespace
 }  // namespace radishwing::bench
