--- a/bench/rollout_bench.cc
+++ b/bench/rollout_bench.cc
@@ -28,7 +28,7 @@
   const rollout_simulation fleet(seed);
   const double micros =
       MedianMicros(200, [&fleet](int) { maintenance::PlanWave(fleet.View()); });
-  return {AtMost("median of one wave pass", micros / 1000, "ms", 50)};
+  return {AtMost("median of one pass", micros / 1000, "ms", 50)};
 }
 
 const registration kRollout(
