Carry out host drains, orders and failures in the control process

Cause: the decisions on hosts existed as pure code, but no process adopted hosts, kept the ledgers or carried out operators' orders.

Change: host_duty runs under lease/hosts/<data_centre> and takes one step per host and round: adoption, ledger upkeep, failures, drains, maintenance and returns. host_steps holds the writes: each names the epoch that it was decided on, and a ledger counts a host as available again only if it did not change since before the record became active. Orders of operators wait in order/<data_centre>/<host>, so that any control can take them. The platform seam got drain, undrain and reboot, and the resources and state of hosts. An entry that did not reconnect to a restarted control confirms nothing, and no runner table is built before the host records are read.

--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -52,8 +52,8 @@
   mesh_ = std::make_unique<peer_mesh>(io_, clock_, options_, self);
   relay_ = std::make_unique<settings_relay>(timer_, clock_, options_, store_,
                                             *mesh_, settings_);
-  poller_ = std::make_unique<fleet_poller>(timer_, options_, store_, settings_,
-                                           table_);
+  poller_ = std::make_unique<fleet_poller>(timer_, clock_, options_, store_,
+                                           settings_, table_);
   operators_ = std::make_unique<operator_service>(clock_, options_, store_,
                                                   settings_, *mesh_);
   tokens_of_teams_ = std::make_unique<token_service>(timer_, clock_, options_,
@@ -70,14 +70,27 @@
   recovery_->Start();
   relay_->Start();
   poller_->Start();
+  StartHosts();
   Tick();
 }
 
+void control_core::StartHosts() {
+  board_ = std::make_unique<host_board>(timer_, clock_, options_, store_,
+                                        *mesh_, settings_, *poller_, entries_);
+  host_duty_ =
+      std::make_unique<host_duty>(timer_, clock_, options_, store_, *board_);
+  host_duty_->cut_off_ms = [this] { return CutOffMs(); };
+  fleet_ = std::make_unique<fleet_service>(store_, *board_);
+  board_->Start();
+  host_duty_->Start();
+}
+
 void control_core::WirePeers() {
   mesh_->fill = [this](peer_digest& digest) { FillDigest(digest); };
   mesh_->on_digest = [this](const peer_digest& digest) {
     relay_->OnDigest(digest.from, digest.settings_revision);
     tokens_of_teams_->OnDigest(digest);
+    board_->OnDigest(digest);
   };
   peer_handlers_->exchange = [this](const peer_digest& received) {
     return mesh_->Exchange(received);
@@ -178,7 +191,9 @@
 
 kj::Promise<void> control_core::StopDuties() {
   poller_->Stop();
-  return recovery_->Stop()
+  board_->Stop();
+  return host_duty_->Stop()
+      .then([this] { return recovery_->Stop(); })
       .then([this] { return tokens_of_teams_->Stop(); })
       .then([this] { return claims_->Stop(); })
       .then([this] { return relay_->Stop(); })
@@ -190,8 +205,9 @@
   tokens_of_teams_->Fill(digest);
   for (const auto& [host, record] : poller_->Sources().records) {
     if (record.state != "draining") continue;
-    auto use = entries_.HostUse(host, poller_->VersionOf(host));
-    if (!use.confirmed) continue;
+    std::uint64_t version = poller_->VersionOf(host);
+    auto use = entries_.HostUse(host, version);
+    if (version == 0 || !use.confirmed) continue;
     digest.confirmations.push_back({host, record.epoch, use.in_flight});
   }
 }
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -9,6 +9,9 @@
 #include "src/control/control_options.h"
 #include "src/control/entry_registry.h"
 #include "src/control/fleet_poller.h"
+#include "src/control/fleet_service.h"
+#include "src/control/host_board.h"
+#include "src/control/host_duty.h"
 #include "src/control/operator_service.h"
 #include "src/control/peer_handlers.h"
 #include "src/control/peer_mesh.h"
@@ -48,6 +51,9 @@
   settings_relay& Relay() { return *relay_; }
   claim_service& Claims() { return *claims_; }
   operator_service& Operators() { return *operators_; }
+  fleet_service& Fleet() { return *fleet_; }
+  host_board& Hosts() { return *board_; }
+  host_duty& HostDuty() { return *host_duty_; }
   token_service& Tokens() { return *tokens_of_teams_; }
 
  private:
@@ -56,6 +62,7 @@
   void WirePeers();
   void WireTokens();
   void WireClaims();
+  void StartHosts();
   void Tick();
   kj::Promise<void> StopDuties();
   void FillDigest(peer_digest& digest);
@@ -72,6 +79,9 @@
   std::unique_ptr<peer_mesh> mesh_;
   std::unique_ptr<settings_relay> relay_;
   std::unique_ptr<fleet_poller> poller_;
+  std::unique_ptr<host_board> board_;
+  std::unique_ptr<host_duty> host_duty_;
+  std::unique_ptr<fleet_service> fleet_;
   std::unique_ptr<operator_service> operators_;
   std::unique_ptr<token_service> tokens_of_teams_;
   std::unique_ptr<token_recovery_duty> recovery_;
--- a/src/control/control_options.h
+++ b/src/control/control_options.h
@@ -36,6 +36,17 @@
   millis gone_bound_ms = 0;
   /// An entry session without a report for this long is broken.
   millis entry_silent_ms = 5000;
+  /// Pause between two rounds of the host duty.
+  millis duty_round_ms = 1000;
+  /// A host that is missing from the live list for this long has failed; a
+  /// failed one that is listed again for this long has recovered.
+  millis host_absent_ms = 3000;
+  /// A draining host must report nothing running for this long after the last
+  /// confirmation: the live list lags by up to 3 s.
+  millis drain_settle_ms = 4000;
+  /// A reboot that is not seen after this is ordered again. The control that
+  /// ordered it first may have died before it sent the order.
+  millis reboot_retry_ms = 60000;
   /// Without contact to the store or another data centre for this long, the
   /// data centre counts as cut off.
   millis cut_off_after_ms = 5000;
--- a/src/control/entry_registry.cc
+++ b/src/control/entry_registry.cc
@@ -17,7 +17,8 @@
       timing_(timing),
       settings_(settings),
       table_(table),
-      changed_(timer) {
+      changed_(timer),
+      started_ms_(clock_.Now()) {
   settings_.OnChange([this] { changed_.Raise(); });
   table_.OnChange([this] { changed_.Raise(); });
 }
@@ -117,7 +118,11 @@
 entry_registry::host_use entry_registry::HostUse(const std::string& host,
                                                  std::uint64_t version) const {
   host_use use;
-  use.confirmed = LastTableVersion() >= version;
+  // After a restart of this control, its entry may go on for a while with the
+  // table that it got before.
+  bool unknown = sessions_.empty() && !lost_.stated &&
+                 clock_.Now() - started_ms_ < entry_gone_ms;
+  use.confirmed = !unknown && LastTableVersion() >= version;
   auto add = [&](const entry_state& state) {
     for (const auto& flight : state.in_flight) {
       if (flight.host == host) use.in_flight += flight.count;
--- a/src/control/entry_registry.h
+++ b/src/control/entry_registry.h
@@ -76,6 +76,7 @@
   settings_keeper& settings_;
   runner_table& table_;
   change_signal changed_;
+  millis started_ms_;
   std::uint64_t last_id_ = 0;
   std::map<std::uint64_t, entry_state> sessions_;
   /// The last session that broke, while its entry may still work.
--- a/src/control/fleet_poller.cc
+++ b/src/control/fleet_poller.cc
@@ -12,10 +12,11 @@
 
 }  // namespace
 
-fleet_poller::fleet_poller(kj::Timer& timer, const control_options& options,
-                           store_port& store, settings_keeper& keeper,
-                           runner_table& table)
+fleet_poller::fleet_poller(kj::Timer& timer, clock now,
+                           const control_options& options, store_port& store,
+                           settings_keeper& keeper, runner_table& table)
     : timer_(timer),
+      clock_(std::move(now)),
       options_(options),
       store_(store),
       keeper_(keeper),
@@ -35,8 +36,7 @@
   return store_.Live()
       .then([this](result<live_list> list) {
         if (Ok(list)) {
-          sources_.live = std::move(Value(list));
-          live_known_ = true;
+          TakeLive(std::move(Value(list)));
           Rebuild();
         }
         return timer_.afterDelay(options_.timing.live_poll_ms *
@@ -46,23 +46,41 @@
 }
 
 kj::Promise<void> fleet_poller::HostsLoop() {
-  return store_.Hosts()
-      .then([this](result<std::vector<platform_host>> list) {
-        millis wait = options_.timing.hosts_poll_ms;
-        if (Ok(list)) {
-          sources_.hosts.clear();
-          for (auto& host : Value(list)) {
-            sources_.hosts[host.host] = std::move(host);
-          }
-          Rebuild();
-        } else if (sources_.hosts.empty()) {
-          wait = options_.timing.live_poll_ms;
-        }
+  return RefreshHosts()
+      .then([this](bool) {
+        millis wait = sources_.hosts.empty() ? options_.timing.live_poll_ms
+                                             : options_.timing.hosts_poll_ms;
         return timer_.afterDelay(wait * kj::MILLISECONDS);
       })
       .then([this] { return HostsLoop(); });
 }
 
+kj::Promise<bool> fleet_poller::RefreshHosts() {
+  return store_.Hosts().then([this](result<std::vector<platform_host>> list) {
+    if (!Ok(list)) return false;
+    sources_.hosts.clear();
+    for (auto& host : Value(list)) {
+      sources_.hosts[host.host] = std::move(host);
+    }
+    Rebuild();
+    return true;
+  });
+}
+
+void fleet_poller::TakeLive(live_list list) {
+  live_read_ms_ = clock_.Now();
+  if (!live_known_) first_live_ms_ = live_read_ms_;
+  live_known_ = true;
+  for (const auto& host : list.hosts) seen_ms_[host.host] = live_read_ms_;
+  sources_.live = std::move(list);
+}
+
+millis fleet_poller::AbsentSinceMs(const std::string& host) const {
+  auto seen = seen_ms_.find(host);
+  if (seen == seen_ms_.end()) return first_live_ms_;
+  return seen->second == live_read_ms_ ? 0 : seen->second;
+}
+
 kj::Promise<void> fleet_poller::RecordsLoop() {
   return store_.List(kHostPrefix)
       .then([this](result<stored_values> list) -> kj::Promise<void> {
@@ -71,6 +89,7 @@
                                    kj::MILLISECONDS);
         }
         records_revision_ = Value(list).revision;
+        records_known_ = true;
         sources_.records.clear();
         for (const auto& item : Value(list).items) TakeRecord(item);
         Rebuild();
@@ -113,7 +132,8 @@
 }
 
 void fleet_poller::Rebuild() {
-  if (!live_known_ || !keeper_.Tree()) return;
+  // Without the records, hosts that drain would seem to accept work.
+  if (!live_known_ || !records_known_ || !keeper_.Tree()) return;
   std::uint64_t before = table_.Version();
   table_.Replace(BuildTable(sources_, *keeper_.Tree()), HostEpochs(sources_));
   if (table_.Version() == before) return;
--- a/src/control/fleet_poller.h
+++ b/src/control/fleet_poller.h
@@ -18,7 +18,7 @@
 /// decide thread.
 class fleet_poller : private kj::TaskSet::ErrorHandler {
  public:
-  fleet_poller(kj::Timer& timer, const control_options& options,
+  fleet_poller(kj::Timer& timer, clock now, const control_options& options,
                store_port& store, settings_keeper& keeper, runner_table& table);
 
   void Start();
@@ -29,6 +29,27 @@
 
   const table_sources& Sources() const { return sources_; }
 
+  /// True once the live list, the hosts and the records were read.
+  bool Complete() const {
+    return live_known_ && records_known_ && !sources_.hosts.empty();
+  }
+
+  /// When the platform answered with a live list last, in ms of the clock.
+  millis LiveReadMs() const { return live_read_ms_; }
+
+  /// Since when `host` is missing from the live list, in ms of the clock; 0 if
+  /// it is listed. A host that is never listed counts from the first list.
+  millis AbsentSinceMs(const std::string& host) const;
+
+  /// Takes a host record that was read or written elsewhere.
+  void Observe(const stored_value& item) {
+    TakeRecord(item);
+    Rebuild();
+  }
+
+  /// Reads the hosts now. Resolves to false if the platform did not answer.
+  kj::Promise<bool> RefreshHosts();
+
   /// Table version with which the record of `host` came into the table; 0 if
   /// it has none.
   std::uint64_t VersionOf(const std::string& host) const;
@@ -39,16 +60,22 @@
   kj::Promise<void> HostsLoop();
   kj::Promise<void> RecordsLoop();
   kj::Promise<void> RecordsWatch();
+  void TakeLive(live_list list);
   void TakeRecord(const stored_value& item);
   void Rebuild();
 
   kj::Timer& timer_;
+  clock clock_;
   const control_options& options_;
   store_port& store_;
   settings_keeper& keeper_;
   runner_table& table_;
   table_sources sources_;
   bool live_known_ = false;
+  bool records_known_ = false;
+  millis live_read_ms_ = 0;
+  millis first_live_ms_ = 0;
+  std::map<std::string, millis> seen_ms_;  // Last time on the live list.
   std::uint64_t records_revision_ = 0;
   std::map<std::string, std::uint64_t> epochs_in_table_;
   std::map<std::string, std::uint64_t> version_of_host_;
--- a/src/control/host_view.cc
+++ b/src/control/host_view.cc
@@ -31,6 +31,8 @@
   if (error || view.state.empty()) {
     return failure{failure_kind::kInternal, "the record lacks state or epoch"};
   }
+  auto whole = maintenance::ParseHostRecord(value);
+  if (Ok(whole)) view.record = std::move(Value(whole));
   return view;
 }
 
--- a/src/control/host_view.h
+++ b/src/control/host_view.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include "src/base/result.h"
+#include "src/maintenance/host_record.h"
 
 namespace radishwing::control {
 
@@ -15,6 +17,8 @@
   std::string pool;
   std::string state;  ///< `active`, `draining`, `empty`, …
   std::uint64_t epoch = 0;
+  /// The whole record, if it has all its fields.
+  std::optional<maintenance::host_record> record;
 };
 
 /// Reads the record under `host/<data_centre>/<host>`.
--- a/src/control/operator_wiring.cc
+++ b/src/control/operator_wiring.cc
@@ -9,6 +9,8 @@
 namespace radishwing::control {
 namespace {
 
+failure Busy() { return {failure_kind::kFull, "the control process is busy"}; }
+
 /// Runs `action` on the decide thread, or completes with kFull.
 template <typename T, typename Action>
 void OnDecide(control_process& process, operator_completion<T> completion,
@@ -18,7 +20,7 @@
         action(core.Operators(), std::move(completion));
       });
   if (!posted) {
-    completion(failure{failure_kind::kFull, "the control process is busy"});
+    completion(Busy());
   }
 }
 
@@ -34,6 +36,38 @@
   };
 }
 
+/// A hook of the fleet that takes a name or an order.
+template <typename Subject>
+auto OfFleet(control_process& process,
+             void (fleet_service::*method)(Subject, json_completion)) {
+  return [&process, method](std::decay_t<Subject> subject,
+                            json_completion completion) {
+    const bool posted =
+        process.Post([method, subject, completion](control_core& core) {
+          (core.Fleet().*method)(subject, completion);
+        });
+    if (!posted) completion(Busy());
+  };
+}
+
+auto OfFleet(control_process& process,
+             void (fleet_service::*method)(json_completion)) {
+  return [&process, method](json_completion completion) {
+    const bool posted = process.Post([method, completion](control_core& core) {
+      (core.Fleet().*method)(completion);
+    });
+    if (!posted) completion(Busy());
+  };
+}
+
+void AddFleetHooks(control_process& process, operator_hooks& hooks) {
+  hooks.list_hosts = OfFleet(process, &fleet_service::ListHosts);
+  hooks.show_host = OfFleet(process, &fleet_service::ShowHost);
+  hooks.order_host = OfFleet(process, &fleet_service::OrderHost);
+  hooks.list_pools = OfFleet(process, &fleet_service::ListPools);
+  hooks.show_pool = OfFleet(process, &fleet_service::ShowPool);
+}
+
 }  // namespace
 
 operator_hooks MakeOperatorHooks(control_process& process) {
@@ -64,6 +98,7 @@
           service.Confirmations(std::move(done));
         });
   };
+  AddFleetHooks(process, hooks);
   hooks.set_log_level = SetLogLevel;
   return hooks;
 }
--- a/src/control/platform_seam.h
+++ b/src/control/platform_seam.h
@@ -56,11 +56,18 @@
   std::vector<live_runner> runners;
 };
 
-/// Where a host stands.
+/// State of a host as the platform knows it.
+enum class platform_state { kUp, kDraining, kRebooting, kFailed };
+
+/// Where a host stands, what it has and its state.
 struct platform_host {
   std::string host;
   std::string data_centre;
   std::string rack;
+  std::uint32_t cores = 0;
+  std::uint32_t memory_mb = 0;
+  std::uint32_t accelerators = 0;
+  platform_state state = platform_state::kUp;
 };
 
 template <typename T>
@@ -86,6 +93,11 @@
   std::function<void(std::string lease, reply_to<done>)> drop_lease;
   std::function<void(reply_to<live_list>)> live;
   std::function<void(reply_to<std::vector<platform_host>>)> hosts;
+  /// Maintenance of one host. kConflict: its state does not allow the call.
+  std::function<void(std::string host, reply_to<done>)> drain_host;
+  std::function<void(std::string host, reply_to<done>)> undrain_host;
+  /// Restarts the host at once, whatever runs on it.
+  std::function<void(std::string host, reply_to<done>)> reboot_host;
 };
 
 }  // namespace radishwing::control
--- a/src/control/platform_thread.cc
+++ b/src/control/platform_thread.cc
@@ -70,12 +70,27 @@
   return live;
 }
 
+platform_state Convert(platform::host_state state) {
+  switch (state) {
+    case platform::host_state::kUp:
+      return platform_state::kUp;
+    case platform::host_state::kDraining:
+      return platform_state::kDraining;
+    case platform::host_state::kRebooting:
+      return platform_state::kRebooting;
+    case platform::host_state::kFailed:
+      break;
+  }
+  return platform_state::kFailed;
+}
+
 result<std::vector<platform_host>> Convert(
     const result<std::vector<platform::host_info>>& list) {
   if (!Ok(list)) return Error(list);
   std::vector<platform_host> hosts;
   for (const auto& host : Value(list)) {
-    hosts.push_back({host.host, host.data_centre, host.rack});
+    hosts.push_back({host.host, host.data_centre, host.rack, host.cores,
+                     host.memory_mb, host.accelerators, Convert(host.state)});
   }
   return hosts;
 }
@@ -102,6 +117,18 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work{
       io.get_executor()};
   bounded_ring<std::function<void()>> ring;
+  /// One maintenance call of the host client.
+  using host_call = void (platform::http_host_client::*)(
+      std::string_view, platform::host_client::completion<done>);
+
+  std::function<void(std::string, reply_to<done>)> HostCall(host_call method) {
+    return [this, method](std::string host, reply_to<done> reply) {
+      Post(std::move(reply), [this, method, host](auto completion) {
+        (hosts.get()->*method)(host, completion);
+      });
+    };
+  }
+
   std::unique_ptr<platform::http_kv_store> store;
   std::unique_ptr<platform::http_live_list_client> live;
   std::unique_ptr<platform::http_host_client> hosts;
@@ -183,6 +210,9 @@
       i->hosts->List([done](auto list) { done(Convert(list)); });
     });
   };
+  seam.drain_host = i->HostCall(&platform::http_host_client::Drain);
+  seam.undrain_host = i->HostCall(&platform::http_host_client::Undrain);
+  seam.reboot_host = i->HostCall(&platform::http_host_client::Reboot);
   return seam;
 }
 
--- /dev/null
+++ b/src/control/record_watch.cc
@@ -0,0 +1,62 @@
+#include "src/control/record_watch.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "src/base/log.h"
+
+namespace radishwing::control {
+
+record_watch::record_watch(kj::Timer& timer, const control_options& options,
+                           store_port& store, std::string prefix)
+    : timer_(timer),
+      options_(options),
+      store_(store),
+      prefix_(std::move(prefix)),
+      tasks_(kj::heap<kj::TaskSet>(
+          static_cast<kj::TaskSet::ErrorHandler&>(*this))) {}
+
+void record_watch::Observe(const stored_value& item) {
+  auto known = items_.find(item.key);
+  if (known != items_.end() && known->second.version > item.version) return;
+  if (item.deleted) {
+    items_.erase(item.key);
+  } else {
+    items_[item.key] = item;
+  }
+}
+
+kj::Promise<void> record_watch::Pause() {
+  return timer_.afterDelay(options_.timing.live_poll_ms * kj::MILLISECONDS);
+}
+
+kj::Promise<void> record_watch::ReadLoop() {
+  return store_.List(prefix_)
+      .then([this](result<stored_values> list) -> kj::Promise<void> {
+        if (!Ok(list)) return Pause();
+        revision_ = Value(list).revision;
+        known_ = true;
+        items_.clear();
+        for (const auto& item : Value(list).items) items_[item.key] = item;
+        return WatchLoop();
+      })
+      .then([this] { return ReadLoop(); });
+}
+
+kj::Promise<void> record_watch::WatchLoop() {
+  return store_.Watch(prefix_, revision_)
+      .then([this](result<stored_values> seen) -> kj::Promise<void> {
+        // After a failure everything is read again.
+        if (!Ok(seen)) return Pause();
+        revision_ = std::max(revision_, Value(seen).revision);
+        for (const auto& item : Value(seen).items) Observe(item);
+        return WatchLoop();
+      });
+}
+
+void record_watch::taskFailed(kj::Exception&& exception) {
+  LogError("store", "watch failed, prefix=" + prefix_ +
+                        " reason=" + exception.getDescription().cStr());
+}
+
+}  // namespace radishwing::control
--- a/src/control/store_port.cc
+++ b/src/control/store_port.cc
@@ -107,4 +107,22 @@
       [&](auto reply) { seam_.hosts(std::move(reply)); });
 }
 
+kj::Promise<result<done>> store_port::DrainHost(const std::string& host) {
+  return Call<done>(
+      seam_.drain_host != nullptr, timing_.put_deadline_ms,
+      [&](auto reply) { seam_.drain_host(host, std::move(reply)); });
+}
+
+kj::Promise<result<done>> store_port::UndrainHost(const std::string& host) {
+  return Call<done>(
+      seam_.undrain_host != nullptr, timing_.put_deadline_ms,
+      [&](auto reply) { seam_.undrain_host(host, std::move(reply)); });
+}
+
+kj::Promise<result<done>> store_port::RebootHost(const std::string& host) {
+  return Call<done>(
+      seam_.reboot_host != nullptr, timing_.put_deadline_ms,
+      [&](auto reply) { seam_.reboot_host(host, std::move(reply)); });
+}
+
 }  // namespace radishwing::control
--- a/src/control/store_port.h
+++ b/src/control/store_port.h
@@ -37,6 +37,9 @@
   kj::Promise<result<done>> DropLease(const std::string& lease);
   kj::Promise<result<live_list>> Live();
   kj::Promise<result<std::vector<platform_host>>> Hosts();
+  kj::Promise<result<done>> DrainHost(const std::string& host);
+  kj::Promise<result<done>> UndrainHost(const std::string& host);
+  kj::Promise<result<done>> RebootHost(const std::string& host);
 
   /// When the store answered last, in ms of the clock.
   millis LastContactMs() const { return last_contact_ms_; }
--- a/tests/control/fake_store.cc
+++ b/tests/control/fake_store.cc
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <utility>
 
+#include "src/maintenance/host_record.h"
+
 namespace radishwing::control {
 
 fake_store::fake_store() : thread_([this] { Main(); }) {}
@@ -153,9 +155,45 @@
     Serve<hosts>(who, false, std::move(reply),
                  [this]() -> result<hosts> { return hosts_; });
   };
+  auto change = [this, who](platform_state state) {
+    return [this, who, state](std::string host, auto reply) {
+      Serve<done>(who, true, std::move(reply),
+                  [this, host, state]() -> result<done> {
+                    ChangeHost(host, state);
+                    return done();
+                  });
+    };
+  };
+  seam.drain_host = change(platform_state::kDraining);
+  seam.undrain_host = change(platform_state::kUp);
+  seam.reboot_host = [this, who](std::string host, auto reply) {
+    Serve<done>(who, true, std::move(reply), [this, host]() -> result<done> {
+      Reboot(host);
+      return done();
+    });
+  };
   return seam;
 }
 
+void fake_store::ChangeHost(const std::string& host, platform_state state) {
+  for (auto& info : hosts_) {
+    if (info.host == host) info.state = state;
+  }
+}
+
+void fake_store::Reboot(const std::string& host) {
+  std::string state = "none";
+  for (const auto& [key, value] : values_) {
+    if (!key.starts_with("host/") || !key.ends_with('/' + host)) continue;
+    auto record = maintenance::ParseHostRecord(value.value);
+    if (Ok(record)) state = maintenance::HostStateName(Value(record).state);
+  }
+  reboots_.push_back(host + ':' + state);
+  ChangeHost(host, platform_state::kRebooting);
+  later_.push_back({clock_.Now() + 100,
+                    [this, host] { SetHostState(host, platform_state::kUp); }});
+}
+
 void fake_store::Main() {
   std::unique_lock<std::mutex> lock(mutex_);
   while (!stop_) {
@@ -220,6 +258,16 @@
   hosts_ = std::move(hosts);
 }
 
+void fake_store::SetHostState(const std::string& host, platform_state state) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  ChangeHost(host, state);
+}
+
+std::vector<std::string> fake_store::Reboots() {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return reboots_;
+}
+
 int fake_store::Writes(const std::string& prefix) {
   std::lock_guard<std::mutex> lock(mutex_);
   int count = 0;
--- a/tests/control/fake_store.h
+++ b/tests/control/fake_store.h
@@ -39,6 +39,12 @@
   std::string Read(const std::string& key);
   void SetLive(live_list list, std::vector<platform_host> hosts);
 
+  /// Each reboot as "<host>:<state of its record>".
+  std::vector<std::string> Reboots();
+
+  /// Changes the state of a host on the platform.
+  void SetHostState(const std::string& host, platform_state state);
+
   /// Successful writes of keys with this prefix.
   int Writes(const std::string& prefix);
 
@@ -70,6 +76,8 @@
   stored_values Changes(const std::string& prefix, std::uint64_t after,
                         bool deleted_too);
   void ExpireLeases();
+  void ChangeHost(const std::string& host, platform_state state);
+  void Reboot(const std::string& host);
   void Main();
 
   clock clock_ = clock::Monotonic();
@@ -88,6 +96,7 @@
   std::vector<later> later_;
   live_list live_;
   std::vector<platform_host> hosts_;
+  std::vector<std::string> reboots_;
   std::thread thread_;
 };
 
--- a/tests/control/test_entry.h
+++ b/tests/control/test_entry.h
@@ -38,6 +38,7 @@
       rpc::entry_report report;
       report.settings_revision = revision;
       report.table_version = table_version;
+      if (in_flight > 0) report.in_flight.push_back({busy_host, in_flight});
       return report;
     };
     hooks.on_cancel = [this](std::string_view, std::string_view) { ++cancels; };
@@ -69,6 +70,8 @@
 
   std::string owner;
   int claims = 0;
+  std::string busy_host;  ///< Set before `in_flight`.
+  std::atomic<std::uint32_t> in_flight{0};
   std::atomic<bool> connected{false};
   std::atomic<int> cancels{0};
   std::atomic<std::uint64_t> revision{0};
--- a/tests/control/test_fleet.cc
+++ b/tests/control/test_fleet.cc
@@ -33,6 +33,10 @@
   timing.roster_grace_ms = 1200;
   timing.gone_bound_ms = 500;
   timing.entry_silent_ms = 1000;
+  timing.duty_round_ms = 50;
+  timing.host_absent_ms = 300;
+  timing.drain_settle_ms = 200;
+  timing.reboot_retry_ms = 1500;
   timing.cut_off_after_ms = 500;
   if (adjust) adjust(options);
   addresses_.push_back(options.advertised_address);
