--- a/src/control/host_steps.cc
+++ b/src/control/host_steps.cc
@@ -105,19 +105,16 @@
 
 outcome host_steps::Fail(const host_record& record) {
   const std::string id = platform::NewChangeId();
-  return SwapLedger(record.pool,
-                    [record,
-                     id](const ledger_record& ledger) -> result<ledger_record> {
-                      if (!ledger.hosts.contains(record.host)) {
-                        return failure{failure_kind::kNotFound, "not listed"};
-                      }
-                      return EnterFailure(ledger, record.host, id);
-                    })
+  const auto enter = [record, id](const ledger_record& ledger) {
+    // A host that is not listed yet is entered as well: a Sync that read its
+    // record before the failure would list it as available.
+    ledger_record listed = ledger;
+    listed.hosts.emplace(record.host, record.rack);
+    return EnterFailure(listed, record.host, id);
+  };
+  return SwapLedger(record.pool, enter)
       .then([=, this](result<done> entered) -> outcome {
-        // A host that is not listed cannot be counted as available.
-        if (!Ok(entered) && Error(entered).kind != failure_kind::kNotFound) {
-          return entered;
-        }
+        if (!Ok(entered)) return entered;
         return Write(record, [id](const host_record& held) {
           return MarkFailed(held, id);
         });
