--- a/src/jobs/job_driver_impl.h
+++ b/src/jobs/job_driver_impl.h
@@ -53,10 +53,13 @@
       --self.calls;
       const auto found = self.known.find(id);
       job_record* job = self.store.Find(id);
-      if (found == self.known.end() || !job) return;
-      found->second.busy = false;
-      handler(self, *job, found->second, std::move(outcome));
-      self.LookAgain(id);
+      if (found != self.known.end() && job) {
+        found->second.busy = false;
+        handler(self, *job, found->second, std::move(outcome));
+        self.LookAgain(id);
+      }
+      // Waiting for the next tick would limit the rate of calls.
+      self.Tick();
     });
   }
 
@@ -82,6 +85,8 @@
   void Changed(job_record& job, progress& p, bool changed, millis after);
   void ReleaseToken(progress& p);
   millis PollDelay(const progress& p) const;
+  /// Pause after a call that did not reach the platform.
+  millis RetryDelay(const progress& p) const;
   std::uint32_t FailureLimit(const job_record& job) const;
 
   job_store& store;
@@ -93,6 +98,7 @@
   std::set<due_entry> due;
   worker_health health;
   std::size_t calls = 0;
+  millis start_after = 0;  ///< No starts before; set while starts fail.
   bool stopped = false;
 };
 
