Let handlers run in the random faults test

The test parsed all records after each handler. In the sanitizer build this took so long that calls missed their deadlines and the test hung; the check now runs after every 50th handler.

--- a/tests/jobs/job_faults_test.cc
+++ b/tests/jobs/job_faults_test.cc
@@ -77,8 +77,11 @@
     time.Advance(static_cast<millis>(random() % 400));
   }
   Fault(fault_mode::kNone);
+  int turns = 0;
   RunUntil([&] {
     time.Advance(10);
+    // Reading the records after each handler would starve the handlers.
+    if (++turns % 50 != 0) return false;
     const auto recorded = Recorded();
     return std::all_of(recorded.begin(), recorded.end(), [](const auto& item) {
       return HasEnded(item.second.state);
