Iterate over a copy of the roster in the claim session

Cause: AddressSanitizer found a use after free in claim_session_test.cc: Settle replaces the roster over whose members Change iterates. Change: the session iterates over a copy; the golden file is unchanged.

--- a/tests/session/claim_session_test.cc
+++ b/tests/session/claim_session_test.cc
@@ -40,7 +40,9 @@
     }
     roster = Value(next);
     Spread();
-    for (const roster_member& member : roster.members) Settle(member.id);
+    // Settle replaces the roster.
+    const std::vector<roster_member> members = roster.members;
+    for (const roster_member& member : members) Settle(member.id);
     out << "epoch=" << roster.epoch << " former=" << roster.former.size()
         << " unsettled=" << roster.unsettled.size() << '\n';
   }
