Run jobs through the control process

Cause: the entry session's job call answered 503; src/jobs was not wired.

Change: job_service runs the job manager on the thread of the platform's clients and places tasks by src/placement on active hosts of its data centre. job_link hands over requests and tokens on the decide thread and tells job_service every second which hosts may take tasks. The answer carries the tasks per host, and a control confirms a draining host only after it excluded the host from new tasks and with its tasks counted as in flight. The jobs of a failed or departed control of the data centre are taken over. job_store and job_manager got ForEach and Adopting.

--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -81,8 +81,15 @@
       std::make_unique<host_duty>(timer_, clock_, options_, store_, *board_);
   host_duty_->cut_off_ms = [this] { return CutOffMs(); };
   fleet_ = std::make_unique<fleet_service>(store_, *board_);
+  jobs_ = std::make_unique<job_link>(timer_, options_, store_, *board_,
+                                     *tokens_of_teams_);
+  board_->jobs_on = [this](const std::string& host) { return jobs_->On(host); };
+  entries_.handlers.job = [this](const rpc::job_request& request) {
+    return jobs_->Handle(request);
+  };
   board_->Start();
   host_duty_->Start();
+  jobs_->Start();
 }
 
 void control_core::WirePeers() {
@@ -192,6 +199,7 @@
 kj::Promise<void> control_core::StopDuties() {
   poller_->Stop();
   board_->Stop();
+  jobs_->Stop();
   return host_duty_->Stop()
       .then([this] { return recovery_->Stop(); })
       .then([this] { return tokens_of_teams_->Stop(); })
@@ -208,7 +216,9 @@
     std::uint64_t version = poller_->VersionOf(host);
     auto use = entries_.HostUse(host, version);
     if (version == 0 || !use.confirmed) continue;
-    digest.confirmations.push_back({host, record.epoch, use.in_flight});
+    auto jobs = jobs_->On(host);
+    if (!jobs) continue;
+    digest.confirmations.push_back({host, record.epoch, use.in_flight + *jobs});
   }
 }
 
@@ -224,6 +234,7 @@
   mesh_->Members().SetInForce(entries_.RevisionInForce(),
                               entries_.HostEpochsInForce());
   mesh_->Tick();
+  for (const membership::member& row : mesh_->Rows()) jobs_->OnMember(row);
   tokens_of_teams_->Tick();
   recovery_->Tick();
   claims_->Tick();
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -12,6 +12,7 @@
 #include "src/control/fleet_service.h"
 #include "src/control/host_board.h"
 #include "src/control/host_duty.h"
+#include "src/control/job_link.h"
 #include "src/control/operator_service.h"
 #include "src/control/peer_handlers.h"
 #include "src/control/peer_mesh.h"
@@ -52,6 +53,7 @@
   claim_service& Claims() { return *claims_; }
   operator_service& Operators() { return *operators_; }
   fleet_service& Fleet() { return *fleet_; }
+  job_link& Jobs() { return *jobs_; }
   host_board& Hosts() { return *board_; }
   host_duty& HostDuty() { return *host_duty_; }
   token_service& Tokens() { return *tokens_of_teams_; }
@@ -82,6 +84,7 @@
   std::unique_ptr<host_board> board_;
   std::unique_ptr<host_duty> host_duty_;
   std::unique_ptr<fleet_service> fleet_;
+  std::unique_ptr<job_link> jobs_;
   std::unique_ptr<operator_service> operators_;
   std::unique_ptr<token_service> tokens_of_teams_;
   std::unique_ptr<token_recovery_duty> recovery_;
--- a/src/control/host_board.cc
+++ b/src/control/host_board.cc
@@ -106,8 +106,9 @@
   const host_record* record = Record(host);
   const std::uint64_t version = poller_.VersionOf(host);
   auto own = entries_.HostUse(host, version);
-  if (record != nullptr && version != 0 && own.confirmed) {
-    rows.push_back({options_.host, record->epoch, own.in_flight});
+  auto jobs = jobs_on ? jobs_on(host) : std::optional<std::uint32_t>(0);
+  if (record != nullptr && version != 0 && own.confirmed && jobs) {
+    rows.push_back({options_.host, record->epoch, own.in_flight + *jobs});
   }
   return rows;
 }
@@ -131,7 +132,7 @@
 }
 
 std::uint32_t host_board::Running(const std::string& host) const {
-  std::uint32_t running = tasks_on ? tasks_on(host) : 0;
+  std::uint32_t running = 0;
   for (const auto& runner : poller_.Sources().live.runners) {
     if (runner.host == host) running += runner.running;
   }
--- a/src/control/host_board.h
+++ b/src/control/host_board.h
@@ -32,8 +32,9 @@
   void Start();
   void Stop();
 
-  /// Running platform tasks on a host, as far as they are known here.
-  std::function<std::uint32_t(const std::string& host)> tasks_on;
+  /// Tasks of this control's jobs on a draining host; nothing while a task may
+  /// still be started there.
+  std::function<std::optional<std::uint32_t>(const std::string& host)> jobs_on;
 
   void OnDigest(const peer_digest& digest) { confirmations_.Take(digest); }
 
--- a/src/control/platform_seam.h
+++ b/src/control/platform_seam.h
@@ -2,12 +2,14 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "src/base/clock.h"
 #include "src/base/result.h"
+#include "src/rpc/entry_link.h"
 
 namespace radishwing::control {
 
@@ -70,6 +72,29 @@
   platform_state state = platform_state::kUp;
 };
 
+/// A host on which jobs may be placed.
+struct job_host {
+  platform_host about;
+  bool accepts_work = true;  ///< False while it drains or has failed.
+};
+
+/// The jobs that this control drives, after it took over a list of hosts.
+struct job_counts {
+  std::map<std::string, std::uint32_t> tasks_on;  ///< By host.
+  std::map<std::string, std::uint32_t> by_state;
+  bool complete = false;  ///< False while jobs are still being taken over.
+};
+
+/// What the jobs of a control are started with. The token hooks may be called
+/// on any thread.
+struct job_start {
+  std::string data_centre;
+  std::string owner;  ///< "<host>#<incarnation>".
+  std::function<void(std::string team, std::function<void(bool)>)>
+      acquire_token;
+  std::function<void(std::string team)> release_token;
+};
+
 template <typename T>
 using reply_to = std::function<void(result<T>)>;
 
@@ -98,6 +123,16 @@
   std::function<void(std::string host, reply_to<done>)> undrain_host;
   /// Restarts the host at once, whatever runs on it.
   std::function<void(std::string host, reply_to<done>)> reboot_host;
+
+  /// Jobs, which run beside the platform's clients. Not set: no jobs.
+  std::function<void(job_start)> start_jobs;
+  std::function<void(rpc::job_request, reply_to<rpc::job_answer>)> job;
+  /// Hosts for new tasks, and every host of the fleet for what can never fit.
+  /// No task starts on a host that the list excludes once it is answered.
+  std::function<void(std::vector<job_host> hosts, reply_to<job_counts>)>
+      set_job_hosts;
+  /// Takes over the jobs of a failed control of this data centre.
+  std::function<void(std::string host)> adopt_jobs;
 };
 
 }  // namespace radishwing::control
--- a/src/control/platform_thread.cc
+++ b/src/control/platform_thread.cc
@@ -8,9 +8,11 @@
 
 #include "src/base/bounded_ring.h"
 #include "src/base/thread_name.h"
+#include "src/control/job_service.h"
 #include "src/platform/http_host_client.h"
 #include "src/platform/http_kv_store.h"
 #include "src/platform/http_live_list_client.h"
+#include "src/platform/http_task_client.h"
 
 namespace radishwing::control {
 namespace {
@@ -117,6 +119,36 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work{
       io.get_executor()};
   bounded_ring<std::function<void()>> ring;
+  /// Jobs go through the ring as well, so that nothing overtakes their start.
+  void AddJobs(platform_seam& seam) {
+    seam.start_jobs = [this](job_start start) {
+      ring.TryPush([this, start = std::move(start)] {
+        jobs = std::make_unique<job_service>(io, *store, *tasks, start);
+      });
+    };
+    seam.job = [this](rpc::job_request request, auto reply) {
+      Post(std::move(reply), [this, request](auto done) {
+        if (!jobs) return done(NoJobs());
+        jobs->Handle(request, [done](rpc::job_answer a) { done(a); });
+      });
+    };
+    seam.set_job_hosts = [this](std::vector<job_host> list, auto reply) {
+      Post(std::move(reply), [this, list = std::move(list)](auto done) {
+        if (!jobs) return done(NoJobs());
+        done(jobs->SetHosts(list));
+      });
+    };
+    seam.adopt_jobs = [this](std::string host) {
+      ring.TryPush([this, host] {
+        if (jobs) jobs->Adopt(host);
+      });
+    };
+  }
+
+  static failure NoJobs() {
+    return {failure_kind::kUnavailable, "the jobs were not started"};
+  }
+
   /// One maintenance call of the host client.
   using host_call = void (platform::http_host_client::*)(
       std::string_view, platform::host_client::completion<done>);
@@ -132,6 +164,8 @@
   std::unique_ptr<platform::http_kv_store> store;
   std::unique_ptr<platform::http_live_list_client> live;
   std::unique_ptr<platform::http_host_client> hosts;
+  std::unique_ptr<platform::http_task_client> tasks;
+  std::unique_ptr<job_service> jobs;
   std::thread thread;
 };
 
@@ -145,6 +179,7 @@
   made->store = std::make_unique<platform::http_kv_store>(Value(link));
   made->live = std::make_unique<platform::http_live_list_client>(Value(link));
   made->hosts = std::make_unique<platform::http_host_client>(Value(link));
+  made->tasks = std::make_unique<platform::http_task_client>(Value(link));
   made->thread = std::thread([state = made.get()] {
     NameThread("store");
     state->io.run();
@@ -210,6 +245,7 @@
       i->hosts->List([done](auto list) { done(Convert(list)); });
     });
   };
+  i->AddJobs(seam);
   seam.drain_host = i->HostCall(&platform::http_host_client::Drain);
   seam.undrain_host = i->HostCall(&platform::http_host_client::Undrain);
   seam.reboot_host = i->HostCall(&platform::http_host_client::Reboot);
--- a/src/control/store_port.cc
+++ b/src/control/store_port.cc
@@ -125,4 +125,25 @@
       [&](auto reply) { seam_.reboot_host(host, std::move(reply)); });
 }
 
+bool store_port::StartJobs(job_start start) {
+  if (!seam_.start_jobs) return false;
+  seam_.start_jobs(std::move(start));
+  return true;
+}
+
+kj::Promise<result<rpc::job_answer>> store_port::Job(rpc::job_request request) {
+  return Call<rpc::job_answer>(
+      seam_.job != nullptr, timing_.store_deadline_ms,
+      [&](auto reply) { seam_.job(std::move(request), std::move(reply)); });
+}
+
+kj::Promise<result<job_counts>> store_port::SetJobHosts(
+    std::vector<job_host> hosts) {
+  return Call<job_counts>(seam_.set_job_hosts != nullptr,
+                          timing_.store_deadline_ms, [&](auto reply) {
+                            seam_.set_job_hosts(std::move(hosts),
+                                                std::move(reply));
+                          });
+}
+
 }  // namespace radishwing::control
--- a/src/control/store_port.h
+++ b/src/control/store_port.h
@@ -41,6 +41,17 @@
   kj::Promise<result<done>> UndrainHost(const std::string& host);
   kj::Promise<result<done>> RebootHost(const std::string& host);
 
+  /// False if the platform runs no jobs.
+  bool StartJobs(job_start start);
+  kj::Promise<result<rpc::job_answer>> Job(rpc::job_request request);
+  kj::Promise<result<job_counts>> SetJobHosts(std::vector<job_host> hosts);
+  void AdoptJobs(const std::string& host) {
+    if (seam_.adopt_jobs) seam_.adopt_jobs(host);
+  }
+
+  /// Runs a task on the decide thread; callable from any thread.
+  const poster& Post() const { return post_; }
+
   /// When the store answered last, in ms of the clock.
   millis LastContactMs() const { return last_contact_ms_; }
 
--- a/src/jobs/job_manager.h
+++ b/src/jobs/job_manager.h
@@ -38,6 +38,12 @@
   /// if it is still alive: only one process can write a batch.
   void Adopt(std::string_view host);
 
+  /// See job_store.
+  void ForEach(const std::function<void(const job_record&)>& visit) const {
+    store_->ForEach(visit);
+  }
+  bool Adopting() const { return store_->Adopting(); }
+
   /// See job_driver.
   std::map<std::string, std::uint32_t> RunningByTeam() const;
 
--- a/src/jobs/job_store.cc
+++ b/src/jobs/job_store.cc
@@ -255,6 +255,18 @@
   });
 }
 
+void job_store::ForEach(
+    const std::function<void(const job_record&)>& visit) const {
+  for (const auto& [id, batch] : impl_->batches) {
+    for (const auto& [number, job] : batch.jobs) visit(job);
+  }
+}
+
+bool job_store::Adopting() const {
+  return impl_->adopting || !impl_->adopt_after.empty() ||
+         !impl_->orphans.empty();
+}
+
 job_record* job_store::Find(std::string_view id) {
   const auto key = ParseJobId(id);
   if (!Ok(key) || Value(key).data_centre != impl_->options.data_centre) {
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -63,6 +63,12 @@
   void CancelElsewhere(std::string_view id, std::string_view team,
                        std::function<void(result<job_record>)> completion);
 
+  /// Calls `visit` for each job that this process drives.
+  void ForEach(const std::function<void(const job_record&)>& visit) const;
+
+  /// True while jobs of earlier processes are still to be taken over.
+  bool Adopting() const;
+
   /// Jobs and bytes held in memory, submissions that wait included.
   std::size_t Jobs() const;
   std::size_t Bytes() const;
