Export the control's metrics and explain holds to operators

Cause: the control opened no metrics port, and the operator port answered 503 for explain.

Change: the control sets its gauges with each heartbeat and serves them at metrics_address; readiness needs settings and fails when a stop begins. explain names what holds a host, a team or all requests, as far as this control knows.

Conclusion: a test sees the pool gauges and the failing readiness.

--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "src/base/log.h"
+#include "src/control/control_metrics.h"
 #include "src/control/peer_session.h"
 
 namespace radishwing::control {
@@ -85,6 +86,9 @@
                                      *tokens_of_teams_);
   job_operators_ = std::make_unique<job_operators>(store_, *jobs_);
   waves_ = std::make_unique<wave_board>(*board_);
+  explain_ = std::make_unique<explain_service>(*board_, *host_duty_,
+                                               *tokens_of_teams_);
+  explain_->cut_off_ms = [this] { return CutOffMs(); };
   host_duty_->plans.push_back([this] { return waves_->Wanted(); });
   board_->jobs_on = [this](const std::string& host) { return jobs_->On(host); };
   entries_.handlers.job = [this](const rpc::job_request& request) {
@@ -184,7 +188,15 @@
   };
 }
 
+void control_core::Close() {
+  stopping_ = true;
+  if (options_.registry != nullptr) {
+    options_.registry->Gauge(metrics::metric::kReady).Set(0);
+  }
+}
+
 void control_core::Stop(std::function<void()> completion) {
+  Close();
   // A store that does not answer must not keep the process.
   kj::Duration bound = 3 * options_.timing.store_deadline_ms * kj::MILLISECONDS;
   tasks_.add(timer_.timeoutAfter(bound, StopDuties())
@@ -240,6 +252,7 @@
   for (const membership::member& row : mesh_->Rows()) jobs_->OnMember(row);
   tokens_of_teams_->Tick();
   recovery_->Tick();
+  if (options_.registry != nullptr) UpdateMetrics(*this, *options_.registry);
   claims_->Tick();
   tasks_.add(
       timer_.afterDelay(options_.timing.members.heartbeat_ms * kj::MILLISECONDS)
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -8,6 +8,7 @@
 #include "src/control/claim_service.h"
 #include "src/control/control_options.h"
 #include "src/control/entry_registry.h"
+#include "src/control/explain_service.h"
 #include "src/control/fleet_poller.h"
 #include "src/control/fleet_service.h"
 #include "src/control/host_board.h"
@@ -43,6 +44,13 @@
   /// duty still needs, then runs `completion`.
   void Stop(std::function<void()> completion);
 
+  /// True while the control accepts work: it listens, knows settings, and does
+  /// not stop.
+  bool Ready() const { return !stopping_ && settings_.Tree() != nullptr; }
+
+  /// Fails readiness before the stop begins.
+  void Close();
+
   /// How long this data centre cannot confirm its settings, in ms; 0 while it
   /// can: the store or another data centre answers.
   millis CutOffMs() const;
@@ -55,6 +63,7 @@
   claim_service& Claims() { return *claims_; }
   operator_service& Operators() { return *operators_; }
   fleet_service& Fleet() { return *fleet_; }
+  explain_service& Explanations() { return *explain_; }
   wave_board& Waves() { return *waves_; }
   job_operators& JobOperators() { return *job_operators_; }
   job_link& Jobs() { return *jobs_; }
@@ -89,12 +98,14 @@
   std::unique_ptr<host_duty> host_duty_;
   std::unique_ptr<fleet_service> fleet_;
   std::unique_ptr<wave_board> waves_;
+  std::unique_ptr<explain_service> explain_;
   std::unique_ptr<job_link> jobs_;
   std::unique_ptr<job_operators> job_operators_;
   std::unique_ptr<operator_service> operators_;
   std::unique_ptr<token_service> tokens_of_teams_;
   std::unique_ptr<token_recovery_duty> recovery_;
   std::unique_ptr<claim_service> claims_;
+  bool stopping_ = false;
   rpc::gate_server gate_;
   kj::TaskSet tasks_;  // Last, so that it is destroyed first.
 };
--- a/src/control/control_options.h
+++ b/src/control/control_options.h
@@ -6,6 +6,7 @@
 
 #include "src/base/clock.h"
 #include "src/membership/member_timing.h"
+#include "src/metrics/metric_registry.h"
 
 namespace radishwing::control {
 
@@ -64,6 +65,8 @@
   std::string fleet_secret;
   std::vector<std::string> peers;  ///< Controls to contact first.
   control_timing timing;
+  /// Gets the metrics, and must outlive the process; null: none.
+  metrics::metric_registry* registry = nullptr;
 };
 
 }  // namespace radishwing::control
--- a/src/control/job_service.cc
+++ b/src/control/job_service.cc
@@ -13,6 +13,11 @@
   return options;
 }
 
+std::string MetricState(jobs::job_state state) {
+  if (state == jobs::job_state::kAccepted) return "waiting";
+  return state == jobs::job_state::kUnknown ? "unknown" : "running";
+}
+
 }  // namespace
 
 job_service::job_service(boost::asio::io_context& io, platform::kv_store& store,
@@ -53,8 +58,9 @@
   counts.complete = !manager_.Adopting();
   std::set<std::string> live;
   manager_.ForEach([&](const jobs::job_record& job) {
-    ++counts.by_state[std::string(JobStateName(job.state))];
+    auto& states = counts.by_service[job.service];
     if (HasEnded(job.state)) return;
+    ++states[MetricState(job.state)];
     live.insert(TaskIdOf(job));
     // A recovered job may run on a host that its record does not name yet.
     if (job.in_doubt && job.host.empty()) counts.complete = false;
--- a/src/control/operator_wiring.cc
+++ b/src/control/operator_wiring.cc
@@ -72,6 +72,8 @@
   const auto waves = &control_core::Waves;
   hooks.list_waves = Of(process, waves, &wave_board::ListWaves);
   hooks.show_wave = Of(process, waves, &wave_board::ShowWave);
+  hooks.explain =
+      Of(process, &control_core::Explanations, &explain_service::Explain);
   const auto jobs = &control_core::JobOperators;
   hooks.list_jobs = Of(process, jobs, &job_operators::ListJobs);
   hooks.show_job = Of(process, jobs, &job_operators::ShowJob);
--- a/src/control/platform_seam.h
+++ b/src/control/platform_seam.h
@@ -81,7 +81,8 @@
 /// The jobs that this control drives, after it took over a list of hosts.
 struct job_counts {
   std::map<std::string, std::uint32_t> tasks_on;  ///< By host.
-  std::map<std::string, std::uint32_t> by_state;
+  /// By service, then `waiting`, `running` or `unknown`.
+  std::map<std::string, std::map<std::string, std::uint32_t>> by_service;
   bool complete = false;  ///< False while jobs are still being taken over.
 };
 
--- a/src/programs/control.cc
+++ b/src/programs/control.cc
@@ -13,6 +13,7 @@
 #include "src/control/operator_port.h"
 #include "src/control/operator_wiring.h"
 #include "src/control/platform_thread.h"
+#include "src/metrics/metrics_port.h"
 #include "src/settings/process_settings.h"
 
 namespace {
@@ -22,7 +23,8 @@
 using radishwing::control::platform_thread;
 
 control_options OptionsFrom(
-    const radishwing::settings::process_settings& settings) {
+    const radishwing::settings::process_settings& settings,
+    radishwing::metrics::metric_registry& registry) {
   control_options options;
   options.host = settings.host;
   options.data_centre = settings.data_centre;
@@ -31,6 +33,7 @@
   options.rpc_address = settings.control_address;
   options.fleet_secret = settings.fleet_secret.Reveal();
   options.peers = settings.peers;
+  options.registry = &registry;
   return options;
 }
 
@@ -54,6 +57,21 @@
   });
 }
 
+/// The metrics port; null without an address. Readiness is the gauge that the
+/// control sets with each heartbeat and when it stops.
+radishwing::result<std::unique_ptr<radishwing::metrics::metrics_port>>
+StartMetrics(const std::string& address,
+             radishwing::metrics::metric_registry& registry) {
+  using port = std::unique_ptr<radishwing::metrics::metrics_port>;
+  if (address.empty()) return port();
+  radishwing::metrics::metrics_hooks hooks;
+  hooks.ready = [&registry] {
+    return registry.Gauge(radishwing::metrics::metric::kReady).Value() > 0;
+  };
+  return radishwing::metrics::metrics_port::Make(address, registry,
+                                                 std::move(hooks));
+}
+
 int Run(const radishwing::settings::process_settings& settings) {
   radishwing::ConfigureLogs("radishwing-control", settings.minimum_level);
   boost::asio::io_context context;
@@ -63,12 +81,19 @@
     radishwing::LogError("control", radishwing::Error(platform).message);
     return 1;
   }
-  auto process = control_process::Make(OptionsFrom(settings),
+  radishwing::metrics::metric_registry registry(
+      {"radishwing-control", settings.host, settings.data_centre});
+  auto process = control_process::Make(OptionsFrom(settings, registry),
                                        radishwing::Value(platform)->Seam());
   if (!radishwing::Ok(process)) {
     radishwing::LogError("control", radishwing::Error(process).message);
     return 1;
   }
+  auto port = StartMetrics(settings.metrics_address, registry);
+  if (!radishwing::Ok(port)) {
+    radishwing::LogError("control", radishwing::Error(port).message);
+    return 1;
+  }
   AwaitSignals(context, signals, *radishwing::Value(process), true);
   auto operators = radishwing::control::operator_port::Make(
       context, settings.operator_address, settings.operator_secret,
@@ -79,8 +104,11 @@
   }
   std::cout << "radishwing-control: ready, control="
             << radishwing::Value(process)->RpcAddress()
-            << " operator=" << radishwing::Value(operators)->Address()
-            << std::endl;
+            << " operator=" << radishwing::Value(operators)->Address();
+  if (radishwing::Value(port)) {
+    std::cout << " metrics=" << radishwing::Value(port)->Address();
+  }
+  std::cout << std::endl;
   context.run();
   radishwing::LogInfo("control", "stopped");
   return 0;
--- a/tests/control/job_test.cc
+++ b/tests/control/job_test.cc
@@ -27,6 +27,7 @@
   std::unique_ptr<platform_fake::platform_fake> fake;
   std::thread thread;
   std::unique_ptr<platform_thread> platform;
+  metrics::metric_registry registry{{"radishwing-control", "c1", "dca"}};
   std::unique_ptr<control_process> control;
   std::unique_ptr<test_entry> entry;
 
@@ -78,6 +79,7 @@
     options.data_centre = "dca";
     options.incarnation = incarnation;
     options.fleet_secret = "fleet secret";
+    options.registry = &registry;
     options.timing.members.heartbeat_ms = 100;
     options.timing.members.failed_ms = 300;
     options.timing.live_poll_ms = 100;
@@ -181,6 +183,23 @@
   BOOST_TEST(progress.waiting == 0U);
 }
 
+// Guards against a control that a load balancer or an operator takes for ready
+// while it stops, and against pools that no metric shows.
+BOOST_AUTO_TEST_CASE(metrics_show_pools_and_readiness_fails_when_stopping) {
+  auto& ready = registry.Gauge(metrics::metric::kReady);
+  metrics::series spare;
+  spare.pool = "spare";
+  spare.value = "active";
+  auto& hosts = registry.Gauge(metrics::metric::kPoolHosts, spare);
+  BOOST_TEST(
+      Eventually([&] { return ready.Value() == 1 && hosts.Value() == 3; }));
+  std::promise<void> stopped;
+  control->Stop([&] { stopped.set_value(); });
+  BOOST_TEST(Eventually([&] { return ready.Value() == 0; }));
+  stopped.get_future().wait();
+  BOOST_TEST(ready.Value() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
