--- a/src/control/job_service.cc
+++ b/src/control/job_service.cc
@@ -46,13 +46,14 @@
 }
 
 job_counts job_service::SetHosts(const std::vector<job_host>& hosts) {
-  fleet_.clear();
+  auto fleet = std::make_shared<std::vector<platform::host_info>>();
   for (const job_host& host : hosts) {
     const platform_host& about = host.about;
-    fleet_.push_back({about.host, about.data_centre, about.rack, about.cores,
+    fleet->push_back({about.host, about.data_centre, about.rack, about.cores,
                       about.memory_mb, about.accelerators,
                       platform::host_state::kUp});
   }
+  fleet_ = std::move(fleet);
   placement_.SetHosts(hosts);
   job_counts counts;
   counts.complete = !manager_.Adopting();
--- a/src/control/job_service.h
+++ b/src/control/job_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <memory>
 #include <vector>
 
 #include "src/control/job_placement.h"
@@ -29,7 +30,8 @@
   jobs::job_hooks Hooks(boost::asio::io_context& io, const job_start& start);
 
   job_placement placement_;
-  std::vector<platform::host_info> fleet_;
+  std::shared_ptr<const std::vector<platform::host_info>> fleet_ =
+      std::make_shared<const std::vector<platform::host_info>>();
   jobs::job_manager manager_;
 };
 
