--- a/src/control/control_options.h
+++ b/src/control/control_options.h
@@ -48,6 +48,9 @@
   /// A reboot that is not seen after this is ordered again. The control that
   /// ordered it first may have died before it sent the order.
   millis reboot_retry_ms = 60000;
+  /// How often jobs are read again. Twice this after its start a control has
+  /// taken over the jobs of its predecessor, and confirms drains.
+  millis job_refresh_ms = 10000;
   /// Without contact to the store or another data centre for this long, the
   /// data centre counts as cut off.
   millis cut_off_after_ms = 5000;
--- a/src/control/explain_service.cc
+++ b/src/control/explain_service.cc
@@ -79,14 +79,16 @@
     list.push_back("no settings are known: entries refuse everything");
     return list;
   }
-  for (const auto& [name, service] : tree->services) {
+  for (const auto& named : tree->services) {
+    const std::string& name = named.first;
+    const std::string& pool = named.second.pool;
     const auto& runners = board_.Poller().Sources().live.runners;
     const bool served =
         std::any_of(runners.begin(), runners.end(), [&](const live_runner& r) {
           const auto* record = board_.Record(r.host);
           return r.service == name && !r.leaving && record != nullptr &&
                  record->state == maintenance::host_state::kActive &&
-                 record->pool == service.pool;
+                 record->pool == pool;
         });
     if (!served) {
       list.push_back("service " + name + " has no runner that accepts work");
--- a/src/control/job_link.cc
+++ b/src/control/job_link.cc
@@ -21,6 +21,7 @@
   job_start start;
   start.data_centre = options_.data_centre;
   start.owner = options_.host + '#' + std::to_string(options_.incarnation);
+  start.refresh_ms = options_.timing.job_refresh_ms;
   // The poster drops what comes after the end of the decide thread.
   start.acquire_token = [this, post = store_.Post()](
                             std::string team, std::function<void(bool)> done) {
--- a/src/control/job_service.cc
+++ b/src/control/job_service.cc
@@ -10,6 +10,7 @@
   jobs::job_options options;
   options.data_centre = start.data_centre;
   options.owner = start.owner;
+  options.refresh_ms = start.refresh_ms;
   return options;
 }
 
--- a/src/control/platform_seam.h
+++ b/src/control/platform_seam.h
@@ -91,6 +91,7 @@
 struct job_start {
   std::string data_centre;
   std::string owner;  ///< "<host>#<incarnation>".
+  millis refresh_ms = 10000;
   std::function<void(std::string team, std::function<void(bool)>)>
       acquire_token;
   std::function<void(std::string team)> release_token;
--- a/src/jobs/job_store.cc
+++ b/src/jobs/job_store.cc
@@ -265,7 +265,7 @@
 }
 
 bool job_store::Adopting() const {
-  return impl_->adopting || !impl_->adopt_after.empty() ||
+  return impl_->adopting || !impl_->adoptions.empty() ||
          !impl_->orphans.empty();
 }
 
--- a/tests/control/host_duty_test.cc
+++ b/tests/control/host_duty_test.cc
@@ -6,7 +6,6 @@
 namespace radishwing::control {
 namespace {
 
-constexpr auto Eventually = test_fleet::Eventually;
 using verb = host_order::verb;
 
 BOOST_FIXTURE_TEST_SUITE(host_duty, host_fixture)
--- a/tests/control/job_test.cc
+++ b/tests/control/job_test.cc
@@ -17,7 +17,9 @@
 namespace radishwing::control {
 namespace {
 
-constexpr auto Eventually = test_fleet::Eventually;
+bool Eventually(const std::function<bool()>& condition) {
+  return test_fleet::Eventually(condition);
+}
 
 /// The fake platform on a thread of its own, with a control and its entry.
 struct job_fixture {
@@ -85,6 +87,7 @@
     options.timing.live_poll_ms = 100;
     options.timing.hosts_poll_ms = 100;
     options.timing.duty_round_ms = 50;
+    options.timing.job_refresh_ms = 300;
     options.timing.drain_settle_ms = 200;
     control =
         Value(control_process::Make(std::move(options), platform->Seam()));
