Charge the learned run time at the start of an item

Cause: a declared time off by ten times stayed charged until the item ended; a team that declares too much lagged behind its share. Change: Pop charges the mean time of the team's finished items of that class and service, and the declared time only before the first has finished.

--- a/src/fairness/fair_queue.cc
+++ b/src/fairness/fair_queue.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "src/fairness/run_time_mean.h"
+
 namespace radishwing::fairness {
 
 struct fair_queue::item {
@@ -26,6 +28,14 @@
   std::uint32_t running = 0;
   std::array<flow_node, kWorkClasses> classes;
   std::array<std::size_t, kWorkClasses> backlog_index{};
+  /// Of finished items, by class and service.
+  std::array<std::vector<run_time_mean>, kWorkClasses> run_times;
+
+  run_time_mean& RunTime(std::size_t cls, std::uint32_t service) {
+    auto& means = run_times[cls];
+    if (means.size() <= service) means.resize(service + 1);
+    return means[service];
+  }
 };
 
 fair_queue::fair_queue() = default;
@@ -176,7 +186,7 @@
   Unlink(number);
   item& entry = items_[number];
   ++team->running;
-  ChangeCharge(entry, entry.expected_ms);
+  ChangeCharge(entry, team->RunTime(cls, service).ValueOr(entry.expected_ms));
   return popped_item{entry.id, number};
 }
 
@@ -225,8 +235,11 @@
 }
 
 void fair_queue::Finish(ticket number, millis used_ms) {
-  ChangeCharge(items_[number], static_cast<double>(used_ms));
-  --items_[number].team->running;
+  item& entry = items_[number];
+  const auto used = static_cast<double>(used_ms);
+  ChangeCharge(entry, used);
+  entry.team->RunTime(entry.cls, entry.service).Note(used);
+  --entry.team->running;
   Leave(number);
 }
 
--- a/src/fairness/fair_queue.h
+++ b/src/fairness/fair_queue.h
@@ -34,7 +34,7 @@
   ticket Push(const queue_item& item);
 
   /// Takes the next item of `service` whose team passes the filter, and
-  /// charges its expected time.
+  /// charges the mean time of such items, or at first its expected time.
   std::optional<popped_item> Pop(std::uint32_t service,
                                  const team_filter& may_start);
 
--- a/src/fairness/queue_item.h
+++ b/src/fairness/queue_item.h
@@ -20,7 +20,7 @@
   work_class cls = work_class::kInteractive;
   std::string_view user;
   std::string_view workspace;
-  millis expected_ms = 1;  ///< Charged until the time used is known.
+  millis expected_ms = 1;  ///< Charged until run times are known.
 };
 
 /// An item that leaves the queue to run.
--- a/tests/fairness/fair_queue_test.cc
+++ b/tests/fairness/fair_queue_test.cc
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace radishwing::fairness {
 namespace {
@@ -52,6 +53,27 @@
   BOOST_TEST(used['1'] / used['2'] < 3.1);
 }
 
+// Guards against a team that declares ten times its run time and is kept from
+// using its share by charges that are corrected later.
+BOOST_FIXTURE_TEST_CASE(fair_queue_too_long_declared_times_cost_no_share,
+                        queue_fixture) {
+  for (int i = 0; i < 100; ++i) {
+    Push(1, work_class::kInteractive, {}, 100);
+    Push(2);
+  }
+  int of_1 = 0;
+  for (int round = 0; round < 10; ++round) {
+    std::vector<popped_item> running;
+    for (int slot = 0; slot < 4; ++slot) running.push_back(*Pop());
+    for (const popped_item& item : running) {
+      of_1 += owner[item.id][0] == '1' ? 1 : 0;
+      queue.Finish(item.number, 10);
+    }
+  }
+  BOOST_TEST(of_1 >= 18);
+  BOOST_TEST(of_1 <= 22);
+}
+
 // Guards against a user with many requests who crowds out the others of the
 // same team.
 BOOST_FIXTURE_TEST_CASE(fair_queue_users_of_a_team_take_turns, queue_fixture) {
