--- a/src/fairness/fair_queue.h
+++ b/src/fairness/fair_queue.h
@@ -34,7 +34,7 @@
   ticket Push(const queue_item& item);
 
   /// Takes the next item of `service` whose team passes the filter, and
-  /// charges its expected time.
+  /// charges the mean time of such items, or at first its expected time.
   std::optional<popped_item> Pop(std::uint32_t service,
                                  const team_filter& may_start);
 
@@ -47,6 +47,11 @@
   /// Corrects the charge of a running item to `used_ms` so far.
   void Charge(ticket number, millis used_ms);
 
+  /// Charges a team for `used_ms` of slot time that it used at other entries,
+  /// so that shares hold over the fleet. Reports arrive once a second. Only
+  /// what waits here is compared: a team without waiting items is not charged.
+  void ChargeElsewhere(std::uint32_t team, millis used_ms);
+
   /// Ends a running item, which used `used_ms` of slot time.
   void Finish(ticket number, millis used_ms);
 
