Scope claims by team and give each claim an owner

An entry used one owner for all of its claims, so an identifier whose request was not run could never be tried again through the same entry: the claim table reopens such a claim only for another owner. Two teams that chose the same identifier got a conflict.

The owner is now <host>#<incarnation>/<n>, unique per claim, and claims carry <team>/<id>. Callers and runners still see the plain identifier. The control scopes the identifier of a cancellation in the same way. A fresh claim that reopens one that was not run says so; a repeat that waited may then run, and is no longer told unknown.

--- a/src/control/claim_cancel.cc
+++ b/src/control/claim_cancel.cc
@@ -33,7 +33,7 @@
 
 kj::Promise<bool> claim_service::CancelHere(const std::string& request_id,
                                             const std::string& team) {
-  auto known = owners_.find(request_id);
+  auto known = owners_.find(requests::ScopedId(team, request_id));
   if (known != owners_.end()) {
     std::string host(requests::HostOf(known->second));
     if (host == options_.host) {
@@ -50,8 +50,9 @@
 
 kj::Promise<bool> claim_service::Cancel(const std::string& request_id,
                                         const std::string& team) {
-  std::string primary = table_ ? table_->PrimaryOf(request_id) : "";
-  if (owners_.contains(request_id)) return CancelHere(request_id, team);
+  std::string id = requests::ScopedId(team, request_id);
+  std::string primary = table_ ? table_->PrimaryOf(id) : "";
+  if (owners_.contains(id)) return CancelHere(request_id, team);
   kj::Vector<kj::Promise<bool>> asked;
   auto knows = std::make_shared<bool>(false);
   for (const auto& row : mesh_.Rows()) {
--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -137,6 +137,10 @@
   return id_prefix_ + std::to_string(++runs_);
 }
 
+std::string entry_core::NextClaimOwner() {
+  return owner_ + "/" + std::to_string(++claims_);
+}
+
 std::string_view entry_core::NextRun() {
   run_.assign(id_prefix_).append("r").append(std::to_string(++runs_));
   return run_;
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -49,7 +49,8 @@
   millis Now() const { return options_.time.Now(); }
   const entry_options& Options() const { return options_; }
   buffer_pool& Buffers() { return buffers_; }
-  const std::string& Owner() const { return owner_; }
+  /// Names this entry and one claim of it.
+  std::string NextClaimOwner();
   std::uint64_t NextSequence() { return ++sequence_; }
   std::string NextRequestId();
   std::string_view NextRun();
@@ -96,8 +97,8 @@
   // Link: entry_core_link.cc.
   void SendClaim(requests::claim claim, std::weak_ptr<caller_connection> caller,
                  std::uint64_t sequence);
-  void FinishClaim(const std::string& id, requests::outcome how,
-                   std::uint16_t status);
+  void FinishClaim(const std::string& scoped_id, const std::string& owner,
+                   requests::outcome how, std::uint16_t status);
   void SendJob(rpc::job_request job, std::weak_ptr<caller_connection> caller,
                std::uint64_t sequence);
   void SendCancel(std::string_view id, std::string_view team,
@@ -175,6 +176,7 @@
   std::string run_;
   std::uint64_t sequence_ = 0;
   std::uint64_t runs_ = 0;
+  std::uint64_t claims_ = 0;
   std::uint64_t refused_heads_ = 0;
   single_writer_counter attempts_;
   single_writer_counter last_tick_;
--- a/src/entry/entry_core_link.cc
+++ b/src/entry/entry_core_link.cc
@@ -57,9 +57,10 @@
                            std::weak_ptr<caller_connection> caller,
                            std::uint64_t sequence) {
   std::string id = claim.request_id;
-  port_.claim(std::move(claim), [this, id, caller, sequence](
+  std::string owner = claim.owner;
+  port_.claim(std::move(claim), [this, id, owner, caller, sequence](
                                     result<requests::claim_answer> answer) {
-    inbox_.Post([this, id, caller, sequence, answer] {
+    inbox_.Post([this, id, owner, caller, sequence, answer] {
       if (!Ok(answer) && Error(answer).kind == failure_kind::kFull) {
         CountFullRing();
       }
@@ -69,15 +70,16 @@
       }
       // Its caller went away meanwhile: the claim was made and nothing ran.
       if (Ok(answer) && Value(answer).state == claim_state::kFresh) {
-        FinishClaim(id, requests::outcome::kNotRun, 503);
+        FinishClaim(id, owner, requests::outcome::kNotRun, 503);
       }
     });
   });
 }
 
-void entry_core::FinishClaim(const std::string& id, requests::outcome how,
+void entry_core::FinishClaim(const std::string& scoped_id,
+                             const std::string& owner, requests::outcome how,
                              std::uint16_t status) {
-  if (port_.finish) port_.finish(id, owner_, how, status);
+  if (port_.finish) port_.finish(scoped_id, owner, how, status);
 }
 
 void entry_core::SendJob(rpc::job_request job,
--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -120,7 +120,10 @@
 
 void exchange::Complete(outcome how, std::uint16_t status,
                         request_verdict verdict) {
-  if (state_.claimed) core_.FinishClaim(state_.id, how, status);
+  if (state_.claimed) {
+    core_.FinishClaim(requests::ScopedId(state_.team->name, state_.id),
+                      state_.claim_owner, how, status);
+  }
   core_.CountVerdict(state_, verdict);
   core_.CountBytes(state_, body_bytes_, response_bytes_);
   core_.Deactivate(*this);
--- a/src/entry/exchange_claim.cc
+++ b/src/entry/exchange_claim.cc
@@ -59,11 +59,13 @@
     length = std::to_string(*declared);
   }
   requests::claim claim;
-  claim.request_id = state_.id;
+  claim.request_id = requests::ScopedId(state_.team->name, state_.id);
   claim.team = state_.team->name;
   claim.digest = Sha256Hex(std::string(request.method_string()) + "\n" +
                            std::string(request.target()) + "\n" + length);
-  claim.owner = core_.Owner();
+  // An identifier that ended as not run is reopened only for another owner.
+  state_.claim_owner = core_.NextClaimOwner();
+  claim.owner = state_.claim_owner;
   core_.SendClaim(std::move(claim), caller_.shared_from_this(),
                   state_.sequence);
 }
@@ -78,8 +80,13 @@
   switch (state) {
     case claim_state::kFresh:
       state_.claimed = true;
-      // A fresh claim after a wait means that the first one was forgotten.
-      state_.waited ? RejectUnclaimed() : Enqueue();
+      // A fresh claim after a wait means that the first one was not run, or
+      // that it was forgotten.
+      if (state_.waited && Value(answer).outcome != outcome::kNotRun) {
+        RejectUnclaimed();
+      } else {
+        Enqueue();
+      }
       break;
     case claim_state::kUnavailable:
       RejectUnclaimed();
--- a/src/entry/request_state.h
+++ b/src/entry/request_state.h
@@ -34,7 +34,8 @@
   bool idempotent = false;
   bool first_attempt = false;
   bool claimed = false;
-  bool waited = false;  ///< Its claim was running elsewhere.
+  std::string claim_owner;  ///< Of the last claim sent.
+  bool waited = false;      ///< Its claim was running elsewhere.
   service_state* service = nullptr;
   team_state* team = nullptr;
   std::uint32_t key_number = 0;
--- a/src/requests/claim.h
+++ b/src/requests/claim.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace radishwing::requests {
 
@@ -19,13 +20,22 @@
 
 /// A non-idempotent request that asks to run under its identifier.
 struct claim {
-  std::string request_id;
+  std::string request_id;  ///< As ScopedId() makes it.
   std::string team;
   std::string digest;  ///< SHA-256 of method, target and body length.
-  std::string owner;   ///< "<host>#<incarnation>" of the entry that asks.
+  /// "<host>#<incarnation>/<n>": the entry that asks and the number of its
+  /// claim. Unique per claim.
+  std::string owner;
 };
 
-/// Reply to a claim. `outcome` and `status` are set when finished.
+/// The identifier of a claim: two teams may use the same one.
+inline std::string ScopedId(std::string_view team,
+                            std::string_view request_id) {
+  return std::string(team).append("/").append(request_id);
+}
+
+/// Reply to a claim. `outcome` and `status` are set when finished. A fresh one
+/// has the outcome kNotRun if an earlier claim ended so.
 struct claim_answer {
   claim_state state = claim_state::kUnavailable;
   requests::outcome outcome = outcome::kNone;
--- a/src/requests/claim_table.cc
+++ b/src/requests/claim_table.cc
@@ -97,11 +97,13 @@
   } else if (PossiblyLost(claim.request_id) || !HasRoom(now)) {
     return {};
   }
+  const outcome before =
+      held == entries_.end() ? outcome::kNone : outcome::kNotRun;
   const bool single = copies.second == nullptr;
   Store(claim, Running(), single, now);
   if (single) {
     replaced_.erase(claim.request_id);
-    return {{claim_state::kFresh, outcome::kNone, 0}, {}, 0};
+    return {{claim_state::kFresh, before, 0}, {}, 0};
   }
   return {{}, copies.second->id, roster_.epoch};
 }
@@ -118,8 +120,9 @@
   if (!second) return {};
   if (second->state == claim_state::kFresh) {
     held->second.confirmed = true;
-    replaced_.erase(claim.request_id);
-    return *second;
+    const bool reopened = replaced_.erase(claim.request_id) > 0;
+    return {claim_state::kFresh, reopened ? outcome::kNotRun : outcome::kNone,
+            0};
   }
   const auto previous = replaced_.find(claim.request_id);
   if (previous != replaced_.end()) {
--- a/src/rpc/radishwing.capnp
+++ b/src/rpc/radishwing.capnp
@@ -102,7 +102,7 @@
   requestId @0 :Text;
   team @1 :Text;
   digest @2 :Text;   # SHA-256 of method, target and declared body length.
-  owner @3 :Text;    # "<host>#<incarnation>" of the entry that runs the request.
+  owner @3 :Text;    # "<host>#<incarnation>/<n>" of the entry that runs the request.
 }
 
 struct ClaimAnswer {
--- a/tests/control/claim_service_test.cc
+++ b/tests/control/claim_service_test.cc
@@ -145,8 +145,8 @@
 // Guards against a cancellation that reaches the wrong entry or none.
 BOOST_FIXTURE_TEST_CASE(claim_service_cancel_reaches_the_running_entry,
                         claim_fixture) {
-  BOOST_REQUIRE(
-      (entries["host-one"]->Claim("to-cancel").state == claim_state::kFresh));
+  BOOST_REQUIRE((entries["host-one"]->Claim("uva/to-cancel").state ==
+                 claim_state::kFresh));
   BOOST_TEST(entries["host-two"]->Cancel("to-cancel"));
   BOOST_TEST(entries["host-one"]->cancels > 0);
 }
--- a/tests/entry/claim_test.cc
+++ b/tests/entry/claim_test.cc
@@ -79,6 +79,51 @@
   BOOST_TEST(Runs() == 0u);
 }
 
+// Guards against an identifier that can never be tried again although its
+// request was not run, and against teams that meet in one identifier.
+BOOST_FIXTURE_TEST_CASE(claim_of_a_request_not_run_can_be_made_again,
+                        entry_fixture) {
+  settings.teams["tud"] = Team();
+  settings.teams["tud"].keys = {{"k2", Sha256Hex("key-tud")}};
+  std::vector<requests::claim> claims;
+  std::vector<requests::claim> ends;
+  on_claim = [&](const requests::claim& claim) {
+    claims.push_back(claim);
+    // The second one waits for the first and learns that it was not run.
+    bool repeat = claims.size() > 1;
+    return claims.size() == 2
+               ? claim_answer{claim_state::kRunning}
+               : claim_answer{claim_state::kFresh,
+                              repeat ? outcome::kNotRun : outcome::kNone, 0};
+  };
+  port.finish = [&](std::string_view id, std::string_view owner, outcome,
+                    std::uint16_t) {
+    ends.push_back({std::string(id), {}, {}, std::string(owner)});
+  };
+  Start(0);
+  auto send = [&](const char* key, const char* deadline) {
+    return Send("POST", "/sums/x",
+                {{"Authorization", key},
+                 {"Radishwing-Request-Id", "again"},
+                 {"Radishwing-Deadline-Ms", deadline}});
+  };
+  BOOST_TEST(send("Bearer key-uva", "20").outcome == "not-run");
+  AddRunner();
+  PushSnapshot();
+  BOOST_TEST(send("Bearer key-uva", "20000").status == 200u);
+  BOOST_TEST(send("Bearer key-tud", "20000").status == 200u);
+  server.reset();
+  BOOST_REQUIRE(claims.size() == 4u);
+  BOOST_REQUIRE(ends.size() == 3u);
+  BOOST_TEST(claims[2].request_id == "uva/again");
+  BOOST_TEST(claims[3].request_id == "tud/again");
+  for (int i = 0; i < 3; ++i) {
+    BOOST_TEST(claims[i].owner != claims[i + 1].owner);
+    BOOST_TEST(ends[i].owner == claims[i == 0 ? 0 : i + 1].owner);
+    BOOST_TEST(ends[i].request_id == claims[i == 0 ? 0 : i + 1].request_id);
+  }
+}
+
 // Guards against a cancelled request that is reported as not run, and against
 // its token being used again while the runner may still run it (I4).
 BOOST_FIXTURE_TEST_CASE(cancel_running_request_is_unknown_and_keeps_its_token,
