Check the cut-off grace whenever a request starts

An entry compared the cut-off time with the grace of a team at admission only. A request that was queued before could start after the grace, and an entry that had been paused still took its session for open, so it started work with tokens that its control had given to others.

The link now tells when the last report that got a reply was sent. The entry counts silence from there, checks it at each dispatch, before an attempt is sent on a new connection and at each retry, and rejects queued requests once a second when the grace is over.

--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -191,6 +191,8 @@
   for (auto& link : runner_links_) {
     if (link) link->pool->CloseIdleSince(now - kIdleConnectionMs);
   }
+  // The grace of a team may be over.
+  RecheckQueued();
   ReturnIdleTokens();
   ShowGauges();
 }
@@ -246,6 +248,10 @@
     return rejection{403, "team_not_admitted",
                      "The service does not admit this team any more"};
   }
+  if (state.key_number != 0 && CutOff(*state.team)) {
+    return rejection{503, "cut_off",
+                     "The data centre is cut off and cannot confirm the key"};
+  }
   return std::nullopt;
 }
 
@@ -279,6 +285,11 @@
 millis entry_core::CutOffMs() const {
   millis now = Now();
   millis told = cut_off_ms_ > 0 ? cut_off_ms_ + (now - snapshot_at_) : 0;
+  // The process may have been paused: the session then looks open although
+  // the control has ended it, and its end may not have been noticed yet.
+  millis contact = contact_at_;
+  millis silent = contact < 0 ? 0 : now - contact;
+  if (silent > kControlRestartMs) told = std::max(told, silent);
   if (connected_) return told;
   return std::max(told, now - disconnected_at_ - kControlRestartMs);
 }
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -40,6 +41,8 @@
   void Stop(std::function<void()> stopped);
   void ApplySnapshot(rpc::snapshot snapshot);
   void SetConnected(bool connected);
+  /// Callable from any thread.
+  void NoteContact(millis sent_at) { contact_at_ = sent_at; }
   boost::asio::io_context& Context() { return context_; }
   serve_inbox& Inbox() { return inbox_; }
   report_board& Board() { return board_; }
@@ -193,6 +196,7 @@
   bool connected_ = false;
   bool new_session_ = false;
   millis disconnected_at_ = 0;
+  std::atomic<millis> contact_at_{-1};  ///< Negative: none yet.
 
   stop_phase stop_ = stop_phase::kNone;
   millis stop_at_ = 0;
--- a/src/entry/entry_core_dispatch.cc
+++ b/src/entry/entry_core_dispatch.cc
@@ -85,7 +85,11 @@
   fairness::fair_queue& queue = service.pool->queue;
   if (queue.WaitingOfService(service.index) == 0) return false;
   auto popped = queue.Pop(service.index, [this](std::uint32_t team) {
-    return team == 0 || directory_.Team(team).tokens.HasFree();
+    if (team == 0) return true;
+    const team_state& state = directory_.Team(team);
+    // Checked at every start: after the grace the control may have given the
+    // tokens to others.
+    return state.tokens.HasFree() && !CutOff(state);
   });
   if (!popped) return false;
   exchange& e = FromQueueNumber(popped->id);
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -68,6 +68,7 @@
   hooks.on_connected = [this](bool connected) {
     server->OnConnected(connected);
   };
+  hooks.on_contact = [this](millis sent_at) { server->OnContact(sent_at); };
   hooks.make_report = [this] { return server->MakeReport(); };
   hooks.on_cancel = [this](std::string_view id, std::string_view team) {
     server->OnCancel(id, team);
--- a/src/entry/entry_server.cc
+++ b/src/entry/entry_server.cc
@@ -71,6 +71,10 @@
       [p = impl_.get(), connected] { p->core.SetConnected(connected); });
 }
 
+void entry_server::OnContact(millis sent_at) {
+  impl_->core.NoteContact(sent_at);
+}
+
 void entry_server::OnCancel(std::string_view request_id,
                             std::string_view team) {
   impl_->core.Inbox().Post(
--- a/src/entry/entry_server.h
+++ b/src/entry/entry_server.h
@@ -35,6 +35,7 @@
   // Hooks for rpc::entry_link.
   void OnSnapshot(rpc::snapshot snapshot);
   void OnConnected(bool connected);
+  void OnContact(millis sent_at);
   void OnCancel(std::string_view request_id, std::string_view team);
   rpc::entry_report MakeReport();
 
--- a/src/entry/exchange_attempt.cc
+++ b/src/entry/exchange_attempt.cc
@@ -72,6 +72,13 @@
 
 void exchange::OnConnected(const boost::system::error_code& error) {
   if (error) return Broken(broken::kRefused);
+  // The process may have been paused since the start of the attempt.
+  if (state_.key_number != 0 && core_.CutOff(*state_.team)) {
+    EndAttempt(attempt_result::kNoVerdict, next_step::kRequeue,
+               connection_use::kClose);
+    if (auto revoked = core_.Revoked(state_)) RejectQueued(std::move(*revoked));
+    return;
+  }
   Send();
 }
 
--- a/src/rpc/entry_link.h
+++ b/src/rpc/entry_link.h
@@ -97,6 +97,10 @@
   std::function<void(snapshot)> on_snapshot;
   /// The session with the control process opened (true) or broke (false).
   std::function<void(bool)> on_connected;
+  /// The control process replied to a report that was sent at `sent_at`, by
+  /// the monotonic clock. A reply may lie unread while the process is paused,
+  /// so only the time of sending says when the control was there at least.
+  std::function<void(millis sent_at)> on_contact;
   /// Fills the next report.
   std::function<entry_report()> make_report;
   /// The control process asks to cancel a request that this entry may run.
--- a/src/rpc/entry_session_client.cc
+++ b/src/rpc/entry_session_client.cc
@@ -127,7 +127,9 @@
   return timer_
       .timeoutAfter(options_.call_deadline_ms * kj::MILLISECONDS,
                     request.send())
-      .ignoreResult();
+      .then([this, sent_at = clock_.Now()](auto&&) {
+        if (hooks_.on_contact) hooks_.on_contact(sent_at);
+      });
 }
 
 kj::Promise<void> entry_session_client::ReportLoop() {
--- a/tests/entry/admission_test.cc
+++ b/tests/entry/admission_test.cc
@@ -154,6 +154,43 @@
   BOOST_TEST(Send("GET", "/sums/x").reason == "cut_off");
 }
 
+// Guards against queued work that starts with tokens which the control has
+// given to others, because the process was paused for longer than the grace
+// and has not noticed the end of its session (I4).
+BOOST_FIXTURE_TEST_CASE(admission_paused_entry_starts_no_queued_work,
+                        entry_fixture) {
+  std::atomic<millis> now{1000000};
+  options.time = clock([&] { return now.load(); });
+  Team().cut_off_grace_seconds = 100;
+  Service().longest_run_seconds = 3600;
+  token_limit = 1;
+  Start(1);
+  server->OnContact(now);
+  const std::map<std::string, std::string> patient{
+      {"Radishwing-Deadline-Ms", "3600000"}};
+  http_answer in_flight;
+  std::thread running(
+      [&] { in_flight = Send("GET", "/sums/x?work_ms=500", patient); });
+  bool started = WaitUntil([this] { return Runs() == 1; });
+  http_answer queued;
+  std::thread waiting([&] { queued = Send("GET", "/sums/x", patient); });
+  bool waits = WaitUntil([&] {
+    now += 1;  // Reports follow the clock.
+    auto report = server->MakeReport();
+    return !report.usage.empty() && report.usage[0].queued == 1;
+  });
+  now += 101000;
+  running.join();
+  waiting.join();
+  BOOST_TEST((started && waits));
+  BOOST_TEST(in_flight.status == 200u);
+  BOOST_TEST(queued.reason == "cut_off");
+  BOOST_TEST(queued.outcome == "not-run");
+  BOOST_TEST(Runs() == 1u);
+  server->OnContact(now);
+  BOOST_TEST(Send("GET", "/sums/x").status == 200u);
+}
+
 // Guards against a planned stop that interrupts work or keeps tokens (I9).
 BOOST_FIXTURE_TEST_CASE(admission_stop_completes_work_and_returns_tokens,
                         entry_fixture) {
