Send heartbeats as beats, and once per pair of controls

Cause: each control of a pair sent its own exchange every second, and every digest repeated three whole rows of about 100 bytes. Above 16 members two rows in turn per digest are too few for the news of 64 members.

Change: a member whose row the receiver has is told by a beat of 16 bytes (hash of host and incarnation, counter). Rows are sent when they changed, after a link was opened again, and every 8th digest. Of each pair the control whose name sorts first calls every second, and the answer is the heartbeat of the other one, which calls itself when it was not called for 1.5 s, and otherwise every 8 s to test its own link. Suspicion after 3 s and failure after 10 s are unchanged. In the partial mesh a digest names 10 others in turn.

--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -31,8 +31,11 @@
             {[this](const rpc::hello& who, rpc::connection_closer close) {
                return entries_.Open(who, std::move(close));
              },
-             [this](const rpc::hello&,
+             [this](const rpc::hello& who,
                     rpc::connection_closer) -> rpc::Peer::Client {
+               // It may be new, or have opened the link again after an answer
+               // that it did not get.
+               if (mesh_) mesh_->Members().ForgetTold(who.host);
                return kj::heap<peer_session>(peer_handlers_);
              }}),
       tasks_(*this) {
--- a/src/control/peer_digest.cc
+++ b/src/control/peer_digest.cc
@@ -46,11 +46,20 @@
   }
   to.usage = rpc::ReadList<rpc::team_usage>(from.getUsage());
   to.spare_tokens = rpc::ReadList<rpc::token_grant>(from.getSpareTokens());
+  auto beats = from.getBeats();
+  for (unsigned i = 0; i + 1 < beats.size(); i += 2) {
+    to.beats.push_back({beats[i], beats[i + 1]});
+  }
   return to;
 }
 
 void Write(const peer_digest& from, rpc::Digest::Builder to) {
   to.setFrom(rpc::ToText(from.from));
+  auto beats = to.initBeats(2 * from.beats.size());
+  for (unsigned i = 0; i < from.beats.size(); ++i) {
+    beats.set(2 * i, from.beats[i].tag);
+    beats.set(2 * i + 1, from.beats[i].heartbeat);
+  }
   auto members = to.initMembers(from.members.size());
   for (unsigned i = 0; i < members.size(); ++i) {
     WriteMember(from.members[i], members[i]);
--- a/src/control/peer_digest.h
+++ b/src/control/peer_digest.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "src/membership/heartbeat_beat.h"
 #include "src/membership/member.h"
 #include "src/rpc/entry_link.h"
 #include "src/rpc/radishwing.capnp.h"
@@ -25,6 +26,7 @@
   std::vector<host_confirmation> confirmations;
   std::vector<rpc::team_usage> usage;
   std::vector<rpc::token_grant> spare_tokens;
+  std::vector<membership::heartbeat_beat> beats;
 };
 
 peer_digest Read(rpc::Digest::Reader from);
--- a/src/control/peer_link.h
+++ b/src/control/peer_link.h
@@ -39,6 +39,9 @@
   /// True while a heartbeat is on its way.
   bool heartbeat_sent = false;
 
+  /// Ticks in a row at which no heartbeat was necessary.
+  int heartbeats_skipped = 0;
+
  private:
   void taskFailed(kj::Exception&& exception) override;
   void Joined(kj::Own<rpc::joined_peer> joined);
--- a/src/control/peer_mesh.cc
+++ b/src/control/peer_mesh.cc
@@ -15,6 +15,10 @@
 // last use.
 constexpr millis kReachedLinkMs = 60000;
 
+// A link whose heartbeats the other side's make unnecessary still carries one
+// in this many, so that a silent one is noticed.
+constexpr int kHeartbeatEvery = 8;
+
 membership::member SelfRow(const rpc::hello& self) {
   membership::member row;
   row.host = self.host;
@@ -86,8 +90,19 @@
   return *link;
 }
 
+bool peer_mesh::HeardBy(const std::string& host) const {
+  if (self_.host < host) return false;
+  auto called = called_ms_.find(host);
+  return called != called_ms_.end() &&
+         clock_.Now() - called->second <
+             options_.timing.members.heartbeat_ms * 3 / 2;
+}
+
 void peer_mesh::Heartbeat(peer_link& link) {
   if (link.heartbeat_sent || link.Other().host == self_.host) return;
+  if (HeardBy(link.Other().host) && ++link.heartbeats_skipped < kHeartbeatEvery)
+    return;
+  link.heartbeats_skipped = 0;
   link.heartbeat_sent = true;
   auto request = link.Peer().exchangeRequest();
   Write(MakeDigest(link.Other().host), request.initDigest());
@@ -108,6 +123,7 @@
               [this, address](kj::Exception&& reason) {
                 auto found = links_.find(address);
                 if (found == links_.end()) return;
+                members_.ForgetTold(found->second->Other().host);
                 found->second->Break(reason.getDescription().cStr());
               }));
 }
@@ -118,6 +134,7 @@
   // Everything for a member that is not known here yet.
   digest.members =
       members_.Find(to) == nullptr ? members_.All() : members_.Digest(to);
+  digest.beats = members_.Beats(to);
   if (fill) fill(digest);
   return digest;
 }
@@ -125,6 +142,8 @@
 peer_digest peer_mesh::Exchange(const peer_digest& received) {
   bool known = members_.Find(received.from) != nullptr;
   Take(received);
+  called_ms_[received.from] = clock_.Now();
+  members_.Beat();
   peer_digest answer = MakeDigest(received.from);
   if (!known) answer.members = members_.All();
   return answer;
@@ -132,6 +151,7 @@
 
 void peer_mesh::Take(const peer_digest& received) {
   Report(members_.Merge(received.members, clock_.Now()));
+  Report(members_.MergeBeats(received.beats, clock_.Now()));
   bool other_centres = false;
   bool heard = false;
   for (const auto& row : members_.All()) {
--- a/src/control/peer_mesh.h
+++ b/src/control/peer_mesh.h
@@ -67,6 +67,10 @@
   void Report(const std::vector<membership::member_change>& changes);
   std::vector<std::string> Targets();
   peer_link& LinkTo(const std::string& address);
+  /// True if `host` calls this control with its own heartbeats, whose answers
+  /// are this control's. Of each pair the one whose name sorts first calls;
+  /// the other one calls too as soon as these calls stop.
+  bool HeardBy(const std::string& host) const;
   void Heartbeat(peer_link& link);
 
   kj::AsyncIoContext& io_;
@@ -77,6 +81,7 @@
   membership::member_table members_;
   std::map<std::string, std::unique_ptr<peer_link>> links_;  // By address.
   std::map<std::string, millis> reached_until_;  // Addresses used by Reach.
+  std::map<std::string, millis> called_ms_;  // Last exchange, by host.
   millis outside_news_ms_;
   kj::TaskSet tasks_;
 };
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -4,19 +4,6 @@
 #include <utility>
 
 namespace radishwing::membership {
-namespace {
-
-// Rows of other members that a digest repeats although nothing changed. With
-// 8 members each row then travels through others about every 3 s from each.
-constexpr std::size_t kRowsInTurn = 2;
-
-bool SameExceptHeartbeat(const member& a, const member& b) {
-  return a.incarnation == b.incarnation && a.state == b.state &&
-         a.address == b.address && a.settings_revision == b.settings_revision &&
-         a.host_epochs == b.host_epochs;
-}
-
-}  // namespace
 
 std::string_view MemberStateName(member_state state) {
   switch (state) {
@@ -129,41 +116,6 @@
   ++self_.heartbeat;
 }
 
-std::vector<member> member_table::Digest(std::string_view to) {
-  std::vector<member> rows{self_};
-  auto tell = [&](entry& other) {
-    rows.push_back(other.row);
-    other.told.insert_or_assign(std::string(to), other.row);
-  };
-  std::vector<entry*> unchanged;
-  auto start = others_.upper_bound(next_row_);
-  auto visit = [&](auto first, auto last) {
-    for (; first != last; ++first) {
-      entry& other = first->second;
-      if (first->first == to) {
-        // A member hears of itself only if it has to refute something.
-        if (other.row.state != member_state::kAlive) rows.push_back(other.row);
-        continue;
-      }
-      auto told = other.told.find(to);
-      bool same = told != other.told.end() &&
-                  SameExceptHeartbeat(told->second, other.row);
-      if (same) {
-        unchanged.push_back(&other);
-      } else {
-        tell(other);
-      }
-    }
-  };
-  visit(start, others_.end());
-  visit(others_.begin(), start);
-  for (std::size_t i = 0; i < std::min(kRowsInTurn, unchanged.size()); ++i) {
-    tell(*unchanged[i]);
-    next_row_ = unchanged[i]->row.host;
-  }
-  return rows;
-}
-
 std::vector<member> member_table::All() const {
   std::vector<member> rows{self_};
   for (const auto& [host, other] : others_) rows.push_back(other.row);
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "src/base/clock.h"
+#include "src/membership/heartbeat_beat.h"
 #include "src/membership/member_change.h"
 #include "src/membership/member_timing.h"
 
@@ -28,17 +29,33 @@
   /// Takes the rows of another control's digest.
   std::vector<member_change> Merge(std::span<const member> rows, millis now);
 
+  /// Takes the beats of another control's digest. Beats of unknown
+  /// incarnations have no effect: their rows follow.
+  std::vector<member_change> MergeBeats(std::span<const heartbeat_beat> beats,
+                                        millis now);
+
+  /// Counts an answer to a heartbeat as a sign of life, so that two clocks that
+  /// drift never make an answer repeat the last counter.
+  void Beat() { ++self_.heartbeat; }
+
   /// Sets what is in force here, for the next digests.
   void SetInForce(std::uint64_t settings_revision, std::uint64_t host_epochs);
 
   /// Says in the next digests that this control leaves.
   void Leave();
 
-  /// Rows for a digest: this control, members whose state or versions changed
-  /// since the last digest to `to`, and some of the others in turn, so that
-  /// the size of a digest does not grow with the fleet.
+  /// Rows for a digest: this control and the members whose state or versions
+  /// changed since the last digest to `to`. Every 8th digest repeats the own
+  /// row and some of the others in turn, in case a digest was lost.
   std::vector<member> Digest(std::string_view to);
 
+  /// Beats for the same digest, after the rows: this control and some of the
+  /// others in turn, so that the size of a digest does not grow with the fleet.
+  std::vector<heartbeat_beat> Beats(std::string_view to);
+
+  /// The last digest to `to` may be lost: the next one has all rows again.
+  void ForgetTold(std::string_view to);
+
   /// All rows, for a member that has just joined.
   std::vector<member> All() const;
 
@@ -62,6 +79,7 @@
     std::map<std::string, member, std::less<>> told;
   };
 
+  std::vector<entry*> InTurn(std::string_view to, std::size_t most);
   void MergeSelf(const member& row);
   void MergeOther(const member& row, millis now,
                   std::vector<member_change>& changes);
@@ -70,6 +88,8 @@
   member_timing timing_;
   millis last_tick_ms_;
   std::map<std::string, entry, std::less<>> others_;
+  std::map<std::string, member, std::less<>> told_self_;
+  std::map<std::string, std::uint64_t, std::less<>> digests_;  // By receiver.
   std::string next_row_;  // Host from which the next digest continues.
   std::size_t next_failed_ = 0;
 };
--- a/src/rpc/radishwing.capnp
+++ b/src/rpc/radishwing.capnp
@@ -193,6 +193,8 @@
   confirmations @3 :List(HostConfirmation);  # Only hosts that are draining.
   usage @4 :List(TeamUsage);
   spareTokens @5 :List(TeamTokens);
+  # Pairs of a hash of host and incarnation, and the heartbeat counter.
+  beats @6 :List(UInt64);
 }
 
 interface Peer {
--- a/src/rpc/radishwing.capnp.h
+++ b/src/rpc/radishwing.capnp.h
@@ -817,7 +817,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8b740affb94bcc72, 1, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(8b740affb94bcc72, 1, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -5172,6 +5172,9 @@
   inline bool hasSpareTokens() const;
   inline  ::capnp::List< ::radishwing::rpc::TeamTokens,  ::capnp::Kind::STRUCT>::Reader getSpareTokens() const;
 
+  inline bool hasBeats() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getBeats() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5238,6 +5241,14 @@
   inline void adoptSpareTokens(::capnp::Orphan< ::capnp::List< ::radishwing::rpc::TeamTokens,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::radishwing::rpc::TeamTokens,  ::capnp::Kind::STRUCT>> disownSpareTokens();
 
+  inline bool hasBeats();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getBeats();
+  inline void setBeats( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setBeats(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initBeats(unsigned int size);
+  inline void adoptBeats(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownBeats();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -10277,6 +10288,44 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool Digest::Reader::hasBeats() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Digest::Builder::hasBeats() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Digest::Reader::getBeats() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Digest::Builder::getBeats() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Digest::Builder::setBeats( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline void Digest::Builder::setBeats(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Digest::Builder::initBeats(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Digest::Builder::adoptBeats(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Digest::Builder::disownBeats() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/tests/membership/member_table_test.cc
+++ b/tests/membership/member_table_test.cc
@@ -93,6 +93,7 @@
       for (const member& peer : peers) next.insert(peer.host);
       table.Digest("h100");
       BOOST_TEST(table.Digest("h100").size() <= 3U);
+      BOOST_TEST(table.Beats("h100").size() <= 11U);
     }
     reached = next;
   }
