Watch leases and the roster instead of reading them

Cause: each control read the keys of its four duty leases every second, read the roster again after each change that its watch showed, and held two watches of the roster. Each join of the roster makes every member write one acknowledgement, and each write woke all these watches.

Change: a control that waits for a duty watches its key, for one time to live of the lease at a time, and polls only if the watch fails. Claims and the host board share one watch of the roster and take the values from it.

--- a/src/control/claim_roster.cc
+++ b/src/control/claim_roster.cc
@@ -17,26 +17,6 @@
 
 }  // namespace
 
-kj::Promise<void> claim_service::RosterLoop() {
-  return store_.Get(kRosterKey)
-      .then([this](result<std::optional<stored_value>> found)
-                -> kj::Promise<void> {
-        if (!Ok(found)) {
-          return timer_.afterDelay(options_.timing.lease_poll_ms *
-                                   kj::MILLISECONDS);
-        }
-        roster_read_ = true;
-        if (Value(found).has_value()) ObserveRoster(*Value(found));
-        return store_.Watch(kRosterKey, roster_ ? roster_->version : 0)
-            .then([this](result<stored_values> seen) -> kj::Promise<void> {
-              if (Ok(seen)) return kj::READY_NOW;
-              return timer_.afterDelay(options_.timing.lease_poll_ms *
-                                       kj::MILLISECONDS);
-            });
-      })
-      .then([this] { return RosterLoop(); });
-}
-
 void claim_service::ObserveRoster(const stored_value& value) {
   if (roster_ && value.version <= roster_->version) return;
   auto record = requests::ParseRosterRecord(value.value);
@@ -126,7 +106,7 @@
 }
 
 void claim_service::KeepRoster() {
-  if (changing_ || stopping_ || !roster_read_) return;
+  if (changing_ || stopping_ || !roster_watch_.Known()) return;
   std::string what;
   auto change = NextChange(what);
   if (!change) return;
@@ -194,6 +174,7 @@
     std::uint64_t roster_epoch, const std::vector<requests::claim>& claims,
     const std::vector<requests::claim_answer>& answers) {
   if (!table_ || claims.size() != answers.size()) return false;
+  if (roster_epoch > table_->RosterEpoch()) roster_watch_.Hurry();
   std::vector<requests::handed_claim> handed;
   handed.reserve(claims.size());
   for (std::size_t i = 0; i < claims.size(); ++i) {
@@ -204,6 +185,7 @@
 
 kj::Promise<void> claim_service::Stop() {
   stopping_ = true;
+  roster_watch_.Stop();
   tasks_ =
       kj::heap<kj::TaskSet>(static_cast<kj::TaskSet::ErrorHandler&>(*this));
   handing_over_.clear();
--- a/src/control/claim_service.cc
+++ b/src/control/claim_service.cc
@@ -17,6 +17,10 @@
 // As many as claim_table keeps.
 constexpr std::size_t kOwnersMax = 200'000;
 
+// Every member writes an acknowledgement within about a second of each epoch,
+// and each write would wake every member.
+constexpr millis kRosterSpacingMs = 500;
+
 std::string HostOf(std::string_view id) {
   return std::string(requests::HostOf(id));
 }
@@ -36,14 +40,19 @@
       entries_(entries),
       self_(options.host + '#' + std::to_string(options.incarnation)),
       lease_(timer, clock_, options.timing, store, "lease/roster", self_),
+      roster_watch_(timer, options, store, "roster"),
       tasks_(kj::heap<kj::TaskSet>(
           static_cast<kj::TaskSet::ErrorHandler&>(*this))) {
   keeper_.OnChange([this] { MakeTable(); });
+  roster_watch_.spacing_ms = kRosterSpacingMs;
+  roster_watch_.on_item = [this](const stored_value& item) {
+    if (item.key == "roster") ObserveRoster(item);
+  };
 }
 
 void claim_service::Start() {
   tasks_->add(lease_.Run());
-  tasks_->add(RosterLoop());
+  roster_watch_.Start();
 }
 
 void claim_service::MakeTable() {
@@ -102,6 +111,7 @@
 kj::Promise<claim_answer> claim_service::ClaimAsPrimary(
     const requests::claim& claim, std::uint64_t roster_epoch) {
   if (!table_) return claim_answer();
+  if (roster_epoch > table_->RosterEpoch()) roster_watch_.Hurry();
   auto note = [this, claim](claim_answer answer) {
     bool fresh = answer.state == claim_state::kFresh;
     if (fresh && owners_.size() < kOwnersMax) {
@@ -137,6 +147,7 @@
 claim_answer claim_service::Replicate(const requests::claim& claim,
                                       std::uint64_t roster_epoch) {
   if (!table_) return {};
+  if (roster_epoch > table_->RosterEpoch()) roster_watch_.Hurry();
   return table_->Replicate(claim, roster_epoch, clock_.Now());
 }
 
--- a/src/control/claim_service.h
+++ b/src/control/claim_service.h
@@ -14,6 +14,7 @@
 #include "src/control/entry_registry.h"
 #include "src/control/peer_mesh.h"
 #include "src/control/record_swap.h"
+#include "src/control/record_watch.h"
 #include "src/control/settings_keeper.h"
 #include "src/control/store_port.h"
 #include "src/requests/claim_table.h"
@@ -66,6 +67,8 @@
   /// Leaves the roster and hands the claims over.
   kj::Promise<void> Stop();
 
+  const record_watch& RosterWatch() const { return roster_watch_; }
+
   const requests::claim_table* Table() const {
     return table_ ? &*table_ : nullptr;
   }
@@ -76,7 +79,6 @@
 
   void taskFailed(kj::Exception&& exception) override;
   void MakeTable();
-  kj::Promise<void> RosterLoop();
   void ObserveRoster(const stored_value& value);
   kj::Promise<bool> ChangeRoster(roster_change change, std::string what);
   void KeepRoster();
@@ -102,7 +104,7 @@
   duty_lease lease_;
   std::optional<requests::claim_table> table_;
   std::optional<stored_value> roster_;  // As read last.
-  bool roster_read_ = false;
+  record_watch roster_watch_;
   bool changing_ = false;
   bool stopping_ = false;
   std::set<std::string> handing_over_;
--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -79,7 +79,8 @@
 
 void control_core::StartHosts() {
   board_ = std::make_unique<host_board>(timer_, clock_, options_, store_,
-                                        *mesh_, settings_, *poller_, entries_);
+                                        *mesh_, settings_, *poller_, entries_,
+                                        claims_->RosterWatch());
   host_duty_ =
       std::make_unique<host_duty>(timer_, clock_, options_, store_, *board_);
   host_duty_->cut_off_ms = [this] { return CutOffMs(); };
--- a/src/control/duty_lease.cc
+++ b/src/control/duty_lease.cc
@@ -19,13 +19,29 @@
       holder_(std::move(holder)) {}
 
 kj::Promise<void> duty_lease::Run() {
-  return Step()
-      .then([this] {
-        // Three renewals fit into one time to live.
-        millis wait = held_ ? timing_.lease_ttl_ms / 3 : timing_.lease_poll_ms;
-        return timer_.afterDelay(wait * kj::MILLISECONDS);
-      })
-      .then([this] { return Run(); });
+  return Step().then([this] { return Wait(); }).then([this] { return Run(); });
+}
+
+kj::Promise<void> duty_lease::Wait() {
+  auto poll = [this] {
+    return timer_.afterDelay(timing_.lease_poll_ms * kj::MILLISECONDS);
+  };
+  // Three renewals fit into one time to live.
+  if (held_) {
+    return timer_.afterDelay(timing_.lease_ttl_ms / 3 * kj::MILLISECONDS);
+  }
+  std::uint64_t version = std::exchange(others_version_, 0);
+  if (version == 0) return poll();
+  // A watch ends when the other holder's key expires. It waits no longer than
+  // a lease lives, so that a watch that the store lost delays the duty little.
+  return store_.Watch(key_, version, timing_.lease_ttl_ms)
+      .then([this, version,
+             poll](result<stored_values> seen) -> kj::Promise<void> {
+        if (!Ok(seen)) return poll();
+        if (!Value(seen).items.empty()) return kj::READY_NOW;
+        others_version_ = version;
+        return Wait();
+      });
 }
 
 bool duty_lease::Held() {
@@ -41,7 +57,11 @@
 kj::Promise<void> duty_lease::TryAcquire() {
   return store_.Get(key_).then(
       [this](result<std::optional<stored_value>> found) -> kj::Promise<void> {
-        if (!Ok(found) || Value(found).has_value()) return kj::READY_NOW;
+        if (!Ok(found)) return kj::READY_NOW;
+        if (Value(found).has_value()) {
+          others_version_ = Value(found)->version;
+          return kj::READY_NOW;
+        }
         renewed_ms_ = clock_.Now();
         return store_.GrantLease(timing_.lease_ttl_ms)
             .then([this](result<std::string> granted) -> kj::Promise<void> {
--- a/src/control/duty_lease.h
+++ b/src/control/duty_lease.h
@@ -34,6 +34,7 @@
 
  private:
   kj::Promise<void> Step();
+  kj::Promise<void> Wait();
   kj::Promise<void> TryAcquire();
   kj::Promise<void> Save();
   kj::Promise<void> CheckSaved();
@@ -52,6 +53,7 @@
   std::string lease_;      // Empty without a platform lease.
   millis renewed_ms_ = 0;  // When the last successful renewal was sent.
   bool held_ = false;
+  std::uint64_t others_version_ = 0;  // Of another holder's key; 0: none.
 };
 
 }  // namespace radishwing::control
--- a/src/control/host_board.cc
+++ b/src/control/host_board.cc
@@ -16,7 +16,8 @@
 host_board::host_board(kj::Timer& timer, clock now,
                        const control_options& options, store_port& store,
                        peer_mesh& mesh, settings_keeper& keeper,
-                       fleet_poller& poller, entry_registry& entries)
+                       fleet_poller& poller, entry_registry& entries,
+                       const record_watch& roster)
     : clock_(std::move(now)),
       options_(options),
       mesh_(mesh),
@@ -26,18 +27,16 @@
       started_ms_(clock_.Now()),
       ledgers_(timer, options, store, "ledger/"),
       orders_(timer, options, store, "order/"),
-      roster_(timer, options, store, "roster") {}
+      roster_(roster) {}
 
 void host_board::Start() {
   ledgers_.Start();
   orders_.Start();
-  roster_.Start();
 }
 
 void host_board::Stop() {
   ledgers_.Stop();
   orders_.Stop();
-  roster_.Stop();
 }
 
 bool host_board::Complete() const {
--- a/src/control/host_board.h
+++ b/src/control/host_board.h
@@ -27,7 +27,8 @@
  public:
   host_board(kj::Timer& timer, clock now, const control_options& options,
              store_port& store, peer_mesh& mesh, settings_keeper& keeper,
-             fleet_poller& poller, entry_registry& entries);
+             fleet_poller& poller, entry_registry& entries,
+             const record_watch& roster);
 
   void Start();
   void Stop();
@@ -110,7 +111,7 @@
   std::map<std::string, parsed_ledger> parsed_;
   record_watch ledgers_;
   record_watch orders_;
-  record_watch roster_;
+  const record_watch& roster_;
 };
 
 }  // namespace radishwing::control
--- a/src/control/record_watch.cc
+++ b/src/control/record_watch.cc
@@ -13,6 +13,7 @@
       options_(options),
       store_(store),
       prefix_(std::move(prefix)),
+      hurry_(timer),
       tasks_(kj::heap<kj::TaskSet>(
           static_cast<kj::TaskSet::ErrorHandler&>(*this))) {}
 
@@ -23,6 +24,7 @@
     items_.erase(item.key);
   } else {
     items_[item.key] = item;
+    if (on_item) on_item(item);
   }
 }
 
@@ -37,7 +39,10 @@
         revision_ = Value(list).revision;
         known_ = true;
         items_.clear();
-        for (const auto& item : Value(list).items) items_[item.key] = item;
+        for (const auto& item : Value(list).items) {
+          items_[item.key] = item;
+          if (on_item) on_item(item);
+        }
         return WatchLoop();
       })
       .then([this] { return ReadLoop(); });
@@ -49,11 +54,18 @@
         // After a failure everything is read again.
         if (!Ok(seen)) return Pause();
         revision_ = std::max(revision_, Value(seen).revision);
+        if (Value(seen).items.empty()) return WatchLoop();
         for (const auto& item : Value(seen).items) Observe(item);
-        return WatchLoop();
+        return Space().then([this] { return WatchLoop(); });
       });
 }
 
+kj::Promise<void> record_watch::Space() {
+  millis now = (timer_.now() - kj::origin<kj::TimePoint>()) / kj::MILLISECONDS;
+  bool burst = now - std::exchange(seen_ms_, now) < 2 * spacing_ms;
+  return burst ? hurry_.Next(spacing_ms) : kj::Promise<void>(kj::READY_NOW);
+}
+
 void record_watch::taskFailed(kj::Exception&& exception) {
   LogError("store", "watch failed, prefix=" + prefix_ +
                         " reason=" + exception.getDescription().cStr());
--- a/src/control/record_watch.h
+++ b/src/control/record_watch.h
@@ -2,9 +2,11 @@
 
 #include <kj/async-io.h>
 
+#include <functional>
 #include <map>
 #include <string>
 
+#include "src/control/change_signal.h"
 #include "src/control/control_options.h"
 #include "src/control/store_port.h"
 
@@ -30,6 +32,16 @@
   /// The values by key.
   const std::map<std::string, stored_value>& Items() const { return items_; }
 
+  /// Called for each value that was read or seen.
+  std::function<void(const stored_value&)> on_item;
+
+  /// Waits this long between two changes that follow each other, so that a
+  /// burst of writes costs few calls. The first of a burst is seen at once.
+  millis spacing_ms = 0;
+
+  /// Ends such a wait: others already act on a newer value.
+  void Hurry() { hurry_.Raise(); }
+
   /// Takes a value that was read or written elsewhere.
   void Observe(const stored_value& item);
 
@@ -38,11 +50,14 @@
   kj::Promise<void> ReadLoop();
   kj::Promise<void> WatchLoop();
   kj::Promise<void> Pause();
+  kj::Promise<void> Space();
 
   kj::Timer& timer_;
   const control_options& options_;
   store_port& store_;
   std::string prefix_;
+  change_signal hurry_;
+  millis seen_ms_ = 0;  // Timer time of the last change.
   bool known_ = false;
   std::uint64_t revision_ = 0;
   std::map<std::string, stored_value> items_;
--- a/src/control/store_port.cc
+++ b/src/control/store_port.cc
@@ -70,11 +70,12 @@
 }
 
 kj::Promise<result<stored_values>> store_port::Watch(const std::string& prefix,
-                                                     std::uint64_t after) {
+                                                     std::uint64_t after,
+                                                     millis wait_ms) {
   return Call<stored_values>(
-      seam_.watch != nullptr, timing_.watch_wait_ms + timing_.store_deadline_ms,
+      seam_.watch != nullptr, wait_ms + timing_.store_deadline_ms,
       [&](auto reply) {
-        seam_.watch(prefix, after, timing_.watch_wait_ms, std::move(reply));
+        seam_.watch(prefix, after, wait_ms, std::move(reply));
       });
 }
 
--- a/src/control/store_port.h
+++ b/src/control/store_port.h
@@ -31,7 +31,11 @@
                                       const std::string& lease);
   kj::Promise<result<stored_values>> List(const std::string& prefix);
   kj::Promise<result<stored_values>> Watch(const std::string& prefix,
-                                           std::uint64_t after);
+                                           std::uint64_t after) {
+    return Watch(prefix, after, timing_.watch_wait_ms);
+  }
+  kj::Promise<result<stored_values>> Watch(const std::string& prefix,
+                                           std::uint64_t after, millis wait_ms);
   kj::Promise<result<std::string>> GrantLease(millis ttl_ms);
   kj::Promise<result<done>> RenewLease(const std::string& lease);
   kj::Promise<result<done>> DropLease(const std::string& lease);
