Keep a first contact closed once its host is a known member

Cause: in the partial mesh the links to the configured first contacts are mostly not wanted for heartbeats. They were closed at the next tick and with them the knowledge that the contact had been made, so that each control opened up to three links a second or two later again, with a handshake and all rows.

Change: the host that answered at a contact's address is kept apart from the link. The contact is called again only while that host is not a member that works.

--- a/src/control/peer_mesh.cc
+++ b/src/control/peer_mesh.cc
@@ -66,10 +66,14 @@
   for (const auto& peer : members_.HeartbeatPeers()) {
     targets.push_back(peer.address);
   }
-  // A first contact matters until its host is known as a member.
+  // A first contact matters while its host is not known as a member that works.
   for (const std::string& address : options_.peers) {
-    auto link = links_.find(address);
-    bool known = link != links_.end() && !link->second->Other().host.empty();
+    auto contact = contact_hosts_.find(address);
+    const membership::member* row = contact == contact_hosts_.end()
+                                        ? nullptr
+                                        : members_.Find(contact->second);
+    bool known =
+        row != nullptr && row->state < membership::member_state::kFailed;
     if (address != self_.address && !known) targets.push_back(address);
   }
   return targets;
@@ -81,7 +85,8 @@
     rpc::join_options join{address, options_.fleet_secret, self_,
                            options_.timing.call_deadline_ms};
     link = std::make_unique<peer_link>(io_, std::move(join),
-                                       [this, address](const rpc::hello&) {
+                                       [this, address](const rpc::hello& who) {
+                                         contact_hosts_[address] = who.host;
                                          auto found = links_.find(address);
                                          if (found != links_.end())
                                            Heartbeat(*found->second);
--- a/src/control/peer_mesh.h
+++ b/src/control/peer_mesh.h
@@ -81,7 +81,8 @@
   membership::member_table members_;
   std::map<std::string, std::unique_ptr<peer_link>> links_;  // By address.
   std::map<std::string, millis> reached_until_;  // Addresses used by Reach.
-  std::map<std::string, millis> called_ms_;      // Last exchange, by host.
+  std::map<std::string, std::string> contact_hosts_;  // Last host, by address.
+  std::map<std::string, millis> called_ms_;           // Last exchange, by host.
   millis outside_news_ms_;
   kj::TaskSet tasks_;
 };
