--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -32,8 +32,11 @@
             {[this](const rpc::hello& who, rpc::connection_closer close) {
                return entries_.Open(who, std::move(close));
              },
-             [this](const rpc::hello&,
+             [this](const rpc::hello& who,
                     rpc::connection_closer) -> rpc::Peer::Client {
+               // It may be new, or have opened the link again after an answer
+               // that it did not get.
+               if (mesh_) mesh_->Members().ForgetTold(who.host);
                return kj::heap<peer_session>(peer_handlers_);
              }}),
       tasks_(*this) {
@@ -77,7 +80,8 @@
 
 void control_core::StartHosts() {
   board_ = std::make_unique<host_board>(timer_, clock_, options_, store_,
-                                        *mesh_, settings_, *poller_, entries_);
+                                        *mesh_, settings_, *poller_, entries_,
+                                        claims_->RosterWatch());
   host_duty_ =
       std::make_unique<host_duty>(timer_, clock_, options_, store_, *board_);
   host_duty_->cut_off_ms = [this] { return CutOffMs(); };
