--- a/src/fairness/fair_queue.cc
+++ b/src/fairness/fair_queue.cc
@@ -234,12 +234,6 @@
   ChangeCharge(items_[number], static_cast<double>(used_ms));
 }
 
-void fair_queue::ChargeElsewhere(std::uint32_t team, millis used_ms) {
-  team_node& node = Team(team);
-  if (node.waiting == 0) return;
-  node.used_ms += static_cast<double>(used_ms) / node.weight;
-}
-
 void fair_queue::Finish(ticket number, millis used_ms) {
   item& entry = items_[number];
   const auto used = static_cast<double>(used_ms);
--- a/src/fairness/fair_queue.h
+++ b/src/fairness/fair_queue.h
@@ -47,11 +47,6 @@
   /// Corrects the charge of a running item to `used_ms` so far.
   void Charge(ticket number, millis used_ms);
 
-  /// Charges a team for `used_ms` of slot time that it used at other entries,
-  /// so that shares hold over the fleet. Reports arrive once a second. Only
-  /// what waits here is compared: a team without waiting items is not charged.
-  void ChargeElsewhere(std::uint32_t team, millis used_ms);
-
   /// Ends a running item, which used `used_ms` of slot time.
   void Finish(ticket number, millis used_ms);
 
