--- a/src/entry/entry_core_report.cc
+++ b/src/entry/entry_core_report.cc
@@ -125,6 +125,8 @@
   report.settings_revision = directory_.Revision();
   report.table_version = table_version_;
   for (auto& [name, pool] : directory_.Pools()) {
+    // With 106 pools and 250 teams, looking at every pair cost 3% of a core.
+    if (pool->queue.Idle() && pool->slot_ms.empty()) continue;
     for (const auto& team : directory_.Teams()) {
       rpc::team_usage usage;
       usage.slot_ms = pool->slot_ms[team->index];
--- a/src/fairness/fair_queue.h
+++ b/src/fairness/fair_queue.h
@@ -54,6 +54,8 @@
   void Sweep();
 
   std::uint32_t Waiting() const { return waiting_; }
+  /// True if no item waits or runs.
+  bool Idle() const { return present_ == 0; }
   std::uint32_t WaitingOfService(std::uint32_t service) const;
   std::uint32_t WaitingOfTeam(std::uint32_t team) const;
   std::uint32_t RunningOfTeam(std::uint32_t team) const;
