Tell operators to try again while a host has no record yet

Cause: in the first seconds of a deployment `radishwingctl host drain h1` answered that the host is not known, though the platform lists it. Change: such an order is answered 503 unavailable with the reason; a host that nobody lists is still 404.

--- a/src/control/fleet_service.cc
+++ b/src/control/fleet_service.cc
@@ -74,11 +74,22 @@
   return "";
 }
 
+failure fleet_service::NoRecord(const std::string& host) {
+  const auto& hosts = board_.Poller().Sources().hosts;
+  auto info = hosts.find(host);
+  if (info == hosts.end()) return Unknown("host", host);
+  return {failure_kind::kUnavailable,
+          "host \"" + host +
+              "\" has no record yet; the controls of data centre " +
+              info->second.data_centre +
+              " create it within half a minute of their start, try again"};
+}
+
 void fleet_service::OrderHost(host_order order, json_completion completion) {
   const auto& records = board_.Poller().Sources().records;
   auto record = records.find(order.host);
   if (record == records.end()) {
-    return completion(Unknown("host", order.host));
+    return completion(NoRecord(order.host));
   }
   if (std::string reason = Refusal(order); !reason.empty()) {
     return completion(failure{failure_kind::kInvalid, reason});
--- a/src/control/fleet_service.h
+++ b/src/control/fleet_service.h
@@ -30,6 +30,8 @@
   boost::json::object Host(const std::string& host);
   boost::json::object Pool(const std::string& pool);
   /// Why the order is refused at once; empty if it is not.
+  /// Why an order for a host without a record cannot be taken.
+  failure NoRecord(const std::string& host);
   std::string Refusal(const host_order& order);
 
   store_port& store_;
--- a/tests/control/host_duty_test.cc
+++ b/tests/control/host_duty_test.cc
@@ -31,6 +31,19 @@
       [&] { return State("text1") == "active" && Available("text") == 2; }));
 }
 
+// Guards against telling an operator that a host does not exist while only its
+// record is missing, as in the first seconds of a deployment.
+BOOST_AUTO_TEST_CASE(order_without_a_record_asks_to_try_again) {
+  store.SetLive({}, {{"far0", "dcc", "rack-9", 16, 65536, 0}});
+  BOOST_TEST(Eventually([&] {
+    auto answer = Send("ctl-one", {"far0", verb::kDrain, "", "c1"});
+    return !Ok(answer) && Error(answer).kind == failure_kind::kUnavailable;
+  }));
+  auto answer = Send("ctl-one", {"nowhere", verb::kDrain, "", "c2"});
+  BOOST_REQUIRE(!Ok(answer));
+  BOOST_TEST((Error(answer).kind == failure_kind::kNotFound));
+}
+
 // Guards against a stop under requests of an entry that cannot be asked.
 BOOST_AUTO_TEST_CASE(unconfirmed_member_keeps_the_host_draining) {
   BOOST_REQUIRE(Adopted());
--- a/tests/control/host_fixture.h
+++ b/tests/control/host_fixture.h
@@ -69,15 +69,21 @@
         [&] { return Available("text") == 3 && Available("spare") == 1; });
   }
 
-  /// Sends an order; true if it was recorded.
-  bool Order(const std::string& control, host_order order) {
-    std::promise<bool> recorded;
+  /// Sends an order and returns its answer.
+  result<boost::json::value> Send(const std::string& control,
+                                  host_order order) {
+    std::promise<result<boost::json::value>> answered;
     Get(control).Inspect([&](control_core& core) {
       core.Fleet().OrderHost(order, [&](result<boost::json::value> answer) {
-        recorded.set_value(Ok(answer));
+        answered.set_value(std::move(answer));
       });
     });
-    return recorded.get_future().get();
+    return answered.get_future().get();
+  }
+
+  /// Sends an order; true if it was recorded.
+  bool Order(const std::string& control, host_order order) {
+    return Ok(Send(control, std::move(order)));
   }
 
   std::string Note(const std::string& control, const std::string& host) {
