Let radishwingctl and the report share the waiting for one answer

Cause: ctl/http_transport and report/http_fetch each ran the same loop that sends a request and runs the io_context until it is answered. Change: http::SendAndWait does it for both. Messages and failure kinds stay.

--- a/src/ctl/http_transport.cc
+++ b/src/ctl/http_transport.cc
@@ -1,9 +1,10 @@
 #include "src/ctl/http_transport.h"
 
 #include <boost/asio/io_context.hpp>
-#include <optional>
+#include <utility>
 
 #include "src/http/client.h"
+#include "src/http/send_and_wait.h"
 
 namespace radishwing::ctl {
 namespace {
@@ -26,21 +27,13 @@
   }
   sent.body = request.body;
   sent.deadline_ms = deadline_ms;
-  std::optional<result<http::client_response>> outcome;
-  Value(client)->Send(std::move(sent), [&](auto arrived) {
-    outcome = std::move(arrived);
-    io.stop();
-  });
-  io.run();
-  if (!outcome) {
-    return failure{failure_kind::kTimeout, address + ": no answer"};
-  }
-  if (Ok(*outcome)) {
-    http::client_response& response = Value(*outcome);
+  auto outcome = http::SendAndWait(io, *Value(client), std::move(sent));
+  if (Ok(outcome)) {
+    http::client_response& response = Value(outcome);
     return raw_reply{static_cast<int>(response.status),
                      std::move(response.body)};
   }
-  failure error = Error(*outcome);
+  failure error = Error(outcome);
   error.message = address + ": " + error.message;
   // A malformed answer leaves the effect unknown as well.
   if (error.kind != failure_kind::kUnavailable) {
--- a/src/report/http_fetch.cc
+++ b/src/report/http_fetch.cc
@@ -1,9 +1,10 @@
 #include "src/report/http_fetch.h"
 
 #include <boost/asio/io_context.hpp>
-#include <optional>
+#include <utility>
 
 #include "src/http/client.h"
+#include "src/http/send_and_wait.h"
 
 namespace radishwing::report {
 
@@ -14,14 +15,7 @@
   options.address = address;
   auto client = http::client::Make(io, options);
   if (!Ok(client)) return Error(client);
-  std::optional<result<http::client_response>> outcome;
-  Value(client)->Send(std::move(request), [&](auto arrived) {
-    outcome = std::move(arrived);
-    io.stop();
-  });
-  io.run();
-  if (!outcome) return failure{failure_kind::kTimeout, "no answer"};
-  return std::move(*outcome);
+  return http::SendAndWait(io, *Value(client), std::move(request));
 }
 
 }  // namespace radishwing::report
