--- a/src/base/clock.cc
+++ b/src/base/clock.cc
@@ -1,5 +1,7 @@
 #include "src/base/clock.h"
 
+#include <time.h>
+
 #include <chrono>
 
 namespace radishwing {
@@ -12,8 +14,16 @@
       .count();
 }
 
+millis ReadBootMillis() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return static_cast<millis>(now.tv_sec) * 1000 + now.tv_nsec / 1'000'000;
+}
+
 }  // namespace
 
+clock clock::WithSuspend() { return clock(ReadBootMillis); }
+
 clock clock::Monotonic() {
   return clock(ReadMillis<std::chrono::steady_clock>);
 }
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -24,6 +24,10 @@
   /// Monotonic time of this process. Unaffected by changes of the wall clock.
   static clock Monotonic();
 
+  /// Monotonic time that goes on while the machine is suspended. Leases and
+  /// the age of what was read are measured with it.
+  static clock WithSuspend();
+
   /// Milliseconds since the Unix epoch. Only for log lines, incarnations and
   /// records that people read; no decision depends on it.
   static clock Wall();
--- /dev/null
+++ b/src/fleet/runner_report.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "src/base/clock.h"
+#include "src/fleet/resources.h"
+
+namespace radishwing::fleet {
+
+/// What a runner says about itself in the store.
+struct runner_report {
+  std::string id;
+  std::string pool;
+  std::string address;  ///< "ip:port".
+  std::string zone;
+  bool draining = false;
+  millis remaining_ms = 0;  ///< Least time left while draining.
+  resources capacity;       ///< In all, not what is left.
+  std::vector<std::string> labels;
+  std::string rack;         ///< The label that names the rack; may be empty.
+  millis born_unix_ms = 0;  ///< Start of this life of the runner.
+  friend bool operator==(const runner_report&, const runner_report&) = default;
+};
+
+}  // namespace radishwing::fleet
--- /dev/null
+++ b/src/fleet/task_name.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace radishwing::fleet {
+
+/// Identifies one task of one repetition of a job.
+struct task_name {
+  std::string job;
+  int repetition = 0;
+  int step = 0;
+  int index = 0;
+  friend auto operator<=>(const task_name&, const task_name&) = default;
+};
+
+/// "JOB.REPETITION.STEP.INDEX".
+std::string FormatTaskName(const task_name& name);
+
+/// The inverse of FormatTaskName, or nothing if `text` is malformed.
+std::optional<task_name> ParseTaskName(std::string_view text);
+
+}  // namespace radishwing::fleet
--- /dev/null
+++ b/src/node/host_keeper.cc
@@ -0,0 +1,335 @@
+#include "src/node/host_keeper.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "platform/config_codec.h"
+#include "platform/host_client.h"
+#include "platform/names.h"
+#include "src/node/record_keys.h"
+
+namespace radishwing::node {
+namespace json = boost::json;
+namespace {
+
+// Hosts are listed this often while a wave is on.
+constexpr millis kListMs = 700;
+// Batch tasks get this long to end by themselves before they are stopped.
+constexpr millis kPatienceMs = 3500;
+constexpr millis kOrderRetryMs = 700;
+// The holder of the hosts changes no faster than the platform's pause plus
+// what a last order of the predecessor may be on its way.
+constexpr millis kHolderMarginMs = 300;
+
+std::string WaveKey(std::int64_t wave) {
+  return "rw/w/" + std::to_string(wave);
+}
+
+}  // namespace
+
+struct host_keeper::impl : std::enable_shared_from_this<host_keeper::impl> {
+  struct wave_state {
+    fleet::wave_request request;
+    std::set<std::string> begun;
+    std::map<std::string, millis> down_since;  ///< Ordered, not back yet.
+    std::map<std::string, millis> draining_since;
+    std::map<std::string, millis> retry_at;
+    std::set<std::string> in_flight;
+    bool loaded = false;
+    bool told_running = false;
+    bool told_finished = false;
+    bool telling = false;
+  };
+
+  impl(node_context& context, std::uint64_t fence, sched::scheduler& scheduler)
+      : context(context),
+        fence(fence),
+        scheduler(scheduler),
+        allowed_at(context.now.Now() + context.settings.duty_lease_ms +
+                   kHolderMarginMs) {}
+
+  void Tick();
+  void List();
+  void LoadWave(std::int64_t number);
+  void StepWave(wave_state& wave);
+  void StepHost(wave_state& wave, const fleet::host_info& host);
+  void Begin(wave_state& wave, const fleet::host_info& host);
+  void OnBegun(std::int64_t number, const std::string& host,
+               fleet::order_outcome outcome);
+  void ReleaseHost(wave_state& wave, const std::string& host);
+  void KeepWave(wave_state& wave);
+  void Tell(wave_state& wave, bool finished);
+  const fleet::host_info* FindHost(const std::string& name) const;
+  std::size_t Load(const std::string& host) const;
+
+  node_context& context;
+  std::uint64_t fence;
+  sched::scheduler& scheduler;
+  std::unique_ptr<platform::host_client> client;
+  std::map<std::int64_t, wave_state> waves;
+  std::vector<fleet::host_info> hosts;
+  millis allowed_at;
+  millis listed_at = -kListMs;
+  bool listing = false;
+  bool fenced = false;
+};
+
+const fleet::host_info* host_keeper::impl::FindHost(
+    const std::string& name) const {
+  const auto it = std::ranges::find(hosts, name, &fleet::host_info::name);
+  return it == hosts.end() ? nullptr : &*it;
+}
+
+std::size_t host_keeper::impl::Load(const std::string& name) const {
+  const fleet::host_info* host = FindHost(name);
+  if (!host) return 0;
+  const sched::runner_state* runner = scheduler.FindRunner(host->runner);
+  return runner ? runner->tasks.size() : 0;
+}
+
+void host_keeper::impl::List() {
+  const millis now = context.now.Now();
+  if (listing || now - listed_at < kListMs) return;
+  if (!client) {
+    auto made = platform::host_client::Make(
+        context.io, context.settings.hosts_address, context.settings.name);
+    if (!Ok(made)) return;
+    client = std::move(Value(made));
+  }
+  listing = true;
+  listed_at = now;
+  client->List(
+      [weak = weak_from_this()](result<std::vector<fleet::host_info>> listed) {
+        const auto self = weak.lock();
+        if (!self) return;
+        self->listing = false;
+        if (Ok(listed)) {
+          self->hosts = std::move(Value(listed));
+        } else {
+          self->context.log.Warning(
+              "hosts", "list failed, error=" + Error(listed).message);
+        }
+      });
+}
+
+void host_keeper::impl::LoadWave(std::int64_t number) {
+  context.store->Get(WaveKey(number), [weak = weak_from_this(),
+                                       number](result<store::store_item> item) {
+    const auto self = weak.lock();
+    if (!self) return;
+    if (!Ok(item)) return;  // Tick asks again.
+    wave_state& wave = self->waves[number];
+    boost::system::error_code error;
+    const json::value wire = json::parse(
+        Value(item).value.empty() ? "[]" : Value(item).value, error);
+    if (!error && wire.is_array()) {
+      for (const json::value& host : wire.get_array()) {
+        if (host.is_string()) {
+          wave.begun.insert(host.get_string().c_str());
+        }
+      }
+    }
+    wave.loaded = true;
+  });
+}
+
+void host_keeper::impl::Tick() {
+  if (fenced) return;
+  bool active = false;
+  for (auto& [number, wave] : waves) {
+    if (wave.told_finished) continue;
+    active = true;
+    if (!wave.loaded) {
+      const millis now = context.now.Now();
+      if (wave.retry_at[""] <= now) {
+        wave.retry_at[""] = now + kOrderRetryMs;
+        LoadWave(number);
+      }
+    }
+  }
+  if (!active) return;
+  List();
+  if (hosts.empty()) return;
+  for (auto& [number, wave] : waves) {
+    if (wave.loaded && !wave.told_finished) StepWave(wave);
+  }
+}
+
+void host_keeper::impl::StepWave(wave_state& wave) {
+  if (!wave.told_running) return Tell(wave, false);
+  const millis now = context.now.Now();
+  std::erase_if(wave.down_since, [&](const auto& entry) {
+    const fleet::host_info* host = FindHost(entry.first);
+    const bool back =
+        host && host->state == fleet::host_state::kUp &&
+        listed_at > entry.second + context.settings.maintenance_ms;
+    return !host || back;
+  });
+  std::vector<std::string> left;
+  bool all_begun = true;
+  for (const std::string& name : wave.request.hosts) {
+    if (wave.begun.contains(name) || !FindHost(name)) continue;
+    all_begun = false;
+    if (!wave.draining_since.contains(name)) left.push_back(name);
+  }
+  if (all_begun) return Tell(wave, true);
+  if (now < allowed_at) return;
+  std::ranges::stable_sort(
+      left, [&](const auto& a, const auto& b) { return Load(a) < Load(b); });
+  const auto busy = [&] {
+    return static_cast<int>(wave.down_since.size() +
+                            wave.draining_since.size());
+  };
+  for (const std::string& name : left) {
+    if (busy() >= wave.request.max_down) break;
+    if (FindHost(name)->state != fleet::host_state::kUp) continue;
+    wave.draining_since[name] = now;
+    context.log.Info("hosts", "host drains, host=" + name + " wave=" +
+                                  std::to_string(wave.request.number));
+  }
+  const auto draining = wave.draining_since;
+  for (const auto& [name, since] : draining) {
+    const fleet::host_info* host = FindHost(name);
+    if (!host) {
+      wave.draining_since.erase(name);
+    } else {
+      StepHost(wave, *host);
+    }
+  }
+}
+
+void host_keeper::impl::StepHost(wave_state& wave,
+                                 const fleet::host_info& host) {
+  const millis now = context.now.Now();
+  if (wave.in_flight.contains(host.name) || wave.retry_at[host.name] > now) {
+    return;
+  }
+  if (!host.runner.empty() && scheduler.FindRunner(host.runner)) {
+    scheduler.SetCordoned(host.runner, true);
+    const bool patient = now - wave.draining_since[host.name] < kPatienceMs;
+    if (!scheduler.Evacuate(host.runner, !patient, now)) return;
+  }
+  Begin(wave, host);
+}
+
+void host_keeper::impl::Begin(wave_state& wave, const fleet::host_info& host) {
+  wave.in_flight.insert(host.name);
+  client->BeginMaintenance(
+      host.name, wave.request.number, fence,
+      [weak = weak_from_this(), number = wave.request.number,
+       name = host.name](fleet::order_outcome outcome) {
+        if (const auto self = weak.lock()) {
+          self->OnBegun(number, name, outcome);
+        }
+      });
+}
+
+void host_keeper::impl::OnBegun(std::int64_t number, const std::string& host,
+                                fleet::order_outcome outcome) {
+  using fleet::order_outcome;
+  wave_state& wave = waves[number];
+  wave.in_flight.erase(host);
+  context.metrics.CountOrder("maintenance", fleet::OrderOutcomeName(outcome));
+  context.log.Info("hosts", "maintenance ordered, host=" + host +
+                                " wave=" + std::to_string(number) +
+                                " outcome=" + fleet::OrderOutcomeName(outcome));
+  switch (outcome) {
+    case order_outcome::kAccepted:
+      wave.begun.insert(host);
+      wave.down_since[host] = context.now.Now();
+      wave.draining_since.erase(host);
+      KeepWave(wave);
+      return;
+    case order_outcome::kFenced:
+      // Another node controls the hosts; this term gives no more orders.
+      fenced = true;
+      return;
+    case order_outcome::kOtherWave:
+    case order_outcome::kInvalid:
+      wave.begun.insert(host);
+      ReleaseHost(wave, host);
+      return;
+    case order_outcome::kBusy:
+      // It moves or leaves; others go first.
+      ReleaseHost(wave, host);
+      wave.retry_at[host] = context.now.Now() + kOrderRetryMs;
+      return;
+    default:
+      wave.retry_at[host] = context.now.Now() + kOrderRetryMs;
+      return;
+  }
+}
+
+void host_keeper::impl::ReleaseHost(wave_state& wave, const std::string& name) {
+  wave.draining_since.erase(name);
+  const fleet::host_info* host = FindHost(name);
+  if (host) scheduler.SetCordoned(host->runner, false);
+}
+
+void host_keeper::impl::KeepWave(wave_state& wave) {
+  json::array begun;
+  for (const std::string& host : wave.begun) begun.emplace_back(host);
+  store::store_commit commit;
+  commit.expected = {{ShardKey(), fence}};
+  commit.writes = {{WaveKey(wave.request.number), json::serialize(begun), 0}};
+  context.store->Commit(
+      commit,
+      [weak = weak_from_this()](const result<store::commit_outcome>& outcome) {
+        const auto self = weak.lock();
+        if (self && !Ok(outcome)) {
+          // A successor orders again what is done; that is harmless.
+          self->context.log.Warning(
+              "hosts", "wave not kept, error=" + Error(outcome).message);
+        }
+      });
+}
+
+void host_keeper::impl::Tell(wave_state& wave, bool finished) {
+  if (wave.telling) return;
+  wave.telling = true;
+  store::store_commit commit;
+  commit.expected = {{ShardKey(), fence}};
+  commit.writes = {{platform::WaveStateKey(wave.request.number),
+                    platform::EncodeWaveState(wave.request.number, finished),
+                    0}};
+  context.store->Commit(
+      commit, [weak = weak_from_this(), number = wave.request.number,
+               finished](const result<store::commit_outcome>& outcome) {
+        const auto self = weak.lock();
+        if (!self) return;
+        wave_state& wave = self->waves[number];
+        wave.telling = false;
+        if (!Ok(outcome) || !Value(outcome).committed) return;
+        (finished ? wave.told_finished : wave.told_running) = true;
+        self->context.log.Info(
+            "hosts", "wave told, wave=" + std::to_string(number) +
+                         " state=" + (finished ? "succeeded" : "running"));
+      });
+}
+
+host_keeper::host_keeper(node_context& context, std::uint64_t fence,
+                         sched::scheduler& scheduler)
+    : impl_(std::make_shared<impl>(context, fence, scheduler)) {}
+
+host_keeper::~host_keeper() = default;
+
+void host_keeper::AddWave(const fleet::wave_request& wave) {
+  auto& state = impl_->waves[wave.number];
+  if (state.request.number == wave.number && !state.request.hosts.empty()) {
+    return;
+  }
+  state.request = wave;
+  impl_->context.log.Info(
+      "hosts", "wave requested, wave=" + std::to_string(wave.number) +
+                   " hosts=" + std::to_string(wave.hosts.size()) +
+                   " max_down=" + std::to_string(wave.max_down) +
+                   " duration_ms=" + std::to_string(wave.duration_ms));
+}
+
+void host_keeper::Tick() { impl_->Tick(); }
+
+}  // namespace radishwing::node
--- /dev/null
+++ b/src/node/job_intake.cc
@@ -0,0 +1,141 @@
+#include "src/node/job_intake.h"
+
+#include <algorithm>
+#include <deque>
+#include <utility>
+#include <vector>
+
+#include "src/node/job_record_codec.h"
+#include "src/node/record_keys.h"
+
+namespace radishwing::node {
+namespace {
+
+// The store takes 32 entries a commit; each job needs two.
+constexpr std::size_t kJobsPerCommit = 16;
+// Commits on their way at once; the store answers in a few ms.
+constexpr int kCommits = 3;
+
+}  // namespace
+
+struct job_intake::impl : std::enable_shared_from_this<job_intake::impl> {
+  struct pending_job {
+    std::string id;
+    std::string record;
+    completion done;
+    bool unknown = false;  ///< An earlier commit got no answer.
+  };
+  using batch = std::shared_ptr<std::vector<pending_job>>;
+
+  impl(node_context& context, stored_hook stored)
+      : context(context), stored(std::move(stored)) {}
+
+  void Pump();
+  void OnCommit(const batch& jobs, result<store::commit_outcome> outcome);
+  void SortOut(const batch& jobs, const store::commit_outcome& outcome);
+  void ReadBack(pending_job job);
+  void Finish(pending_job& job, intake_outcome outcome);
+
+  node_context& context;
+  stored_hook stored;
+  std::deque<pending_job> waiting;
+  int in_flight = 0;
+};
+
+void job_intake::impl::Pump() {
+  while (in_flight < kCommits && !waiting.empty()) {
+    auto jobs = std::make_shared<std::vector<pending_job>>();
+    store::store_commit commit;
+    while (!waiting.empty() && jobs->size() < kJobsPerCommit) {
+      // A repeat of an identifier goes into the next commit.
+      if (std::ranges::find(*jobs, waiting.front().id, &pending_job::id) !=
+          jobs->end()) {
+        break;
+      }
+      pending_job job = std::move(waiting.front());
+      waiting.pop_front();
+      const std::string key = JobKey(job.id);
+      commit.expected.push_back({key, 0});
+      commit.writes.push_back({key, job.record, 0});
+      jobs->push_back(std::move(job));
+    }
+    ++in_flight;
+    context.store->Commit(commit, [weak = weak_from_this(), jobs](
+                                      result<store::commit_outcome> outcome) {
+      if (const auto self = weak.lock()) self->OnCommit(jobs, outcome);
+    });
+  }
+}
+
+void job_intake::impl::OnCommit(const batch& jobs,
+                                result<store::commit_outcome> outcome) {
+  --in_flight;
+  if (Ok(outcome) && Value(outcome).committed) {
+    for (pending_job& job : *jobs) Finish(job, intake_outcome::kAccepted);
+  } else if (Ok(outcome)) {
+    SortOut(jobs, Value(outcome));
+  } else if (Error(outcome).kind == failure_kind::kUnavailable) {
+    for (pending_job& job : *jobs) {
+      Finish(job,
+             job.unknown ? intake_outcome::kUnknown : intake_outcome::kRefused);
+    }
+  } else {
+    for (pending_job& job : *jobs) ReadBack(std::move(job));
+  }
+  Pump();
+}
+
+// Some of the jobs exist: they are accepted, the others are tried again.
+void job_intake::impl::SortOut(const batch& jobs,
+                               const store::commit_outcome& outcome) {
+  const bool usable = std::ranges::any_of(
+      outcome.current,
+      [](const store::store_item& item) { return item.revision > 0; });
+  for (pending_job& job : *jobs) {
+    const std::string key = JobKey(job.id);
+    const auto existing = std::ranges::find_if(
+        outcome.current, [&](const store::store_item& item) {
+          return item.key == key && item.revision > 0;
+        });
+    if (existing != outcome.current.end()) {
+      job.record = existing->value;
+      Finish(job, intake_outcome::kAccepted);
+    } else if (usable) {
+      waiting.push_front(std::move(job));
+    } else {
+      ReadBack(std::move(job));  // Refused without a reason.
+    }
+  }
+}
+
+void job_intake::impl::ReadBack(pending_job job) {
+  auto kept = std::make_shared<pending_job>(std::move(job));
+  context.store->Get(JobKey(kept->id), [weak = weak_from_this(),
+                                        kept](result<store::store_item> item) {
+    const auto self = weak.lock();
+    if (!self) return;
+    const bool exists = Ok(item) && Value(item).revision > 0;
+    self->Finish(*kept,
+                 exists ? intake_outcome::kAccepted : intake_outcome::kUnknown);
+  });
+}
+
+void job_intake::impl::Finish(pending_job& job, intake_outcome outcome) {
+  if (outcome == intake_outcome::kAccepted) stored(job.id, job.record);
+  job.done(outcome);
+}
+
+job_intake::job_intake(node_context& context, stored_hook stored)
+    : impl_(std::make_shared<impl>(context, std::move(stored))) {}
+
+job_intake::~job_intake() = default;
+
+void job_intake::Submit(fleet::job_record record, completion done) {
+  const std::uint64_t fence = impl_->context.members.Leader().fence;
+  std::string text = EncodeJobRecord(record, fence);
+  impl_->waiting.push_back(
+      {std::move(record.id), std::move(text), std::move(done)});
+  impl_->Pump();
+}
+
+}  // namespace radishwing::node
--- /dev/null
+++ b/src/node/leader_impl.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "src/node/host_keeper.h"
+#include "src/node/leader.h"
+#include "src/node/runner_link.h"
+#include "src/node/store_watch.h"
+#include "src/sched/scheduler.h"
+
+namespace radishwing::node {
+
+/// State and steps of a leader.
+struct leader::impl : std::enable_shared_from_this<leader::impl> {
+  /// An end that waits for its job's progress to be kept.
+  struct unkept_end {
+    std::uint64_t number = 0;
+    std::string job;
+    std::uint64_t change = 0;
+  };
+
+  impl(node_context& context, std::uint64_t fence, int term,
+       millis predecessor_until, std::function<void()> lost);
+
+  // Taking over: leader_load.cc.
+  void Load();
+  void LoadRunnerSet();
+  void LoadProgress(const std::string& after);
+  void WatchRunners();
+  void WatchJobs();
+  void MaybeReady();
+  void Retry(std::function<void()> step);
+
+  // Runners: leader_runners.cc.
+  void OnRunnerItem(const store::store_item& item);
+  void OnRunnerSnapshot(const std::vector<store::store_item>& items);
+  void OnRunnerReport(const fleet::runner_report& report);
+  void OnRunnerEntryGone(const std::string& id);
+  void AddLink(const fleet::runner_report& report, millis predecessor_until);
+  runner_link_hooks LinkHooks();
+  bool OnListing(const std::string& id, const fleet::runner_listing& listing,
+                 millis sent_at);
+  void OnLeaseOver(const std::string& id);
+  void DropGoneLinks();
+  void RecordRunnerSet();
+
+  // Scheduling and keeping: leader.cc.
+  void Kick();
+  void Plan();
+  void Give(const sched::order& order);
+  void Tick();
+  void LogEvents();
+  void AcknowledgeEnds();
+  void KeepProgress();
+  void OnKept(const std::vector<sched::pending_write>& writes,
+              result<store::commit_outcome> outcome);
+  void CheckConflict(const store::commit_outcome& outcome);
+  void OnJobItem(const store::store_item& item);
+  void DropOldJobs();
+  bool MayOrder() const;
+  void Lose(std::string_view why);
+  void Stop();
+
+  node_context& context;
+  std::uint64_t fence;
+  millis predecessor_until;
+  std::function<void()> lost;
+  sched::scheduler scheduler;
+  std::map<std::string, std::unique_ptr<runner_link>> links;
+  std::map<std::string, std::deque<unkept_end>> unkept;
+  /// Runners whose entry in the store has gone, since when.
+  std::map<std::string, millis> entry_gone_since;
+  std::unique_ptr<store_watch> runner_watch;
+  std::unique_ptr<store_watch> job_watch;
+  std::map<std::string, std::string> loaded_progress;
+  std::unique_ptr<host_keeper> hosts;
+  boost::asio::steady_timer plan_timer;
+  boost::asio::steady_timer tick_timer;
+  boost::asio::steady_timer retry_timer;
+  boost::asio::steady_timer keep_timer;
+  std::function<void()> handed_over;
+  std::vector<std::string> old_jobs;
+  std::string recorded_runner_set;
+  bool runner_set_in_flight = false;
+  millis began_at = 0;
+  millis renewed_at = 0;
+  bool runners_loaded = false;
+  bool jobs_loaded = false;
+  bool ready = false;
+  bool plan_pending = false;
+  bool keep_pending = false;
+  bool keep_in_flight = false;
+  bool ended = false;
+};
+
+}  // namespace radishwing::node
--- /dev/null
+++ b/src/node/leader_load.cc
@@ -0,0 +1,180 @@
+#include <boost/json.hpp>
+#include <chrono>
+
+#include "platform/names.h"
+#include "platform/runner_codec.h"
+#include "src/node/job_record_codec.h"
+#include "src/node/leader_impl.h"
+#include "src/node/record_keys.h"
+
+// Taking over: what an earlier leader has kept, then what the runners have.
+
+namespace radishwing::node {
+namespace json = boost::json;
+namespace {
+
+constexpr millis kRetryMs = 150;
+// Changes of jobs are pushed by the nodes that accept them; this only finds
+// what a lost push left behind.
+constexpr millis kJobPollMs = 900;
+constexpr millis kJobWaitMs = 50;
+constexpr millis kRunnerWaitMs = 1000;
+
+// The runner set is a list of id, pool and address.
+std::vector<fleet::runner_report> DecodeRunnerSet(const std::string& text) {
+  std::vector<fleet::runner_report> runners;
+  boost::system::error_code error;
+  const json::value wire = json::parse(text, error);
+  if (error || !wire.is_array()) return runners;
+  for (const json::value& entry : wire.get_array()) {
+    if (!entry.is_array() || entry.get_array().size() != 3) continue;
+    const json::array& row = entry.get_array();
+    if (!row[0].is_string() || !row[1].is_string() || !row[2].is_string()) {
+      continue;
+    }
+    fleet::runner_report runner;
+    runner.id = row[0].get_string().c_str();
+    runner.pool = row[1].get_string().c_str();
+    runner.address = row[2].get_string().c_str();
+    runners.push_back(std::move(runner));
+  }
+  return runners;
+}
+
+}  // namespace
+
+void leader::impl::Retry(std::function<void()> step) {
+  retry_timer.expires_after(std::chrono::milliseconds(kRetryMs));
+  retry_timer.async_wait([weak = weak_from_this(), step = std::move(step)](
+                             boost::system::error_code error) {
+    const auto self = weak.lock();
+    if (!error && self && !self->ended) step();
+  });
+}
+
+void leader::impl::Load() { LoadRunnerSet(); }
+
+void leader::impl::LoadRunnerSet() {
+  context.store->Get(RunnerSetKey(), [weak = weak_from_this()](
+                                         result<store::store_item> item) {
+    const auto self = weak.lock();
+    if (!self || self->ended) return;
+    if (!Ok(item)) {
+      return self->Retry([raw = self.get()] { raw->LoadRunnerSet(); });
+    }
+    self->recorded_runner_set = Value(item).value;
+    for (const auto& runner : DecodeRunnerSet(Value(item).value)) {
+      self->scheduler.ExpectRunner(runner.id, runner.pool);
+      self->entry_gone_since[runner.id] = self->context.now.Now();
+      self->AddLink(runner, self->predecessor_until);
+    }
+    self->WatchRunners();
+    self->LoadProgress("");
+  });
+}
+
+void leader::impl::LoadProgress(const std::string& after) {
+  context.store->Range(
+      std::string(kProgressPrefix), after,
+      [weak = weak_from_this(), after](result<store::store_range> page) {
+        const auto self = weak.lock();
+        if (!self || self->ended) return;
+        if (!Ok(page)) {
+          return self->Retry(
+              [raw = self.get(), after] { raw->LoadProgress(after); });
+        }
+        std::string last;
+        for (store::store_item& item : Value(page).items) {
+          last = item.key;
+          self->loaded_progress[item.key.substr(kProgressPrefix.size())] =
+              std::to_string(item.revision) + " " + item.value;
+        }
+        if (Value(page).has_more && !last.empty()) {
+          return self->LoadProgress(last);
+        }
+        self->WatchJobs();
+      });
+}
+
+void leader::impl::WatchRunners() {
+  store_watch_options options;
+  options.prefix = platform::kRunnerPrefix;
+  options.wait_ms = kRunnerWaitMs;
+  store_watch_hooks hooks;
+  hooks.snapshot = [this](const std::vector<store::store_item>& items) {
+    OnRunnerSnapshot(items);
+  };
+  hooks.change = [this](const store::store_item& item) { OnRunnerItem(item); };
+  runner_watch =
+      std::make_unique<store_watch>(context.io, *context.store, context.now,
+                                    std::move(options), std::move(hooks));
+}
+
+void leader::impl::WatchJobs() {
+  store_watch_options options;
+  options.prefix = kJobPrefix;
+  options.wait_ms = kJobWaitMs;
+  options.gap_ms = kJobPollMs;
+  store_watch_hooks hooks;
+  hooks.snapshot = [this](const std::vector<store::store_item>& items) {
+    for (const store::store_item& item : items) OnJobItem(item);
+    jobs_loaded = true;
+    loaded_progress.clear();
+    MaybeReady();
+  };
+  hooks.change = [this](const store::store_item& item) { OnJobItem(item); };
+  job_watch =
+      std::make_unique<store_watch>(context.io, *context.store, context.now,
+                                    std::move(options), std::move(hooks));
+}
+
+void leader::impl::OnJobItem(const store::store_item& item) {
+  if (item.revision == 0 || item.key.size() <= kJobPrefix.size()) return;
+  std::string id = item.key.substr(kJobPrefix.size());
+  const millis now = context.now.Now();
+  if (id.ends_with(kCancelSuffix)) {
+    id.resize(id.size() - kCancelSuffix.size());
+    scheduler.CancelJob(id, now);
+    return Kick();
+  }
+  if (scheduler.FindJob(id)) return;
+  auto job = DecodeJobRecord(id, item.value);
+  if (!Ok(job)) {
+    context.log.Warning("jobs", "record unreadable, job=" + id +
+                                    " error=" + Error(job).message);
+    return;
+  }
+  // A job that was sent to this leader cannot have been started by another.
+  const bool restored =
+      Value(job).leader_fence != fence && Value(job).leader_fence != 0;
+  scheduler.AddJob(std::move(Value(job).record), restored || !jobs_loaded, now,
+                   context.unix_now.Now());
+  const auto progress = loaded_progress.find(id);
+  if (progress == loaded_progress.end()) return Kick();
+  const std::size_t space = progress->second.find(' ');
+  const auto revision = std::stoull(progress->second.substr(0, space));
+  const auto applied = scheduler.RestoreProgress(
+      id, std::string_view(progress->second).substr(space + 1), revision, now);
+  if (!Ok(applied)) {
+    context.log.Warning("jobs", "progress unreadable, job=" + id +
+                                    " error=" + Error(applied).message);
+  }
+  Kick();
+}
+
+void leader::impl::MaybeReady() {
+  if (ready || !runners_loaded || !jobs_loaded || !context.config) return;
+  ready = true;
+  scheduler.SetConfig(*context.config);
+  // Listings that came before the jobs were known have to be asked for anew.
+  const millis took = context.now.Now() - began_at;
+  context.metrics.CountTakeover(took);
+  context.log.Always("leader",
+                     "shard taken over, fence=" + std::to_string(fence) +
+                         " jobs=" + std::to_string(scheduler.JobCount()) +
+                         " took_ms=" + std::to_string(took));
+  for (auto& [id, link] : links) link->Continue();
+  Kick();
+}
+
+}  // namespace radishwing::node
--- /dev/null
+++ b/src/node/member_table.cc
@@ -0,0 +1,78 @@
+#include "src/node/member_table.h"
+
+#include <boost/json.hpp>
+
+#include "src/base/json_fields.h"
+#include "src/node/record_keys.h"
+
+namespace radishwing::node {
+namespace {
+
+// Nodes that have gone are kept for relaying; more are not worth the memory.
+constexpr std::size_t kGoneNodes = 32;
+
+bool DecodeMember(const std::string& text, member& out) {
+  auto parsed = json_fields::Parse("member", text);
+  if (!Ok(parsed)) return false;
+  out.name = Value(parsed).Text("node");
+  out.address = Value(parsed).Text("address");
+  out.started_unix_ms = Value(parsed).Signed("started");
+  return Value(parsed).Valid();
+}
+
+}  // namespace
+
+std::string EncodeMember(const member& node) {
+  return boost::json::serialize(
+      boost::json::object{{"node", node.name},
+                          {"address", node.address},
+                          {"started", node.started_unix_ms}});
+}
+
+void member_table::Reset(const std::vector<store::store_item>& items) {
+  for (auto& [name, node] : live_) gone_[name] = node;
+  live_.clear();
+  leader_ = {};
+  for (const store::store_item& item : items) Apply(item);
+}
+
+void member_table::Apply(const store::store_item& item) {
+  member node;
+  const bool present = item.revision > 0 && DecodeMember(item.value, node);
+  if (item.key == ShardKey()) {
+    leader_ = {};
+    if (present) {
+      leader_ = {node.name, node.address, node.started_unix_ms, item.revision};
+    }
+    return;
+  }
+  if (!item.key.starts_with(kNodePrefix)) return;
+  const std::string name = item.key.substr(kNodePrefix.size());
+  if (present) {
+    live_[name] = node;
+    gone_.erase(name);
+    return;
+  }
+  const auto it = live_.find(name);
+  if (it == live_.end()) return;
+  if (gone_.size() < kGoneNodes) gone_[name] = it->second;
+  live_.erase(it);
+}
+
+std::vector<member> member_table::Members() const {
+  std::vector<member> members;
+  for (const auto& [name, node] : live_) members.push_back(node);
+  for (const auto& [name, node] : gone_) members.push_back(node);
+  return members;
+}
+
+std::size_t member_table::Rank(const std::string& name) const {
+  std::size_t rank = 0;
+  for (const auto& [other, node] : live_) {
+    if (other == name) return rank;
+    ++rank;
+  }
+  return 0;
+}
+
+}  // namespace radishwing::node
--- /dev/null
+++ b/src/node/membership.cc
@@ -0,0 +1,310 @@
+#include "src/node/membership.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <utility>
+
+#include "src/node/record_keys.h"
+#include "src/node/store_watch.h"
+
+namespace radishwing::node {
+namespace {
+
+// A dead leader's key goes after this; the store allows 1,000 at least.
+constexpr millis kLeaseMs = 2500;
+constexpr millis kRenewMs = 700;
+constexpr millis kRetryMs = 200;
+constexpr millis kWatchMs = 1000;
+// Nodes stand one after the other, so that they seldom collide.
+constexpr millis kStandDelayMs = 120;
+// By then the leases that a silent predecessor has given have run out: it
+// orders at most for its grace after its lease, and leases last 4,500 ms on a
+// clock that may be 2% slow.
+constexpr millis kPredecessorGraceMs = 6000;
+constexpr millis kPredecessorLeaseMs = 5000;
+// Ends the term's record of a leader that gave its last order.
+constexpr std::string_view kResignedMark = " resigned";
+
+}  // namespace
+
+struct membership::impl : std::enable_shared_from_this<membership::impl> {
+  impl(node_context& context, std::string address, membership_hooks hooks)
+      : context(context),
+        hooks(std::move(hooks)),
+        self_member{context.settings.name, std::move(address),
+                    context.unix_now.Now()},
+        renew_timer(context.io),
+        stand_timer(context.io) {}
+
+  void Grant();
+  void Announce();
+  void Renew();
+  void RenewLater(millis delay);
+  void Watch();
+  void OnChange();
+  void StandLater();
+  void Stand();
+  void Elect(std::uint64_t term_revision, int term, bool resigned);
+  void BecomeLeader(std::uint64_t fence, int term, bool predecessor_silent);
+  void OnElected(const result<store::commit_outcome>& outcome, int term,
+                 bool silent);
+  bool Leads(const leader_record& record) const {
+    return record.node == self_member.name &&
+           record.started_unix_ms == self_member.started_unix_ms;
+  }
+
+  node_context& context;
+  membership_hooks hooks;
+  member self_member;
+  std::uint64_t lease = 0;
+  boost::asio::steady_timer renew_timer;
+  boost::asio::steady_timer stand_timer;
+  std::unique_ptr<store_watch> watch;
+  std::string last_leader;
+  int proposed_term = 1;
+  std::uint64_t resigned_fence = 0;
+  std::uint64_t led_fence = 0;  ///< 0: this node does not lead.
+  bool synced = false;
+  bool announced = false;
+  bool standing = false;
+  bool left = false;
+};
+
+void membership::impl::Grant() {
+  const millis sent_at = context.now.Now();
+  context.store->GrantLease(
+      kLeaseMs,
+      [weak = weak_from_this(), sent_at](const result<std::uint64_t>& granted) {
+        const auto self = weak.lock();
+        if (!self || self->left) return;
+        if (!Ok(granted)) return self->RenewLater(kRetryMs);
+        self->lease = Value(granted);
+        self->announced = false;
+        self->hooks.renewed(sent_at);
+        self->Announce();
+      });
+}
+
+void membership::impl::Announce() {
+  store::store_commit commit;
+  commit.writes = {
+      {NodeKey(self_member.name), EncodeMember(self_member), lease}};
+  context.store->Commit(commit, [weak = weak_from_this()](
+                                    const result<store::commit_outcome>& done) {
+    const auto self = weak.lock();
+    if (!self || self->left) return;
+    self->announced = Ok(done) && Value(done).committed;
+    if (Ok(done) && Value(done).lease_gone) self->lease = 0;
+    self->RenewLater(self->announced ? kRenewMs : kRetryMs);
+    if (self->announced) self->OnChange();
+  });
+}
+
+void membership::impl::RenewLater(millis delay) {
+  renew_timer.expires_after(std::chrono::milliseconds(delay));
+  renew_timer.async_wait(
+      [weak = weak_from_this()](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (error || !self || self->left) return;
+        if (self->lease == 0) return self->Grant();
+        if (!self->announced) return self->Announce();
+        self->Renew();
+      });
+}
+
+void membership::impl::Renew() {
+  const millis sent_at = context.now.Now();
+  context.store->KeepLease(
+      lease, [weak = weak_from_this(), sent_at](const result<bool>& kept) {
+        const auto self = weak.lock();
+        if (!self || self->left) return;
+        if (!Ok(kept)) return self->RenewLater(kRetryMs);
+        if (Value(kept)) {
+          self->hooks.renewed(sent_at);
+          self->OnChange();
+          return self->RenewLater(kRenewMs);
+        }
+        self->context.log.Always(
+            "member", "lease ran out, lease=" + std::to_string(self->lease));
+        self->lease = 0;
+        self->Grant();
+      });
+}
+
+void membership::impl::Watch() {
+  store_watch_options options;
+  options.prefix = kMemberPrefix;
+  options.wait_ms = kWatchMs;
+  store_watch_hooks watched;
+  watched.snapshot = [this](const std::vector<store::store_item>& items) {
+    context.members.Reset(items);
+    synced = true;
+    OnChange();
+  };
+  watched.change = [this](const store::store_item& item) {
+    const std::uint64_t before = context.members.Leader().fence;
+    context.members.Apply(item);
+    const leader_record& record = context.members.Leader();
+    if (record.fence != before) {
+      context.log.Always("member",
+                         "leader changed, node=" + record.node +
+                             " fence=" + std::to_string(record.fence));
+    }
+    OnChange();
+  };
+  watch = std::make_unique<store_watch>(context.io, *context.store, context.now,
+                                        std::move(options), std::move(watched));
+}
+
+void membership::impl::OnChange() {
+  if (!synced || left) return;
+  const leader_record& record = context.members.Leader();
+  // A watch may lag behind the own election: only a newer record deposes.
+  if (led_fence != 0 && record.fence != led_fence &&
+      (record.fence > led_fence || record.node.empty())) {
+    led_fence = 0;
+    hooks.deposed();
+  }
+  if (!record.node.empty()) last_leader = record.node;
+  if (led_fence == 0 && !standing && Leads(record) &&
+      record.fence != resigned_fence) {
+    // The answer to the own election was lost.
+    BecomeLeader(record.fence, proposed_term, last_leader == self_member.name);
+    return;
+  }
+  const bool own_past = record.node == self_member.name && !Leads(record);
+  if (led_fence == 0 && (record.node.empty() || own_past)) StandLater();
+}
+
+void membership::impl::StandLater() {
+  if (standing || !announced || context.stopping) return;
+  standing = true;
+  const auto rank = static_cast<millis>(context.members.Rank(self_member.name));
+  const bool own_past = context.members.Leader().node == self_member.name;
+  stand_timer.expires_after(
+      std::chrono::milliseconds(own_past ? 0 : rank * kStandDelayMs));
+  stand_timer.async_wait(
+      [weak = weak_from_this()](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (!self || self->left) return;
+        if (error) {
+          self->standing = false;
+          return;
+        }
+        self->Stand();
+      });
+}
+
+void membership::impl::Stand() {
+  const leader_record record = context.members.Leader();
+  const bool own_past = record.node == self_member.name && !Leads(record);
+  if (led_fence != 0 || (!record.node.empty() && !own_past) || lease == 0 ||
+      context.stopping) {
+    standing = false;
+    return;
+  }
+  context.store->Get(TermKey(), [weak = weak_from_this()](
+                                    const result<store::store_item>& item) {
+    const auto self = weak.lock();
+    if (!self || self->left) return;
+    if (!Ok(item)) {
+      self->standing = false;
+      return;
+    }
+    const std::string& text = Value(item).value;
+    const bool resigned = text.ends_with(kResignedMark);
+    self->Elect(Value(item).revision, std::atoi(text.c_str()) + 1, resigned);
+  });
+}
+
+void membership::impl::Elect(std::uint64_t term_revision, int term,
+                             bool resigned) {
+  const leader_record record = context.members.Leader();
+  store::store_commit commit;
+  commit.expected = {{ShardKey(), record.fence}, {TermKey(), term_revision}};
+  commit.writes = {{ShardKey(), EncodeMember(self_member), lease},
+                   {TermKey(), std::to_string(term), 0}};
+  // An earlier run of this node gives no orders any more.
+  const bool silent = resigned || last_leader == self_member.name;
+  proposed_term = term;
+  context.store->Commit(commit,
+                        [weak = weak_from_this(), term,
+                         silent](const result<store::commit_outcome>& outcome) {
+                          const auto self = weak.lock();
+                          if (!self || self->left) return;
+                          self->standing = false;
+                          self->OnElected(outcome, term, silent);
+                        });
+}
+
+void membership::impl::OnElected(const result<store::commit_outcome>& outcome,
+                                 int term, bool silent) {
+  if (!Ok(outcome)) return;  // The watch shows it if it was carried out.
+  if (Value(outcome).committed) {
+    store::store_item own{ShardKey(), EncodeMember(self_member),
+                          Value(outcome).revision, lease};
+    context.members.Apply(own);
+    return BecomeLeader(Value(outcome).revision, term, silent);
+  }
+  for (const store::store_item& item : Value(outcome).current) {
+    if (item.key == ShardKey()) context.members.Apply(item);
+  }
+  OnChange();
+}
+
+void membership::impl::BecomeLeader(std::uint64_t fence, int term,
+                                    bool predecessor_silent) {
+  led_fence = fence;
+  millis until = 0;
+  if (term > 1) {
+    until = context.now.Now() + kPredecessorLeaseMs +
+            (predecessor_silent ? 0 : kPredecessorGraceMs);
+  }
+  last_leader = self_member.name;
+  context.log.Always(
+      "member", "leading, fence=" + std::to_string(fence) +
+                    " term=" + std::to_string(term) +
+                    " predecessor_silent=" + (predecessor_silent ? "1" : "0"));
+  hooks.elected(fence, term, until);
+}
+
+membership::membership(node_context& context, std::string peer_address,
+                       membership_hooks hooks)
+    : impl_(std::make_shared<impl>(context, std::move(peer_address),
+                                   std::move(hooks))) {
+  impl_->Grant();
+  impl_->Watch();
+}
+
+membership::~membership() {
+  impl_->left = true;
+  impl_->watch.reset();
+  impl_->renew_timer.cancel();
+  impl_->stand_timer.cancel();
+}
+
+void membership::Resign(std::function<void()> done) {
+  const std::uint64_t fence = std::exchange(impl_->led_fence, 0);
+  if (fence == 0) return done();
+  impl_->resigned_fence = fence;
+  store::store_commit commit;
+  commit.expected = {{ShardKey(), fence}};
+  commit.removals = {ShardKey()};
+  commit.writes = {
+      {TermKey(),
+       std::to_string(impl_->proposed_term) + std::string(kResignedMark), 0}};
+  impl_->context.store->Commit(
+      commit, [done = std::move(done)](const result<store::commit_outcome>&) {
+        // If it was not removed, the lease ends it.
+        done();
+      });
+}
+
+void membership::Leave(std::function<void()> done) {
+  impl_->left = true;
+  if (impl_->lease == 0) return done();
+  impl_->context.store->EndLease(
+      impl_->lease, [done = std::move(done)](const result<bool>&) { done(); });
+}
+
+}  // namespace radishwing::node
--- /dev/null
+++ b/src/node/membership.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+#include "src/node/node_context.h"
+
+namespace radishwing::node {
+
+/// What a membership tells.
+struct membership_hooks {
+  /// This node leads now. `predecessor_until`: by then every lease that an
+  /// earlier leader can have given has run out.
+  std::function<void(std::uint64_t fence, int term, millis predecessor_until)>
+      elected;
+  /// The node's lease was renewed by a call sent at `sent_at`.
+  std::function<void(millis sent_at)> renewed;
+  /// Another node leads, or the own key has gone.
+  std::function<void()> deposed;
+};
+
+/// Keeps this node's keys in the store under a lease, follows those of the
+/// others, and stands for leader when there is none.
+class membership {
+ public:
+  membership(node_context& context, std::string peer_address,
+             membership_hooks hooks);
+  ~membership();
+
+  /// The leadership has ended here; the key is given back.
+  void Resign(std::function<void()> done);
+  /// Gives back all keys. The node stands no more.
+  void Leave(std::function<void()> done);
+
+ private:
+  struct impl;
+  std::shared_ptr<impl> impl_;
+};
+
+}  // namespace radishwing::node
--- /dev/null
+++ b/src/node/node.cc
@@ -0,0 +1,320 @@
+#include "src/node/node.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <map>
+#include <utility>
+
+#include "platform/config_codec.h"
+#include "platform/names.h"
+#include "src/http/server.h"
+#include "src/node/front.h"
+#include "src/node/leader.h"
+#include "src/node/membership.h"
+#include "src/node/peer_service.h"
+#include "src/node/store_watch.h"
+
+namespace radishwing::node {
+namespace {
+
+constexpr millis kConfigWaitMs = 900;
+// A configuration this old makes the node fail its readiness check.
+constexpr millis kReadyAgeMs = 3000;
+// Of the grace time, what is left for the last answers.
+constexpr millis kStopMarginMs = 1500;
+constexpr millis kStopPollMs = 50;
+
+}  // namespace
+
+struct node::impl : std::enable_shared_from_this<node::impl> {
+  impl(boost::asio::io_context& io, fleet::node_settings settings,
+       std::function<void()> stopped)
+      : context(io, std::move(settings)),
+        peers(io),
+        on_stopped(std::move(stopped)),
+        stop_timer(io) {}
+
+  result<done> Start();
+  result<done> MakeStore();
+  result<std::unique_ptr<http::server>> Listen(const std::string& address,
+                                               http::server::handler handler);
+  void WatchOperator();
+  void OnOperatorItem(const store::store_item& item);
+  void JoinMembers();
+  void Lead(std::uint64_t fence, int term, millis predecessor_until);
+  void EndLeadership();
+  http::server_response Readiness();
+  void PollStop(millis deadline);
+
+  node_context context;
+  peer_link peers;
+  std::function<void()> on_stopped;
+  boost::asio::steady_timer stop_timer;
+  std::unique_ptr<front> callers;
+  std::unique_ptr<peer_service> service;
+  std::unique_ptr<http::server> front_server;
+  std::unique_ptr<http::server> readiness_server;
+  std::unique_ptr<http::server> peer_server;
+  std::unique_ptr<http::server> metrics_server;
+  std::unique_ptr<store_watch> operator_watch;
+  std::unique_ptr<membership> member;
+  std::unique_ptr<leader> own_leader;
+  std::map<std::int64_t, fleet::wave_request> waves;
+  std::size_t relay_turn = 0;
+  bool store_lost = false;
+};
+
+result<done> node::impl::MakeStore() {
+  auto relay = [this](platform::raw_call call,
+                      std::function<void(result<platform::raw_answer>)> done) {
+    RelayThroughPeers(context, peers, relay_turn++, std::move(call),
+                      std::move(done));
+  };
+  auto observe = [this](std::string_view kind, std::string_view outcome,
+                        millis took) {
+    context.metrics.CountStoreCall(kind, outcome, took);
+    const bool lost = outcome != "ok";
+    if (lost != store_lost) {
+      store_lost = lost;
+      context.log.Info(
+          "store", std::string(lost ? "store lost" : "store back") + ", call=" +
+                       std::string(kind) + " outcome=" + std::string(outcome) +
+                       " took_ms=" + std::to_string(took));
+    }
+  };
+  auto made =
+      platform::store_client::Make(context.io, context.settings.store_address,
+                                   std::move(relay), std::move(observe));
+  if (!Ok(made)) return Error(made);
+  context.store = std::move(Value(made));
+  return done{};
+}
+
+result<std::unique_ptr<http::server>> node::impl::Listen(
+    const std::string& address, http::server::handler handler) {
+  http::server_options options;
+  options.address = address;
+  options.max_body_bytes = 2u << 20;
+  return http::server::Make(context.io, options, std::move(handler));
+}
+
+result<done> node::impl::Start() {
+  auto store = MakeStore();
+  if (!Ok(store)) return store;
+  const auto local = [this] { return own_leader.get(); };
+  callers = std::make_unique<front>(context, peers, local);
+  service = std::make_unique<peer_service>(context, local);
+  struct listener {
+    std::string address;
+    http::server::handler handler;
+    std::unique_ptr<http::server>* server;
+  };
+  const std::string peer_address =
+      context.settings.ip + ":" + std::to_string(context.settings.first_port);
+  const listener listeners[] = {
+      {context.settings.front_address,
+       [this](const http::server_request& request, auto respond) {
+         callers->Handle(request, std::move(respond));
+       },
+       &front_server},
+      {context.settings.readiness_address,
+       [this](const http::server_request&, const auto& respond) {
+         respond(Readiness());
+       },
+       &readiness_server},
+      {peer_address,
+       [this](const http::server_request& request, auto respond) {
+         service->Handle(request, std::move(respond));
+       },
+       &peer_server},
+      {context.settings.metrics_address,
+       [this](const http::server_request&, const auto& respond) {
+         context.metrics.SetConfigAge(context.now.Now() -
+                                      context.config_current_at);
+         http::server_response response;
+         response.content_type = "text/plain; version=0.0.4";
+         response.body = context.metrics.Serialize();
+         respond(std::move(response));
+       },
+       &metrics_server}};
+  for (const listener& entry : listeners) {
+    auto made = Listen(entry.address, entry.handler);
+    if (!Ok(made)) return Error(made);
+    *entry.server = std::move(Value(made));
+  }
+  WatchOperator();
+  JoinMembers();
+  context.log.Always(
+      "node", "started, node=" + context.settings.name +
+                  " data_centre=" + context.settings.data_centre + " front=" +
+                  context.settings.front_address + " peer=" + peer_address);
+  return done{};
+}
+
+void node::impl::WatchOperator() {
+  store_watch_options options;
+  options.prefix = platform::kOperatorPrefix;
+  options.wait_ms = kConfigWaitMs;
+  store_watch_hooks hooks;
+  hooks.snapshot = [this](const std::vector<store::store_item>& items) {
+    for (const store::store_item& item : items) OnOperatorItem(item);
+  };
+  hooks.change = [this](const store::store_item& item) {
+    OnOperatorItem(item);
+  };
+  hooks.current = [this](millis asked_at) {
+    if (context.config) {
+      context.config_current_at = std::max(context.config_current_at, asked_at);
+    }
+  };
+  operator_watch =
+      std::make_unique<store_watch>(context.io, *context.store, context.now,
+                                    std::move(options), std::move(hooks));
+}
+
+void node::impl::OnOperatorItem(const store::store_item& item) {
+  if (item.revision == 0) return;
+  if (item.key == platform::kConfigKey) {
+    auto config = platform::DecodeConfig(item.value);
+    if (!Ok(config)) {
+      context.log.Warning("config", "configuration unreadable, revision=" +
+                                        std::to_string(item.revision));
+      return;
+    }
+    const std::uint64_t version = Value(config).version;
+    if (context.config && version <= context.config->version) return;
+    context.config =
+        std::make_shared<fleet::fleet_config>(std::move(Value(config)));
+    context.metrics.SetConfigVersion(version);
+    context.log.Always(
+        "config",
+        "configuration in force, version=" + std::to_string(version) +
+            " revision=" + std::to_string(item.revision) +
+            " queues=" + std::to_string(context.config->queues.size()) +
+            " teams=" + std::to_string(context.config->teams.size()));
+    if (own_leader) own_leader->ConfigChanged();
+    return;
+  }
+  if (!item.key.starts_with(platform::kWavePrefix)) return;
+  const auto wave = platform::DecodeWave(item.value);
+  if (!Ok(wave)) {
+    context.log.Warning("hosts", "wave unreadable, key=" + item.key);
+    return;
+  }
+  waves[Value(wave).number] = Value(wave);
+  if (own_leader) own_leader->WaveRequested(Value(wave));
+}
+
+void node::impl::JoinMembers() {
+  membership_hooks hooks;
+  hooks.elected = [this](std::uint64_t fence, int term, millis until) {
+    Lead(fence, term, until);
+  };
+  hooks.renewed = [this](millis sent_at) {
+    if (own_leader) own_leader->Renewed(sent_at);
+  };
+  hooks.deposed = [this] { EndLeadership(); };
+  member = std::make_unique<membership>(
+      context,
+      context.settings.ip + ":" + std::to_string(context.settings.first_port),
+      std::move(hooks));
+}
+
+void node::impl::Lead(std::uint64_t fence, int term, millis predecessor_until) {
+  context.metrics.SetLeading(true);
+  own_leader = std::make_unique<leader>(context, fence, term, predecessor_until,
+                                        [weak = weak_from_this()] {
+                                          const auto self = weak.lock();
+                                          if (!self) return;
+                                          self->EndLeadership();
+                                          self->member->Resign([] {});
+                                        });
+  for (const auto& [number, wave] : waves) own_leader->WaveRequested(wave);
+}
+
+void node::impl::EndLeadership() {
+  context.metrics.SetLeading(false);
+  // The caller may be one of the leader's own handlers.
+  boost::asio::post(context.io,
+                    [old = std::shared_ptr<leader>(std::move(own_leader))] {});
+}
+
+http::server_response node::impl::Readiness() {
+  const bool current =
+      context.config &&
+      context.now.Now() - context.config_current_at < kReadyAgeMs;
+  http::server_response response;
+  response.status = current && !context.stopping ? 200 : 503;
+  response.body = "{}";
+  return response;
+}
+
+void node::impl::PollStop(millis deadline) {
+  stop_timer.expires_after(std::chrono::milliseconds(kStopPollMs));
+  stop_timer.async_wait([weak = weak_from_this(),
+                         deadline](boost::system::error_code error) {
+    const auto self = weak.lock();
+    if (error || !self) return;
+    if (self->context.now.Now() < deadline) return self->PollStop(deadline);
+    self->front_server->Drain();
+    if (self->front_server->InFlight() > 0 &&
+        self->context.now.Now() < deadline + kStopMarginMs / 2) {
+      return self->PollStop(deadline);
+    }
+    self->member->Leave([weak] {
+      const auto self = weak.lock();
+      if (!self) return;
+      self->context.log.Always(
+          "node",
+          "stopped, cut_off=" + std::to_string(self->front_server->InFlight()));
+      self->on_stopped();
+    });
+  });
+}
+
+node::node(std::shared_ptr<impl> impl) : impl_(std::move(impl)) {}
+node::~node() = default;
+
+result<std::unique_ptr<node>> node::Make(boost::asio::io_context& io,
+                                         fleet::node_settings settings,
+                                         std::function<void()> stopped) {
+  auto state =
+      std::make_shared<impl>(io, std::move(settings), std::move(stopped));
+  auto started = state->Start();
+  if (!Ok(started)) return Error(started);
+  return std::unique_ptr<node>(new node(std::move(state)));
+}
+
+void node::Reload(const fleet::node_settings& settings) {
+  fleet::node_settings& own = impl_->context.settings;
+  own.grace_ms = settings.grace_ms;
+  own.revoke_ms = settings.revoke_ms;
+  own.max_lease_ms = settings.max_lease_ms;
+  own.stop_ms = settings.stop_ms;
+  own.duty_lease_ms = settings.duty_lease_ms;
+  own.status_ms = settings.status_ms;
+  own.notice_ms = settings.notice_ms;
+  own.harm_ms = settings.harm_ms;
+  impl_->context.log.Always("node", "settings reloaded, node=" + own.name);
+}
+
+void node::Stop() {
+  impl_->context.stopping = true;
+  impl_->context.log.Always(
+      "node",
+      "stopping, requests=" + std::to_string(impl_->front_server->InFlight()));
+  if (impl_->own_leader) {
+    impl_->own_leader->HandOver([weak = std::weak_ptr<impl>(impl_)] {
+      const auto self = weak.lock();
+      if (!self) return;
+      self->EndLeadership();
+      self->member->Resign([] {});
+    });
+  }
+  impl_->PollStop(impl_->context.now.Now() + impl_->context.settings.grace_ms -
+                  kStopMarginMs);
+}
+
+}  // namespace radishwing::node
--- /dev/null
+++ b/src/node/node_metrics.cc
@@ -0,0 +1,136 @@
+#include "src/node/node_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace radishwing::node {
+namespace {
+
+// From the store's 4 ms to three times the longest objective of a job.
+const prometheus::Histogram::BucketBoundaries kSeconds{
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16};
+
+prometheus::Family<prometheus::Counter>& Counters(
+    prometheus::Registry& registry, const char* name, const char* help) {
+  return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+prometheus::Family<prometheus::Histogram>& Histograms(
+    prometheus::Registry& registry, const char* name, const char* help) {
+  return prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
+}
+
+prometheus::Gauge& Single(prometheus::Registry& registry, const char* name,
+                          const char* help) {
+  return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add(
+      {});
+}
+
+double InSeconds(millis time) { return static_cast<double>(time) / 1000; }
+
+}  // namespace
+
+node_metrics::node_metrics()
+    : requests_(Counters(registry_, "radishwing_node_requests_total",
+                         "Calls of callers by kind and status")),
+      request_seconds_(Histograms(registry_, "radishwing_node_request_seconds",
+                                  "Time to answer a caller")),
+      store_calls_(Counters(registry_, "radishwing_node_store_calls_total",
+                            "Direct calls to the store by kind and outcome")),
+      store_seconds_(
+          Histograms(registry_, "radishwing_node_store_seconds",
+                     "Time of a direct call to the store but watches")
+              .Add({}, kSeconds)),
+      start_wait_seconds_(
+          Histograms(registry_, "radishwing_node_task_start_age_seconds",
+                     "Age of the job when one of its tasks is started")
+              .Add({}, kSeconds)),
+      task_ends_(Counters(registry_, "radishwing_node_task_ends_total",
+                          "Runs of tasks by how they ended")),
+      job_ends_(Counters(registry_, "radishwing_node_job_ends_total",
+                         "Jobs by final state")),
+      job_seconds_(Histograms(registry_, "radishwing_node_job_seconds",
+                              "Age of a job when it ends")
+                       .Add({}, kSeconds)),
+      orders_(Counters(registry_, "radishwing_node_orders_total",
+                       "Orders to runners and hosts by kind and outcome")),
+      takeover_seconds_(
+          Histograms(registry_, "radishwing_node_takeover_seconds",
+                     "Time from leadership to the first scheduling")
+              .Add({}, kSeconds)),
+      leading_(Single(registry_, "radishwing_node_leading",
+                      "1 while this node leads the shard")),
+      config_version_(Single(registry_, "radishwing_node_config_version",
+                             "Version of the configuration in force")),
+      config_age_seconds_(
+          Single(registry_, "radishwing_node_config_age_seconds",
+                 "Time since the configuration was known to be the newest")),
+      runners_(prometheus::BuildGauge()
+                   .Name("radishwing_node_runners")
+                   .Help("Runners by whether they answer")
+                   .Register(registry_)),
+      unknown_starts_(Single(registry_, "radishwing_node_unknown_starts",
+                             "Starts that nobody has answered")) {}
+
+void node_metrics::CountRequest(std::string_view call, unsigned status,
+                                millis took) {
+  requests_
+      .Add({{"call", std::string(call)}, {"status", std::to_string(status)}})
+      .Increment();
+  request_seconds_.Add({{"call", std::string(call)}}, kSeconds)
+      .Observe(InSeconds(took));
+}
+
+void node_metrics::CountStoreCall(std::string_view call,
+                                  std::string_view outcome, millis took) {
+  store_calls_
+      .Add({{"call", std::string(call)}, {"outcome", std::string(outcome)}})
+      .Increment();
+  if (call != "watch") store_seconds_.Observe(InSeconds(took));
+}
+
+void node_metrics::CountTaskStart(millis job_age) {
+  start_wait_seconds_.Observe(InSeconds(job_age));
+}
+
+void node_metrics::CountTaskEnd(std::string_view how) {
+  task_ends_.Add({{"how", std::string(how)}}).Increment();
+}
+
+void node_metrics::CountJobEnd(std::string_view state, millis age) {
+  job_ends_.Add({{"state", std::string(state)}}).Increment();
+  job_seconds_.Observe(InSeconds(age));
+}
+
+void node_metrics::CountOrder(std::string_view kind, std::string_view outcome) {
+  orders_.Add({{"kind", std::string(kind)}, {"outcome", std::string(outcome)}})
+      .Increment();
+}
+
+void node_metrics::CountTakeover(millis took) {
+  takeover_seconds_.Observe(InSeconds(took));
+}
+
+void node_metrics::SetLeading(bool leading) { leading_.Set(leading ? 1 : 0); }
+
+void node_metrics::SetConfigVersion(std::uint64_t version) {
+  config_version_.Set(static_cast<double>(version));
+}
+
+void node_metrics::SetConfigAge(millis age) {
+  config_age_seconds_.Set(InSeconds(age));
+}
+
+void node_metrics::SetRunners(std::size_t reachable, std::size_t silent) {
+  runners_.Add({{"state", "reachable"}}).Set(static_cast<double>(reachable));
+  runners_.Add({{"state", "silent"}}).Set(static_cast<double>(silent));
+}
+
+void node_metrics::SetUnknownStarts(std::size_t count) {
+  unknown_starts_.Set(static_cast<double>(count));
+}
+
+std::string node_metrics::Serialize() const {
+  return prometheus::TextSerializer().Serialize(registry_.Collect());
+}
+
+}  // namespace radishwing::node
--- /dev/null
+++ b/src/node/node_metrics.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <string>
+#include <string_view>
+
+#include "src/base/clock.h"
+
+namespace radishwing::node {
+
+/// Metrics of one node, in the Prometheus text format.
+class node_metrics {
+ public:
+  node_metrics();
+
+  /// A call of a caller: what it asked for and the status it got.
+  void CountRequest(std::string_view call, unsigned status, millis took);
+  void CountStoreCall(std::string_view call, std::string_view outcome,
+                      millis took);
+  void CountTaskStart(millis job_age);
+  void CountTaskEnd(std::string_view how);
+  void CountJobEnd(std::string_view state, millis age);
+  void CountOrder(std::string_view kind, std::string_view outcome);
+  void CountTakeover(millis took);
+  void SetLeading(bool leading);
+  void SetConfigVersion(std::uint64_t version);
+  void SetConfigAge(millis age);
+  void SetRunners(std::size_t reachable, std::size_t silent);
+  void SetUnknownStarts(std::size_t count);
+
+  std::string Serialize() const;
+
+ private:
+  prometheus::Registry registry_;
+  prometheus::Family<prometheus::Counter>& requests_;
+  prometheus::Family<prometheus::Histogram>& request_seconds_;
+  prometheus::Family<prometheus::Counter>& store_calls_;
+  prometheus::Histogram& store_seconds_;
+  prometheus::Histogram& start_wait_seconds_;
+  prometheus::Family<prometheus::Counter>& task_ends_;
+  prometheus::Family<prometheus::Counter>& job_ends_;
+  prometheus::Histogram& job_seconds_;
+  prometheus::Family<prometheus::Counter>& orders_;
+  prometheus::Histogram& takeover_seconds_;
+  prometheus::Gauge& leading_;
+  prometheus::Gauge& config_version_;
+  prometheus::Gauge& config_age_seconds_;
+  prometheus::Family<prometheus::Gauge>& runners_;
+  prometheus::Gauge& unknown_starts_;
+};
+
+}  // namespace radishwing::node
--- /dev/null
+++ b/src/node/peer_link.cc
@@ -0,0 +1,46 @@
+#include "src/node/peer_link.h"
+
+#include <utility>
+
+namespace radishwing::node {
+namespace {
+
+constexpr std::size_t kConnections = 12;
+constexpr millis kConnectMs = 400;
+
+}  // namespace
+
+void peer_link::Call(const std::string& address, std::string target,
+                     std::string body, millis deadline_ms, completion done) {
+  auto& client = clients_[address];
+  if (!client) {
+    http::client_options options;
+    options.address = address;
+    options.max_connections = kConnections;
+    options.connect_ms = kConnectMs;
+    auto made = http::client::Make(io_, options);
+    if (!Ok(made)) {
+      clients_.erase(address);
+      return done(Error(made));
+    }
+    client = std::move(Value(made));
+  }
+  http::client_request request;
+  request.method = boost::beast::http::verb::post;
+  request.target = std::move(target);
+  request.body = std::move(body);
+  request.headers = {{"Content-Type", "application/json"}};
+  request.deadline_ms = deadline_ms;
+  client->Send(std::move(request), [done = std::move(done)](
+                                       result<http::client_response> answer) {
+    if (!Ok(answer)) return done(Error(answer));
+    if (Value(answer).status != 200) {
+      return done(
+          failure{failure_kind::kUnavailable,
+                  "peer answered " + std::to_string(Value(answer).status)});
+    }
+    done(std::move(Value(answer).body));
+  });
+}
+
+}  // namespace radishwing::node
--- /dev/null
+++ b/src/node/peer_link.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "src/base/clock.h"
+#include "src/base/result.h"
+#include "src/http/client.h"
+
+namespace radishwing::node {
+
+/// Calls to other nodes. Failures are those of http::client; a status other
+/// than 200 is a kUnavailable failure.
+class peer_link {
+ public:
+  using completion = std::function<void(result<std::string>)>;
+
+  explicit peer_link(boost::asio::io_context& io) : io_(io) {}
+
+  /// `done` gets the body of the answer.
+  void Call(const std::string& address, std::string target, std::string body,
+            millis deadline_ms, completion done);
+
+ private:
+  boost::asio::io_context& io_;
+  std::map<std::string, std::unique_ptr<http::client>> clients_;
+};
+
+}  // namespace radishwing::node
--- /dev/null
+++ b/src/node/peer_service.cc
@@ -0,0 +1,138 @@
+#include "src/node/peer_service.h"
+
+#include <boost/json.hpp>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "src/base/json_fields.h"
+
+namespace radishwing::node {
+namespace json = boost::json;
+namespace {
+
+// Nodes that are asked to relay one call.
+constexpr std::size_t kRelays = 2;
+constexpr millis kRelaySlackMs = 150;
+
+struct relay_attempt {
+  std::vector<std::string> addresses;
+  std::size_t next = 0;
+  platform::raw_call call;
+  bool unknown = false;  ///< An attempt got no answer.
+  std::function<void(result<platform::raw_answer>)> done;
+};
+
+result<platform::raw_answer> DecodeAnswer(const std::string& text) {
+  auto parsed = json_fields::Parse("relay answer", text);
+  if (!Ok(parsed)) return Error(parsed);
+  const auto status = static_cast<unsigned>(Value(parsed).Unsigned("status"));
+  std::string body = Value(parsed).Text("body");
+  if (!Value(parsed).Valid()) return Value(parsed).Failure();
+  if (status == 0) {
+    return failure{body == "unavailable" ? failure_kind::kUnavailable
+                                         : failure_kind::kTimeout,
+                   "the relaying node got no answer"};
+  }
+  return platform::raw_answer{status, std::move(body)};
+}
+
+void TryNext(peer_link& peers, const std::shared_ptr<relay_attempt>& attempt) {
+  if (attempt->next >= attempt->addresses.size()) {
+    return attempt->done(failure{
+        attempt->unknown ? failure_kind::kTimeout : failure_kind::kUnavailable,
+        "no node reaches the store"});
+  }
+  const std::string address = attempt->addresses[attempt->next++];
+  json::object body{{"method", attempt->call.method},
+                    {"target", attempt->call.target},
+                    {"body", attempt->call.body},
+                    {"deadline_ms", attempt->call.deadline_ms}};
+  peers.Call(address, "/peer/store", json::serialize(body),
+             attempt->call.deadline_ms + kRelaySlackMs,
+             [&peers, attempt](result<std::string> answer) {
+               result<platform::raw_answer> decoded =
+                   Ok(answer) ? DecodeAnswer(Value(answer)) : Error(answer);
+               if (Ok(decoded)) return attempt->done(std::move(decoded));
+               if (Error(decoded).kind != failure_kind::kUnavailable) {
+                 attempt->unknown = true;
+               }
+               TryNext(peers, attempt);
+             });
+}
+
+}  // namespace
+
+void RelayThroughPeers(node_context& context, peer_link& peers,
+                       std::size_t turn, platform::raw_call call,
+                       std::function<void(result<platform::raw_answer>)> done) {
+  auto attempt = std::make_shared<relay_attempt>();
+  attempt->call = std::move(call);
+  attempt->done = std::move(done);
+  std::vector<member> members = context.members.Members();
+  std::erase_if(members, [&](const member& node) {
+    return node.name == context.settings.name;
+  });
+  for (std::size_t i = 0; i < members.size() && i < kRelays; ++i) {
+    attempt->addresses.push_back(members[(turn + i) % members.size()].address);
+  }
+  TryNext(peers, attempt);
+}
+
+void peer_service::RelayStoreCall(const std::string& body,
+                                  http::server::responder respond) {
+  auto parsed = json_fields::Parse("relay", body);
+  if (!Ok(parsed)) {
+    return respond(
+        http::ErrorResponse(400, "malformed", Error(parsed).message));
+  }
+  platform::raw_call call;
+  call.method = Value(parsed).Text("method");
+  call.target = Value(parsed).Text("target");
+  call.body = Value(parsed).Text("body");
+  call.deadline_ms = Value(parsed).Signed("deadline_ms");
+  if (!Value(parsed).Valid()) {
+    return respond(
+        http::ErrorResponse(400, "malformed", Value(parsed).Failure().message));
+  }
+  context_.store->SendRaw(std::move(call), [respond = std::move(respond)](
+                                               const result<
+                                                   platform::raw_answer>&
+                                                   answer) {
+    json::object out;
+    if (Ok(answer)) {
+      out = {{"status", Value(answer).status}, {"body", Value(answer).body}};
+    } else {
+      out = {{"status", 0u}, {"body", FailureKindName(Error(answer).kind)}};
+    }
+    respond(http::JsonResponse(200, out));
+  });
+}
+
+void peer_service::Handle(const http::server_request& request,
+                          http::server::responder respond) {
+  const std::string& path = request.target.path;
+  if (path == "/peer/store") return RelayStoreCall(request.body, respond);
+  leader* local = local_leader_();
+  if (!local || !local->Ready()) {
+    return respond(http::ErrorResponse(503, "not_leader", "ask another node"));
+  }
+  const std::string id(request.target.Param("id"));
+  http::server_response response;
+  if (path == "/peer/job") {
+    local->AddJob(id, request.body);
+  } else if (path == "/peer/cancel") {
+    local->CancelJob(id);
+  } else if (path == "/peer/state") {
+    const job_answer answer = local->State(id);
+    if (answer.known) response.body = sched::JobPhaseName(answer.phase);
+  } else if (path == "/peer/pending") {
+    response.body =
+        std::to_string(local->PendingCount(request.target.Param("queue")));
+  } else {
+    response = http::ErrorResponse(404, "unknown_path", path);
+  }
+  respond(std::move(response));
+}
+
+}  // namespace radishwing::node
--- /dev/null
+++ b/src/node/peer_service.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <functional>
+
+#include "platform/store_client.h"
+#include "src/http/server.h"
+#include "src/node/leader.h"
+#include "src/node/node_context.h"
+#include "src/node/peer_link.h"
+
+namespace radishwing::node {
+
+/// Answers the messages of other nodes.
+class peer_service {
+ public:
+  peer_service(node_context& context, std::function<leader*()> local_leader)
+      : context_(context), local_leader_(std::move(local_leader)) {}
+
+  void Handle(const http::server_request& request,
+              http::server::responder respond);
+
+ private:
+  void RelayStoreCall(const std::string& body, http::server::responder respond);
+
+  node_context& context_;
+  std::function<leader*()> local_leader_;
+};
+
+/// Sends a store call through one of the other nodes, a few one after another.
+/// `turn` grows with each call, so that the nodes take turns.
+void RelayThroughPeers(node_context& context, peer_link& peers,
+                       std::size_t turn, platform::raw_call call,
+                       std::function<void(result<platform::raw_answer>)> done);
+
+}  // namespace radishwing::node
--- /dev/null
+++ b/src/node/store_watch.cc
@@ -0,0 +1,131 @@
+#include "src/node/store_watch.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <utility>
+
+namespace radishwing::node {
+namespace {
+
+constexpr millis kRetryMs = 200;
+
+}  // namespace
+
+struct store_watch::impl : std::enable_shared_from_this<store_watch::impl> {
+  impl(boost::asio::io_context& io, platform::store_client& store, clock clock,
+       store_watch_options options, store_watch_hooks hooks)
+      : store(store),
+        now(std::move(clock)),
+        options(std::move(options)),
+        hooks(std::move(hooks)),
+        timer(io) {}
+
+  void ReadPage(std::string after);
+  void OnPage(store::store_range& page);
+  void Watch();
+  void OnChanges(const store::store_changes& changes, millis asked_at);
+  void Later(millis delay, std::function<void()> next);
+  void Failed(const failure& problem, bool reading);
+
+  platform::store_client& store;
+  clock now;
+  store_watch_options options;
+  store_watch_hooks hooks;
+  boost::asio::steady_timer timer;
+  std::vector<store::store_item> items;
+  std::uint64_t revision = 0;
+  millis read_began = 0;
+  bool stopped = false;
+};
+
+void store_watch::impl::Later(millis delay, std::function<void()> next) {
+  timer.expires_after(std::chrono::milliseconds(delay));
+  timer.async_wait([self = shared_from_this(),
+                    next = std::move(next)](boost::system::error_code error) {
+    if (!error && !self->stopped) next();
+  });
+}
+
+void store_watch::impl::Failed(const failure& problem, bool reading) {
+  if (hooks.failed) hooks.failed(problem);
+  Later(kRetryMs, [this, reading] {
+    if (reading) {
+      ReadPage("");
+    } else {
+      Watch();
+    }
+  });
+}
+
+void store_watch::impl::ReadPage(std::string after) {
+  const bool first = after.empty();
+  if (first) {
+    items.clear();
+    read_began = now.Now();
+  }
+  store.Range(
+      options.prefix, after,
+      [self = shared_from_this(), first](result<store::store_range> page) {
+        if (self->stopped) return;
+        if (!Ok(page)) return self->Failed(Error(page), true);
+        // Pages are no snapshot: the watch begins at the first one.
+        if (first) self->revision = Value(page).store_revision;
+        self->OnPage(Value(page));
+      });
+}
+
+void store_watch::impl::OnPage(store::store_range& page) {
+  std::ranges::move(page.items, std::back_inserter(items));
+  if (page.has_more && !items.empty()) {
+    ReadPage(items.back().key);
+    return;
+  }
+  const std::vector<store::store_item> all = std::exchange(items, {});
+  hooks.snapshot(all);
+  if (hooks.current) hooks.current(read_began);
+  if (!stopped) Watch();
+}
+
+void store_watch::impl::Watch() {
+  const millis asked_at = now.Now();
+  store.Watch(options.prefix, revision, options.wait_ms,
+              [self = shared_from_this(),
+               asked_at](result<store::store_changes> changes) {
+                if (self->stopped) return;
+                if (!Ok(changes)) return self->Failed(Error(changes), false);
+                self->OnChanges(Value(changes), asked_at);
+              });
+}
+
+void store_watch::impl::OnChanges(const store::store_changes& changes,
+                                  millis asked_at) {
+  if (changes.history_gone) return ReadPage("");
+  for (const store::store_item& item : changes.written) {
+    hooks.change(item);
+    if (stopped) return;
+  }
+  revision = std::max(revision, changes.store_revision);
+  if (hooks.current) hooks.current(asked_at);
+  if (stopped) return;
+  if (options.gap_ms > 0) {
+    Later(options.gap_ms, [this] { Watch(); });
+  } else {
+    Watch();
+  }
+}
+
+store_watch::store_watch(boost::asio::io_context& io,
+                         platform::store_client& store, clock clock,
+                         store_watch_options options, store_watch_hooks hooks)
+    : impl_(std::make_shared<impl>(io, store, std::move(clock),
+                                   std::move(options), std::move(hooks))) {
+  impl_->ReadPage("");
+}
+
+store_watch::~store_watch() {
+  impl_->stopped = true;
+  impl_->timer.cancel();
+}
+
+}  // namespace radishwing::node
--- /dev/null
+++ b/src/programs/node.cc
@@ -0,0 +1,79 @@
+#include <signal.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <cstdlib>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <sstream>
+#include <string>
+
+#include "platform/node_settings_codec.h"
+#include "src/base/log.h"
+#include "src/node/node.h"
+
+namespace {
+
+using namespace radishwing;
+
+platform::decoded_node_settings ReadSettings(const std::string& path) {
+  std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return platform::DecodeNodeSettings(path, text.str());
+}
+
+}  // namespace
+
+// Runs one node until SIGTERM. With --check, reports what is wrong with the
+// settings file and exits with 1 if anything is.
+int main(int argc, char** argv) {
+  const bool check = argc > 1 && std::string_view(argv[1]) == "--check";
+  const char* variable = std::getenv(platform::kSettingsVariable);
+  const std::string path = argc > (check ? 2 : 1) ? argv[check ? 2 : 1]
+                           : variable             ? variable
+                                                  : "";
+  if (path.empty()) {
+    std::cerr << "no settings file: set " << platform::kSettingsVariable
+              << " or name one\n";
+    return 2;
+  }
+  const auto decoded = ReadSettings(path);
+  for (const finding& problem : decoded.findings) {
+    std::cerr << FormatFinding(problem) << '\n';
+  }
+  if (check || !decoded.findings.empty()) {
+    return decoded.findings.empty() ? 0 : 1;
+  }
+  signal(SIGPIPE, SIG_IGN);
+  ConfigureLogs("radishwing-node", log_level::kInfo);
+  boost::asio::io_context io(1);
+  auto made = node::node::Make(io, decoded.settings, [&io] { io.stop(); });
+  if (!Ok(made)) {
+    LogError("node", "cannot start, error=" + Error(made).message);
+    return 1;
+  }
+  const auto& node = Value(made);
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
+  std::function<void(boost::system::error_code, int)> on_signal =
+      [&](boost::system::error_code error, int number) {
+        if (error) return;
+        if (number == SIGHUP) {
+          const auto changed = ReadSettings(path);
+          if (changed.findings.empty()) {
+            node->Reload(changed.settings);
+          } else {
+            LogWarning("node", "changed settings refused, " +
+                                   FormatFinding(changed.findings.front()));
+          }
+        } else {
+          node->Stop();
+        }
+        signals.async_wait(on_signal);
+      };
+  signals.async_wait(on_signal);
+  io.run();
+  LogInfo("node", "exited");
+  return 0;
+}
--- /dev/null
+++ b/src/sched/progress_codec.cc
@@ -0,0 +1,102 @@
+#include "src/sched/progress_codec.h"
+
+#include <boost/json.hpp>
+
+#include "src/sched/job_steps.h"
+
+namespace radishwing::sched {
+namespace json = boost::json;
+namespace {
+
+failure Unreadable() {
+  return {failure_kind::kInvalid, "progress record is unreadable"};
+}
+
+// [index, failures, counted run, checkpoint] of the tasks that have any.
+json::array EncodeTasks(const step_state& step) {
+  json::array rows;
+  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+    const task_state& task = step.tasks[i];
+    if (task.done || (task.failures == 0 && task.checkpoint.empty())) continue;
+    rows.push_back(
+        json::array{i, task.failures, task.counted_run, task.checkpoint});
+  }
+  return rows;
+}
+
+void DecodeStep(const json::object& wire, step_state& step) {
+  const json::string& bits = wire.at("done").as_string();
+  for (std::size_t i = 0; i < bits.size() && i < step.tasks.size(); ++i) {
+    if (bits[i] != '1') continue;
+    step.tasks[i].done = true;
+    ++step.done_count;
+  }
+  for (const json::value& entry : wire.at("tasks").as_array()) {
+    const json::array& row = entry.as_array();
+    const auto index = row.at(0).to_number<std::size_t>();
+    if (index >= step.tasks.size()) continue;
+    task_state& task = step.tasks[index];
+    task.failures = row.at(1).to_number<int>();
+    task.counted_run = row.at(2).to_number<int>();
+    task.last_run = task.counted_run;
+    task.checkpoint = row.at(3).as_string().c_str();
+  }
+}
+
+}  // namespace
+
+std::string EncodeProgress(const job_state& job) {
+  json::array repetitions;
+  for (const auto& [number, repetition] : job.repetitions) {
+    json::array steps;
+    for (const step_state& step : repetition.steps) {
+      std::string bits;
+      for (const task_state& task : step.tasks) bits += task.done ? '1' : '0';
+      steps.push_back(
+          json::object{{"done", bits}, {"tasks", EncodeTasks(step)}});
+    }
+    repetitions.push_back(json::object{{"number", number},
+                                       {"done", repetition.done},
+                                       {"steps", std::move(steps)}});
+  }
+  if (job.Finished()) repetitions.clear();
+  return json::serialize(json::object{{"state", JobPhaseName(job.phase)},
+                                      {"created", job.created_repetitions},
+                                      {"repetitions", std::move(repetitions)}});
+}
+
+job_phase DecodePhase(std::string_view text) {
+  boost::system::error_code error;
+  const json::value wire = json::parse(text, error);
+  if (error || !wire.is_object()) return job_phase::kPending;
+  const json::value* state = wire.get_object().if_contains("state");
+  if (!state || !state->is_string()) return job_phase::kPending;
+  return ParseJobPhase(state->get_string().c_str());
+}
+
+result<done> DecodeProgress(std::string_view text, job_state& job) try {
+  const json::object wire = json::parse(text).as_object();
+  job.phase = ParseJobPhase(wire.at("state").as_string().c_str());
+  job.created_repetitions = wire.at("created").to_number<int>();
+  if (job.Finished()) {
+    job.repetitions.clear();
+    return done{};
+  }
+  for (const json::value& entry : wire.at("repetitions").as_array()) {
+    const json::object& row = entry.as_object();
+    repetition_state repetition = MakeRepetition(job.record.request);
+    repetition.done = row.at("done").as_bool();
+    const json::array& steps = row.at("steps").as_array();
+    for (std::size_t i = 0; i < steps.size() && i < repetition.steps.size();
+         ++i) {
+      DecodeStep(steps[i].as_object(), repetition.steps[i]);
+    }
+    job.repetitions[row.at("number").to_number<int>()] = std::move(repetition);
+  }
+  job.started = !job.repetitions.empty();
+  return done{};
+} catch (const std::exception&) {
+  return Unreadable();
+}
+
+}  // namespace radishwing::sched
--- /dev/null
+++ b/src/sched/runner_state.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <set>
+#include <string>
+
+#include "src/base/clock.h"
+#include "src/fleet/resources.h"
+#include "src/fleet/runner_report.h"
+#include "src/fleet/task_name.h"
+
+namespace radishwing::sched {
+
+/// A runner as the scheduler sees it.
+struct runner_state {
+  fleet::runner_report report;
+  bool listed = false;      ///< Has told what runs since this leader took over.
+  bool reachable = false;   ///< Answered its last look.
+  bool cordoned = false;    ///< Gets no new work, for maintenance or a move.
+  millis not_before = 0;    ///< No start before this, after a refusal.
+  int failures_in_row = 0;  ///< Failed ends without a good one between.
+  std::uint64_t last_end = 0;  ///< Highest number of an end that was recorded.
+  fleet::resources used;       ///< By all runs that may be there.
+  std::set<fleet::task_name> tasks;  ///< Tasks with a run there.
+};
+
+}  // namespace radishwing::sched
--- /dev/null
+++ b/src/sched/scheduler.cc
@@ -0,0 +1,282 @@
+#include "src/sched/scheduler.h"
+
+#include <algorithm>
+
+#include "src/sched/job_steps.h"
+#include "src/sched/progress_codec.h"
+
+namespace radishwing::sched {
+
+scheduler::scheduler(int first_run, millis notice_ms)
+    : next_run_base_(first_run), notice_ms_(notice_ms) {}
+
+void scheduler::SetConfig(const fleet::fleet_config& config) {
+  config_ = config;
+}
+
+void scheduler::AddJob(fleet::job_record record, bool restored, millis now,
+                       millis unix_now) {
+  auto& slot = jobs_[record.id];
+  if (slot) return;
+  slot = std::make_unique<job_state>();
+  slot->restored = restored;
+  const millis age = std::max<millis>(0, unix_now - record.accepted_unix_ms);
+  slot->accepted_at = now - age;
+  slot->long_running = std::ranges::any_of(record.request.steps,
+                                           &fleet::task_step::long_running);
+  slot->record = std::move(record);
+  slot->record.body.clear();
+  slot->record.body.shrink_to_fit();
+}
+
+result<done> scheduler::RestoreProgress(const std::string& id,
+                                        std::string_view text,
+                                        std::uint64_t revision, millis now) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end()) {
+    return failure{failure_kind::kNotFound, "no such job"};
+  }
+  job_state& job = *it->second;
+  job.record_revision = revision;
+  auto restored = DecodeProgress(text, job);
+  if (Ok(restored) && job.Finished()) job.finished_at = now;
+  return restored;
+}
+
+void scheduler::CancelJob(const std::string& id, millis now) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end() || it->second->Finished()) return;
+  FinishJob(*it->second, job_phase::kCancelled, now);
+}
+
+const job_state* scheduler::FindJob(const std::string& id) const {
+  const auto it = jobs_.find(id);
+  return it == jobs_.end() ? nullptr : it->second.get();
+}
+
+std::size_t scheduler::PendingCount(std::string_view queue) const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(jobs_, [&](const auto& entry) {
+        const job_state& job = *entry.second;
+        return job.record.queue == queue && !job.started && !job.Finished();
+      }));
+}
+
+std::vector<std::string> scheduler::DropOld(millis now, millis keep_ms) {
+  std::vector<std::string> dropped;
+  for (auto it = jobs_.begin(); it != jobs_.end();) {
+    const job_state& job = *it->second;
+    if (job.Finished() && job.active_runs == 0 &&
+        job.change == job.kept_change && now - job.finished_at > keep_ms) {
+      dropped.push_back(it->first);
+      it = jobs_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  return dropped;
+}
+
+void scheduler::AddRunner(const fleet::runner_report& report) {
+  runners_[report.id].report = report;
+}
+
+void scheduler::ExpectRunner(const std::string& id, const std::string& pool) {
+  expected_[id] = pool;
+}
+
+void scheduler::SetReachable(const std::string& id, bool reachable) {
+  const auto it = runners_.find(id);
+  if (it != runners_.end()) it->second.reachable = reachable;
+}
+
+void scheduler::SetCordoned(const std::string& id, bool cordoned) {
+  const auto it = runners_.find(id);
+  if (it != runners_.end()) it->second.cordoned = cordoned;
+}
+
+const runner_state* scheduler::FindRunner(const std::string& id) const {
+  const auto it = runners_.find(id);
+  return it == runners_.end() ? nullptr : &it->second;
+}
+
+void scheduler::RemoveRunner(const std::string& id, millis now) {
+  expected_.erase(id);
+  const auto it = runners_.find(id);
+  if (it == runners_.end()) return;
+  const std::set<fleet::task_name> tasks = it->second.tasks;
+  for (const fleet::task_name& name : tasks) {
+    const task_ref ref = FindTask(name);
+    if (!ref.task) continue;
+    const auto run = std::ranges::find(ref.task->runs, id, &run_state::runner);
+    if (run == ref.task->runs.end()) continue;
+    events_.push_back({event_kind::kTaskLost, name, run->run, id, "runner_gone",
+                       now - run->ordered_at});
+    DetachRun(name, ref, id, run->run);
+  }
+  runners_.erase(id);
+}
+
+void scheduler::RunnerReborn(const std::string& id, millis now) {
+  expected_.erase(id);
+  const auto it = runners_.find(id);
+  if (it == runners_.end()) return;
+  it->second.last_end = 0;
+  it->second.listed = false;
+  const std::set<fleet::task_name> tasks = it->second.tasks;
+  for (const fleet::task_name& name : tasks) {
+    const task_ref ref = FindTask(name);
+    if (!ref.task) continue;
+    const auto run = std::ranges::find(ref.task->runs, id, &run_state::runner);
+    if (run == ref.task->runs.end()) continue;
+    if (run->unanswered || run->order_in_flight) {
+      // The start may still be carried out by the new life.
+      run->unanswered = true;
+      RequestStop(name, *run, "runner_reborn", now);
+      continue;
+    }
+    events_.push_back({event_kind::kTaskLost, name, run->run, id,
+                       "runner_reborn", now - run->ordered_at});
+    DetachRun(name, ref, id, run->run);
+  }
+}
+
+std::vector<pending_write> scheduler::PendingWrites(std::size_t limit) const {
+  std::vector<pending_write> writes;
+  for (const auto& [id, job] : jobs_) {
+    if (writes.size() >= limit) break;
+    if (job->change == job->kept_change) continue;
+    writes.push_back(
+        {id, job->change, job->record_revision, EncodeProgress(*job)});
+  }
+  return writes;
+}
+
+void scheduler::Kept(const std::string& job, std::uint64_t change,
+                     std::uint64_t revision) {
+  const auto it = jobs_.find(job);
+  if (it == jobs_.end()) return;
+  it->second->kept_change = std::max(it->second->kept_change, change);
+  it->second->record_revision = revision;
+}
+
+void scheduler::SetRecordRevision(const std::string& job,
+                                  std::uint64_t revision) {
+  const auto it = jobs_.find(job);
+  if (it != jobs_.end()) it->second->record_revision = revision;
+}
+
+bool scheduler::IsKept(const std::string& job, std::uint64_t change) const {
+  const job_state* state = FindJob(job);
+  return !state || state->kept_change >= change;
+}
+
+std::vector<scheduler_event> scheduler::TakeEvents() {
+  return std::exchange(events_, {});
+}
+
+scheduler::task_ref scheduler::FindTask(const fleet::task_name& name) {
+  task_ref ref;
+  const auto it = jobs_.find(name.job);
+  if (it == jobs_.end()) return ref;
+  ref.job = it->second.get();
+  const auto repetition = ref.job->repetitions.find(name.repetition);
+  if (repetition == ref.job->repetitions.end()) return ref;
+  ref.repetition = &repetition->second;
+  const auto step = static_cast<std::size_t>(name.step);
+  if (step >= ref.repetition->steps.size()) return ref;
+  ref.step = &ref.job->record.request.steps[step];
+  ref.state = &ref.repetition->steps[step];
+  const auto index = static_cast<std::size_t>(name.index);
+  if (index < ref.state->tasks.size()) ref.task = &ref.state->tasks[index];
+  return ref;
+}
+
+fleet::resources scheduler::RunnerNeeds(const fleet::task_step& step) const {
+  fleet::resources needs = step.needs;
+  if (step.fills) needs.cpu_millis = 0;
+  return needs;
+}
+
+void scheduler::Charge(const task_ref& ref, runner_state& runner, int sign) {
+  fleet::resources& team = team_use_[ref.job->record.team];
+  if (sign > 0) {
+    runner.used += RunnerNeeds(*ref.step);
+    team += ref.step->needs;
+  } else {
+    runner.used -= RunnerNeeds(*ref.step);
+    team -= ref.step->needs;
+  }
+}
+
+void scheduler::AttachRun(const fleet::task_name& name, const task_ref& ref,
+                          run_state run) {
+  runner_state& runner = runners_[run.runner];
+  runner.tasks.insert(name);
+  Charge(ref, runner, 1);
+  ++ref.job->active_runs;
+  ref.task->last_run = std::max(ref.task->last_run, run.run);
+  ref.task->runs.push_back(std::move(run));
+}
+
+void scheduler::DetachRun(const fleet::task_name& name, const task_ref& ref,
+                          const std::string& runner, int run) {
+  const auto it =
+      std::ranges::find_if(ref.task->runs, [&](const run_state& state) {
+        return state.runner == runner && state.run == run;
+      });
+  if (it == ref.task->runs.end()) return;
+  const auto host = runners_.find(runner);
+  if (host != runners_.end()) {
+    Charge(ref, host->second, -1);
+    host->second.tasks.erase(name);
+  }
+  ref.task->runs.erase(it);
+  --ref.job->active_runs;
+  ReleaseIfIdle(*ref.job);
+}
+
+// A finished job without runs needs only its state.
+void scheduler::ReleaseIfIdle(job_state& job) {
+  if (!job.Finished() || job.active_runs > 0) return;
+  job.repetitions.clear();
+  job.record.request = {};
+}
+
+void scheduler::RequestStop(const fleet::task_name& name, run_state& run,
+                            std::string_view reason, millis now) {
+  if (run.phase == run_phase::kStopping) return;
+  run.phase = run_phase::kStopping;
+  run.stop_confirmed = false;
+  run.order_in_flight = true;
+  run.retry_at = now;
+  queued_.push_back(
+      {order_kind::kStop, run.runner, name, run.run, "", "", 100, reason});
+  events_.push_back({event_kind::kStopOrdered, name, run.run, run.runner,
+                     std::string(reason), now - run.ordered_at});
+}
+
+void scheduler::FinishJob(job_state& job, job_phase phase, millis now) {
+  if (job.Finished()) return;
+  job.phase = phase;
+  job.finished_at = now;
+  ++job.change;
+  fleet::task_name name{.job = job.record.id};
+  events_.push_back({event_kind::kJobFinished, name, 0, job.record.queue,
+                     std::string(JobPhaseName(phase)), now - job.accepted_at});
+  for (auto& [number, repetition] : job.repetitions) {
+    for (std::size_t s = 0; s < repetition.steps.size(); ++s) {
+      std::vector<task_state>& tasks = repetition.steps[s].tasks;
+      for (std::size_t i = 0; i < tasks.size(); ++i) {
+        for (run_state& run : tasks[i].runs) {
+          RequestStop(
+              {job.record.id, number, static_cast<int>(s), static_cast<int>(i)},
+              run, JobPhaseName(phase), now);
+        }
+      }
+    }
+  }
+  ReleaseIfIdle(job);
+}
+
+}  // namespace radishwing::sched
--- /dev/null
+++ b/src/sched/scheduler.h
@@ -0,0 +1,192 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "src/base/clock.h"
+#include "src/base/result.h"
+#include "src/fleet/fleet_config.h"
+#include "src/fleet/job_record.h"
+#include "src/fleet/order_outcome.h"
+#include "src/fleet/runner_listing.h"
+#include "src/fleet/runner_report.h"
+#include "src/sched/job_state.h"
+#include "src/sched/order.h"
+#include "src/sched/run_time_model.h"
+#include "src/sched/runner_state.h"
+#include "src/sched/scheduler_event.h"
+
+namespace radishwing::sched {
+
+/// Progress of a job that has to be written to the store.
+struct pending_write {
+  std::string job;
+  std::uint64_t change = 0;           ///< The job's change that it contains.
+  std::uint64_t record_revision = 0;  ///< Expected revision of the key.
+  std::string text;
+};
+
+/// An end that may be acknowledged once `change` of `job` is kept.
+struct recorded_end {
+  std::uint64_t number = 0;
+  std::string job;  ///< Empty if nothing has to be kept.
+  std::uint64_t change = 0;
+};
+
+/// Decides which task runs where. Pure: events and times in, orders out. All
+/// times are those of one monotonic clock but for `unix_now`.
+///
+/// Promises, whatever the order of events: a task has at most one run that
+/// may be there; a runner's capacity and a team's cap hold for all runs that
+/// may be there; a step starts after the steps it waits for.
+class scheduler {
+ public:
+  /// `first_run` is the lowest run number that no earlier leader has used.
+  scheduler(int first_run, millis notice_ms);
+
+  void SetConfig(const fleet::fleet_config& config);
+
+  /// Adds an accepted job. `restored`: an earlier leader may have started it.
+  void AddJob(fleet::job_record record, bool restored, millis now,
+              millis unix_now);
+  /// Restores what the store has of a job's progress.
+  result<done> RestoreProgress(const std::string& id, std::string_view text,
+                               std::uint64_t revision, millis now);
+  void CancelJob(const std::string& id, millis now);
+  /// The job, or null.
+  const job_state* FindJob(const std::string& id) const;
+  /// Jobs of `queue` of which no task has started.
+  std::size_t PendingCount(std::string_view queue) const;
+  std::size_t JobCount() const { return jobs_.size(); }
+  /// Drops finished jobs older than `keep_ms`; returns their ids.
+  std::vector<std::string> DropOld(millis now, millis keep_ms);
+
+  void AddRunner(const fleet::runner_report& report);
+  /// A runner that may hold runs of an earlier leader.
+  void ExpectRunner(const std::string& id, const std::string& pool);
+  void SetReachable(const std::string& id, bool reachable);
+  void SetCordoned(const std::string& id, bool cordoned);
+  /// Runners of which a successor knows; no other one is given work.
+  void SetRecorded(std::set<std::string> runners) {
+    recorded_ = std::move(runners);
+  }
+  /// Nothing of `id` runs any more and nothing will.
+  void RemoveRunner(const std::string& id, millis now);
+  /// `id` has begun a new life: what ran is gone, unanswered starts are not.
+  void RunnerReborn(const std::string& id, millis now);
+  const runner_state* FindRunner(const std::string& id) const;
+  const std::map<std::string, runner_state>& Runners() const {
+    return runners_;
+  }
+
+  /// A runner's listing in answer to a look sent at `sent_at`.
+  std::vector<recorded_end> ApplyListing(const std::string& id,
+                                         const fleet::runner_listing& listing,
+                                         millis sent_at, millis now);
+  void OrderAnswered(const order& order, fleet::order_outcome outcome,
+                     millis now);
+
+  /// Orders to give now.
+  std::vector<order> Plan(millis now, millis unix_now);
+  /// Asks for a stop of what runs on `id` as far as budgets allow it.
+  /// Returns true if nothing runs there any more.
+  bool Evacuate(const std::string& id, bool stop_batch, millis now);
+
+  /// Jobs with changes to keep, at most `limit`.
+  std::vector<pending_write> PendingWrites(std::size_t limit) const;
+  void Kept(const std::string& job, std::uint64_t change,
+            std::uint64_t revision);
+  /// The progress key of `job` turned out to have `revision`.
+  void SetRecordRevision(const std::string& job, std::uint64_t revision);
+  bool IsKept(const std::string& job, std::uint64_t change) const;
+
+  /// Decisions since the last call, for logs and metrics.
+  std::vector<scheduler_event> TakeEvents();
+
+ private:
+  struct task_ref {
+    job_state* job = nullptr;
+    repetition_state* repetition = nullptr;
+    const fleet::task_step* step = nullptr;
+    step_state* state = nullptr;
+    task_state* task = nullptr;
+  };
+  struct candidate {
+    job_state* job = nullptr;
+    int category = 0;
+    millis latest_start = 0;
+  };
+
+  task_ref FindTask(const fleet::task_name& name);
+  void ApplyEnd(const std::string& runner, const fleet::listed_end& end,
+                millis now, std::vector<recorded_end>& out);
+  void EndRun(task_ref& ref, const fleet::task_name& name,
+              const fleet::listed_end& end, const std::string& runner,
+              millis now);
+  void FinishStepOrJob(task_ref& ref, millis now);
+  void FinishJob(job_state& job, job_phase phase, millis now);
+  void ApplyRunning(const std::string& runner, const fleet::listed_run& run,
+                    millis now);
+  void DropVanished(const std::string& runner,
+                    const fleet::runner_listing& listing, millis sent_at,
+                    millis now);
+  void DetachRun(const fleet::task_name& name, const task_ref& ref,
+                 const std::string& runner, int run);
+  void AttachRun(const fleet::task_name& name, const task_ref& ref,
+                 run_state run);
+  void Charge(const task_ref& ref, runner_state& runner, int sign);
+
+  void ReleaseIfIdle(job_state& job);
+  void CountUnlistedUse();
+  void CreateRepetitions(job_state& job, millis unix_now);
+  void PlanRetries(millis now, std::vector<order>& out);
+  void PlanStuckStops(millis now);
+  void PlanPace(millis now, std::vector<order>& out);
+  void PlanStarts(millis now, std::vector<order>& out);
+  void StartTasksOf(job_state& job, millis now, std::vector<order>& out);
+  void StartStep(job_state& job, int repetition_number,
+                 repetition_state& repetition, int step_number, millis now,
+                 std::vector<order>& out);
+  void StartGang(job_state& job, int repetition_number,
+                 repetition_state& repetition, int step_number, millis now,
+                 std::vector<order>& out);
+  candidate Rank(job_state& job, millis now) const;
+  runner_state* ChooseRunner(const job_state& job, const fleet::task_step& step,
+                             const step_state& state, int repetition,
+                             int step_number, const task_state& task,
+                             millis now);
+  bool Usable(const runner_state& runner, const fleet::task_step& step,
+              millis now) const;
+  bool WithinCap(const job_state& job, const fleet::resources& needs) const;
+  bool PoolUnknown(std::string_view pool) const;
+  void RequestStop(const fleet::task_name& name, run_state& run,
+                   std::string_view reason, millis now);
+  void BeginStart(job_state& job, const fleet::task_name& name, task_ref ref,
+                  runner_state& runner, int run, millis now,
+                  std::vector<order>& out);
+  int AwayCount(const step_state& state, millis now) const;
+  fleet::resources RunnerNeeds(const fleet::task_step& step) const;
+  bool HasKind(const runner_state& runner, bool serving) const;
+
+  int next_run_base_;
+  millis notice_ms_;
+  fleet::fleet_config config_;
+  run_time_model run_times_;
+  std::unordered_map<std::string, std::unique_ptr<job_state>> jobs_;
+  std::map<std::string, runner_state> runners_;
+  std::set<std::string> recorded_;
+  std::map<std::string, std::string> expected_;  ///< Runner to pool.
+  std::map<std::string, fleet::resources> team_use_;
+  /// What runs of an earlier leader that nobody has listed may use.
+  std::map<std::string, fleet::resources> unlisted_use_;
+  std::vector<order> queued_;
+  std::vector<scheduler_event> events_;
+};
+
+}  // namespace radishwing::sched
--- /dev/null
+++ b/src/sched/scheduler_listing.cc
@@ -0,0 +1,288 @@
+#include <algorithm>
+
+#include "src/sched/job_steps.h"
+#include "src/sched/scheduler.h"
+
+// What runners report: ends, runs, answers to orders.
+
+namespace radishwing::sched {
+namespace {
+
+// A refused start is not repeated on the same runner before this, so that a
+// runner that refuses at once is not called in a loop.
+constexpr millis kRefusalPauseMs = 300;
+// A runner lists at most this many ends at a time.
+constexpr std::size_t kListedEnds = 500;
+
+std::string_view EndName(fleet::run_end how) {
+  switch (how) {
+    case fleet::run_end::kDone:
+      return "done";
+    case fleet::run_end::kFailed:
+      return "failed";
+    case fleet::run_end::kStopped:
+      return "stopped";
+    case fleet::run_end::kLapsed:
+      return "lapsed";
+    case fleet::run_end::kGangBroken:
+      return "gang_broken";
+    case fleet::run_end::kGangAlone:
+      return "gang_alone";
+  }
+  return "failed";
+}
+
+}  // namespace
+
+std::vector<recorded_end> scheduler::ApplyListing(
+    const std::string& id, const fleet::runner_listing& listing, millis sent_at,
+    millis now) {
+  std::vector<recorded_end> recorded;
+  const auto it = runners_.find(id);
+  if (it == runners_.end()) return recorded;
+  runner_state& runner = it->second;
+  runner.listed = true;
+  runner.reachable = true;
+  expected_.erase(id);
+  for (const fleet::listed_end& end : listing.ended) {
+    if (end.number <= runner.last_end) continue;
+    runner.last_end = end.number;
+    ApplyEnd(id, end, now, recorded);
+  }
+  for (const fleet::listed_run& run : listing.running) {
+    ApplyRunning(id, run, now);
+  }
+  if (listing.ended.size() < kListedEnds) {
+    DropVanished(id, listing, sent_at, now);
+  }
+  return recorded;
+}
+
+void scheduler::ApplyEnd(const std::string& runner,
+                         const fleet::listed_end& end, millis now,
+                         std::vector<recorded_end>& out) {
+  task_ref ref = FindTask(end.task);
+  if (!ref.task) {
+    const job_state* job = FindJob(end.task.job);
+    // The end of a finished job waits until that state is kept.
+    out.push_back({end.number, job ? end.task.job : "", job ? job->change : 0});
+    return;
+  }
+  job_state& job = *ref.job;
+  EndRun(ref, end.task, end, runner, now);
+  out.push_back({end.number, job.record.id, job.change});
+}
+
+void scheduler::EndRun(task_ref& ref, const fleet::task_name& name,
+                       const fleet::listed_end& end, const std::string& runner,
+                       millis now) {
+  task_state& task = *ref.task;
+  millis took = 0;
+  bool was_paced = false;
+  for (const run_state& run : task.runs) {
+    if (run.runner != runner || run.run != end.run) continue;
+    took = now - run.confirmed_at;
+    was_paced = run.pace < 100 || run.confirmed_at == 0;
+  }
+  events_.push_back({event_kind::kTaskEnded, name, end.run, runner,
+                     std::string(EndName(end.how)), took});
+  task.last_run = std::max(task.last_run, end.run);
+  if (!end.checkpoint.empty() && end.checkpoint != task.checkpoint) {
+    task.checkpoint = end.checkpoint;
+    ++ref.job->change;
+  }
+  runner_state& host = runners_[runner];
+  if (end.how == fleet::run_end::kDone) {
+    host.failures_in_row = 0;
+    if (!was_paced) {
+      run_times_.Learn(ref.job->record.queue, ref.step->estimate_ms, took);
+    }
+  } else if (end.how == fleet::run_end::kFailed) {
+    ++host.failures_in_row;
+    task.failed_on = runner;
+  }
+  const bool finished_before = ref.job->Finished();
+  if (!finished_before && end.how == fleet::run_end::kDone && !task.done &&
+      !ref.step->long_running) {
+    task.done = true;
+    ++ref.state->done_count;
+    ++ref.job->change;
+    if (ref.step->gang) {
+      for (task_state& member : ref.state->tasks) member.done = true;
+      ref.state->done_count = static_cast<int>(ref.state->tasks.size());
+    }
+  }
+  if (!finished_before && end.how == fleet::run_end::kFailed &&
+      !ref.step->long_running && end.run > task.counted_run) {
+    task.counted_run = end.run;
+    ++task.failures;
+    ++ref.job->change;
+  }
+  const bool exhausted =
+      !task.done && task.failures >= ref.job->record.attempts;
+  const bool may_fail = exhausted && !ref.step->long_running;
+  DetachRun(name, ref, runner, end.run);
+  if (finished_before) return;  // The job's tasks may have been released.
+  if (may_fail) {
+    FinishJob(*ref.job, job_phase::kFailed, now);
+  } else if (end.how == fleet::run_end::kDone) {
+    FinishStepOrJob(ref, now);
+  }
+}
+
+void scheduler::FinishStepOrJob(task_ref& ref, millis now) {
+  if (ref.repetition->done || !AllDone(*ref.repetition)) return;
+  ref.repetition->done = true;
+  ++ref.job->change;
+  const int total = std::max(1, ref.job->record.request.repetitions);
+  if (ref.job->created_repetitions < total) return;
+  const bool all =
+      std::ranges::all_of(ref.job->repetitions,
+                          [](const auto& entry) { return entry.second.done; });
+  if (all) FinishJob(*ref.job, job_phase::kSucceeded, now);
+}
+
+void scheduler::ApplyRunning(const std::string& runner,
+                             const fleet::listed_run& listed, millis now) {
+  const task_ref ref = FindTask(listed.task);
+  if (!ref.task) {
+    queued_.push_back({order_kind::kStop, runner, listed.task, listed.run, "",
+                       "", 100, "unknown_task"});
+    return;
+  }
+  auto it = std::ranges::find_if(ref.task->runs, [&](const run_state& run) {
+    return run.runner == runner && run.run == listed.run;
+  });
+  if (it == ref.task->runs.end()) {
+    run_state adopted{.runner = runner, .run = listed.run};
+    adopted.phase = run_phase::kRunning;
+    adopted.ordered_at = now;
+    adopted.confirmed_at = 0;
+    adopted.progress_at = now;
+    AttachRun(listed.task, ref, std::move(adopted));
+    ref.job->started = true;
+    if (ref.job->phase == job_phase::kPending) {
+      ref.job->phase = job_phase::kRunning;
+    }
+    events_.push_back(
+        {event_kind::kTaskAdopted, listed.task, listed.run, runner, "", 0});
+    it = std::prev(ref.task->runs.end());
+  }
+  run_state& run = *it;
+  if (run.phase == run_phase::kStarting) {
+    run.phase = run_phase::kRunning;
+    run.confirmed_at = now;
+    run.progress_at = now;
+  }
+  if (run.percent != listed.percent) {
+    run.percent = listed.percent;
+    run.progress_at = now;
+  }
+  run.load = listed.load;
+  if (!listed.checkpoint.empty()) ref.task->checkpoint = listed.checkpoint;
+  if (ref.task->done || ref.job->Finished()) {
+    RequestStop(listed.task, run, "not_needed", now);
+  } else if (ref.task->runs.size() > 1) {
+    // Two runs can only come from an earlier leader; the newest one stays.
+    for (run_state& other : ref.task->runs) {
+      if (other.run < ref.task->last_run) {
+        RequestStop(listed.task, other, "duplicate", now);
+      }
+    }
+  }
+}
+
+void scheduler::DropVanished(const std::string& id,
+                             const fleet::runner_listing& listing,
+                             millis sent_at, millis now) {
+  const runner_state& runner = runners_[id];
+  const std::set<fleet::task_name> tasks = runner.tasks;
+  for (const fleet::task_name& name : tasks) {
+    const task_ref ref = FindTask(name);
+    if (!ref.task) continue;
+    const auto it = std::ranges::find(ref.task->runs, id, &run_state::runner);
+    if (it == ref.task->runs.end() || it->order_in_flight) continue;
+    const bool settled =
+        it->phase == run_phase::kRunning ||
+        (it->phase == run_phase::kStopping && it->stop_confirmed);
+    // A listing that was asked for earlier says nothing about the order.
+    if (!settled || it->confirmed_at >= sent_at) continue;
+    const bool present =
+        std::ranges::any_of(listing.running, [&](const fleet::listed_run& run) {
+          return run.task == name && run.run == it->run;
+        });
+    if (present) continue;
+    events_.push_back({event_kind::kTaskLost, name, it->run, id, "not_listed",
+                       now - it->ordered_at});
+    DetachRun(name, ref, id, it->run);
+  }
+}
+
+void scheduler::OrderAnswered(const order& order, fleet::order_outcome outcome,
+                              millis now) {
+  using fleet::order_outcome;
+  if (order.kind == order_kind::kPace) return;
+  const task_ref ref = FindTask(order.task);
+  if (!ref.task) return;
+  const auto it =
+      std::ranges::find_if(ref.task->runs, [&](const run_state& run) {
+        return run.runner == order.runner && run.run == order.run;
+      });
+  if (it == ref.task->runs.end()) return;
+  run_state& run = *it;
+  if (order.kind == order_kind::kStop) {
+    run.order_in_flight = false;
+    run.retry_at = now + kRefusalPauseMs;
+    if (outcome == order_outcome::kAccepted ||
+        outcome == order_outcome::kOldRun) {
+      run.stop_confirmed = true;
+      run.confirmed_at = now;
+    }
+    return;
+  }
+  if (run.phase == run_phase::kStopping) {
+    if (outcome == order_outcome::kUnknown) run.unanswered = true;
+    return;
+  }
+  run.order_in_flight = false;
+  const auto host = runners_.find(order.runner);
+  switch (outcome) {
+    case order_outcome::kAccepted:
+    case order_outcome::kOldRun:  // The listing tells how it ended.
+      if (run.phase == run_phase::kStarting) {
+        run.phase = run_phase::kRunning;
+        run.confirmed_at = now;
+        run.progress_at = now;
+      }
+      return;
+    case order_outcome::kUnknown:
+      run.unanswered = true;
+      run.retry_at = now + kRefusalPauseMs;
+      return;
+    case order_outcome::kNotSent:
+    case order_outcome::kUnhealthy:
+    case order_outcome::kNoRoom:
+      if (host != runners_.end()) {
+        host->second.not_before = now + kRefusalPauseMs;
+      }
+      if (run.unanswered) {
+        run.retry_at = now + kRefusalPauseMs;
+        return;
+      }
+      break;
+    case order_outcome::kInvalid:
+      ref.task->not_before = now + 10 * kRefusalPauseMs;
+      break;
+    default:
+      if (host != runners_.end()) {
+        host->second.not_before = now + kRefusalPauseMs;
+      }
+      break;
+  }
+  if (run.phase != run_phase::kStarting) return;  // Listed meanwhile.
+  events_.push_back({event_kind::kTaskLost, order.task, order.run, order.runner,
+                     fleet::OrderOutcomeName(outcome), now - run.ordered_at});
+  DetachRun(order.task, ref, order.runner, order.run);
+}
+
+}  // namespace radishwing::sched
--- /dev/null
+++ b/src/sched/scheduler_plan.cc
@@ -0,0 +1,433 @@
+#include <algorithm>
+
+#include "src/sched/job_steps.h"
+#include "src/sched/scheduler.h"
+
+// What to start, stop and slow down next.
+
+namespace radishwing::sched {
+namespace {
+
+// A task whose progress has not changed for this long while it was looked at
+// is stuck: runners report progress at least once a second.
+constexpr millis kStuckMs = 2500;
+// Failed ends in a row after which a runner is used only if no other has room.
+constexpr int kSuspectFailures = 3;
+// A job earns a little until this many times its objective.
+constexpr int kLateFactor = 3;
+// Pace of tasks that fill while a neighbour is near its latency target, and
+// shares of the target at which they slow down and speed up.
+constexpr int kSlowPace = 0;
+constexpr double kSlowAt = 0.75;
+constexpr double kResumeAt = 0.4;
+
+bool AtWork(const task_state& task) {
+  return std::ranges::any_of(task.runs, [](const run_state& run) {
+    return run.phase == run_phase::kRunning && run.percent >= 100;
+  });
+}
+
+bool HasRoom(const fleet::resources& cap, const fleet::resources& used,
+             const fleet::resources& needs) {
+  const auto fits = [](std::int64_t limit, std::int64_t in_use,
+                       std::int64_t more) {
+    return limit == 0 || in_use + more <= limit;
+  };
+  return fits(cap.cpu_millis, used.cpu_millis, needs.cpu_millis) &&
+         fits(cap.memory_mb, used.memory_mb, needs.memory_mb) &&
+         fits(cap.accelerators, used.accelerators, needs.accelerators);
+}
+
+}  // namespace
+
+std::vector<order> scheduler::Plan(millis now, millis unix_now) {
+  std::vector<order> out;
+  for (auto& [id, job] : jobs_) {
+    if (!job->Finished()) CreateRepetitions(*job, unix_now);
+  }
+  PlanStuckStops(now);
+  PlanRetries(now, out);
+  PlanPace(now, out);
+  PlanStarts(now, out);
+  out.insert(out.begin(), queued_.begin(), queued_.end());
+  queued_.clear();
+  return out;
+}
+
+void scheduler::CreateRepetitions(job_state& job, millis unix_now) {
+  const fleet::job_request& request = job.record.request;
+  const int total = std::max(1, request.repetitions);
+  while (job.created_repetitions < total) {
+    const int number = job.created_repetitions;
+    if (request.repetitions > 0 &&
+        unix_now < request.first_due_ms + number * request.interval_ms) {
+      return;
+    }
+    job.repetitions[number] = MakeRepetition(request);
+    ++job.created_repetitions;
+  }
+}
+
+void scheduler::PlanRetries(millis now, std::vector<order>& out) {
+  for (auto& [id, runner] : runners_) {
+    for (const fleet::task_name& name : runner.tasks) {
+      const task_ref ref = FindTask(name);
+      if (!ref.task) continue;
+      for (run_state& run : ref.task->runs) {
+        if (run.runner != id || run.order_in_flight || now < run.retry_at) {
+          continue;
+        }
+        const bool stop =
+            run.phase == run_phase::kStopping && !run.stop_confirmed;
+        const bool start = run.phase == run_phase::kStarting && run.unanswered;
+        if (!stop && !start) continue;
+        run.order_in_flight = true;
+        out.push_back({stop ? order_kind::kStop : order_kind::kStart, id, name,
+                       run.run, start ? ref.job->record.request.spec : "",
+                       start ? ref.task->checkpoint : "", 100, "retry"});
+      }
+    }
+  }
+}
+
+void scheduler::PlanStuckStops(millis now) {
+  for (auto& [id, runner] : runners_) {
+    if (!runner.reachable) continue;
+    for (const fleet::task_name& name : runner.tasks) {
+      const task_ref ref = FindTask(name);
+      if (!ref.task || ref.step->gang) continue;
+      for (run_state& run : ref.task->runs) {
+        if (run.runner != id || run.phase != run_phase::kRunning) continue;
+        const bool complete = run.percent >= 100;
+        if (complete || run.pace < 100 || now - run.progress_at < kStuckMs) {
+          continue;
+        }
+        runner.failures_in_row =
+            std::max(runner.failures_in_row, kSuspectFailures);
+        ref.task->failed_on = id;
+        RequestStop(name, run, "stuck", now);
+      }
+    }
+  }
+}
+
+bool scheduler::HasKind(const runner_state& runner, bool serving) const {
+  return std::ranges::any_of(runner.tasks, [&](const fleet::task_name& name) {
+    const auto it = jobs_.find(name.job);
+    if (it == jobs_.end()) return false;
+    const auto& steps = it->second->record.request.steps;
+    const auto step = static_cast<std::size_t>(name.step);
+    if (step >= steps.size()) return false;
+    return serving ? steps[step].target_tail_ms > 0 : steps[step].fills;
+  });
+}
+
+void scheduler::PlanPace(millis now, std::vector<order>& out) {
+  for (auto& [id, runner] : runners_) {
+    double worst = -1;
+    for (const fleet::task_name& name : runner.tasks) {
+      const task_ref ref = FindTask(name);
+      if (!ref.task || ref.step->target_tail_ms == 0) continue;
+      for (const run_state& run : ref.task->runs) {
+        if (run.runner != id) continue;
+        worst = std::max(
+            worst, run.load / static_cast<double>(ref.step->target_tail_ms));
+      }
+    }
+    for (const fleet::task_name& name : runner.tasks) {
+      const task_ref ref = FindTask(name);
+      if (!ref.task || !ref.step->fills) continue;
+      for (run_state& run : ref.task->runs) {
+        if (run.runner != id || run.phase != run_phase::kRunning) continue;
+        const int pace = worst > kSlowAt     ? kSlowPace
+                         : worst < kResumeAt ? 100
+                                             : run.pace;
+        if (pace == run.pace) continue;
+        run.pace = pace;
+        run.progress_at = now;
+        out.push_back(
+            {order_kind::kPace, id, name, run.run, "", "", pace, "tail"});
+      }
+    }
+  }
+}
+
+scheduler::candidate scheduler::Rank(job_state& job, millis now) const {
+  candidate ranked{.job = &job};
+  if (job.long_running) return ranked;
+  const double ratio = run_times_.Ratio(job.record.queue);
+  const auto whole =
+      static_cast<double>(LongestChain(job.record.request, nullptr));
+  const repetition_state* current = nullptr;
+  for (const auto& [number, repetition] : job.repetitions) {
+    if (!repetition.done) {
+      current = &repetition;
+      break;
+    }
+  }
+  const auto left = static_cast<double>(
+      current ? LongestChain(job.record.request, current) : 0);
+  const auto objective =
+      static_cast<millis>(job.record.stretch * whole * ratio +
+                          static_cast<double>(job.record.target_ms));
+  const auto remaining = static_cast<millis>(left * ratio);
+  ranked.latest_start = job.accepted_at + objective - remaining;
+  const millis late_start =
+      job.accepted_at + kLateFactor * objective - remaining;
+  ranked.category = now <= ranked.latest_start ? 1 : now <= late_start ? 2 : 3;
+  return ranked;
+}
+
+void scheduler::CountUnlistedUse() {
+  unlisted_use_.clear();
+  if (expected_.empty()) return;
+  for (const auto& [id, job] : jobs_) {
+    if (!job->restored || job->Finished() || !PoolUnknown(job->record.pool)) {
+      continue;
+    }
+    const auto& request = job->record.request;
+    for (const auto& [number, repetition] : job->repetitions) {
+      for (std::size_t s = 0; s < repetition.steps.size(); ++s) {
+        if (!StepReady(request, repetition, s)) continue;
+        for (const task_state& task : repetition.steps[s].tasks) {
+          if (task.done || !task.runs.empty()) continue;
+          unlisted_use_[job->record.team] += request.steps[s].needs;
+        }
+      }
+    }
+  }
+}
+
+void scheduler::PlanStarts(millis now, std::vector<order>& out) {
+  CountUnlistedUse();
+  std::vector<candidate> ranked;
+  for (auto& [id, job] : jobs_) {
+    if (job->Finished()) continue;
+    if (job->restored) {
+      if (PoolUnknown(job->record.pool)) continue;
+      job->restored = false;
+    }
+    ranked.push_back(Rank(*job, now));
+  }
+  std::ranges::sort(ranked, [](const candidate& a, const candidate& b) {
+    if (a.category != b.category) return a.category < b.category;
+    const int a_priority = a.job->record.priority;
+    const int b_priority = b.job->record.priority;
+    if (a_priority != b_priority) return a_priority < b_priority;
+    if (a.latest_start != b.latest_start) {
+      return a.latest_start < b.latest_start;
+    }
+    return a.job->record.id < b.job->record.id;
+  });
+  for (const candidate& entry : ranked) StartTasksOf(*entry.job, now, out);
+}
+
+void scheduler::StartTasksOf(job_state& job, millis now,
+                             std::vector<order>& out) {
+  for (auto& [number, repetition] : job.repetitions) {
+    if (repetition.done) continue;
+    const auto& request = job.record.request;
+    for (std::size_t s = 0; s < repetition.steps.size(); ++s) {
+      const step_state& step = repetition.steps[s];
+      if (step.done_count == static_cast<int>(step.tasks.size()) ||
+          !StepReady(request, repetition, s)) {
+        continue;
+      }
+      if (request.steps[s].gang) {
+        StartGang(job, number, repetition, static_cast<int>(s), now, out);
+      } else {
+        StartStep(job, number, repetition, static_cast<int>(s), now, out);
+      }
+    }
+  }
+}
+
+void scheduler::StartStep(job_state& job, int repetition_number,
+                          repetition_state& repetition, int step_number,
+                          millis now, std::vector<order>& out) {
+  const auto s = static_cast<std::size_t>(step_number);
+  const fleet::task_step& step = job.record.request.steps[s];
+  step_state& state = repetition.steps[s];
+  for (std::size_t i = 0; i < state.tasks.size(); ++i) {
+    task_state& task = state.tasks[i];
+    if (task.done || !task.runs.empty() || now < task.not_before) continue;
+    if (!WithinCap(job, step.needs)) return;
+    runner_state* runner = ChooseRunner(job, step, state, repetition_number,
+                                        step_number, task, now);
+    if (!runner) return;
+    const fleet::task_name name{job.record.id, repetition_number, step_number,
+                                static_cast<int>(i)};
+    BeginStart(job, name, FindTask(name), *runner,
+               std::max(next_run_base_, task.last_run + 1), now, out);
+  }
+}
+
+void scheduler::StartGang(job_state& job, int repetition_number,
+                          repetition_state& repetition, int step_number,
+                          millis now, std::vector<order>& out) {
+  const auto s = static_cast<std::size_t>(step_number);
+  const fleet::task_step& step = job.record.request.steps[s];
+  step_state& state = repetition.steps[s];
+  int run = next_run_base_;
+  std::string checkpoint;
+  for (task_state& task : state.tasks) {
+    if (task.done || !task.runs.empty() || now < task.not_before) return;
+    run = std::max(run, task.last_run + 1);
+    if (!task.checkpoint.empty()) checkpoint = task.checkpoint;
+  }
+  // All members are placed or none: what was placed is undone otherwise.
+  std::vector<order> placed;
+  for (std::size_t i = 0; i < state.tasks.size(); ++i) {
+    task_state& task = state.tasks[i];
+    task.checkpoint = checkpoint;
+    runner_state* runner = nullptr;
+    if (WithinCap(job, step.needs)) {
+      runner = ChooseRunner(job, step, state, repetition_number, step_number,
+                            task, now);
+    }
+    const fleet::task_name name{job.record.id, repetition_number, step_number,
+                                static_cast<int>(i)};
+    if (!runner) {
+      for (const order& undo : placed) {
+        const task_ref member = FindTask(undo.task);
+        member.task->last_run = run - 1;
+        DetachRun(undo.task, member, undo.runner, run);
+      }
+      return;
+    }
+    BeginStart(job, name, FindTask(name), *runner, run, now, placed);
+  }
+  out.insert(out.end(), placed.begin(), placed.end());
+}
+
+void scheduler::BeginStart(job_state& job, const fleet::task_name& name,
+                           task_ref ref, runner_state& runner, int run,
+                           millis now, std::vector<order>& out) {
+  run_state state{.runner = runner.report.id, .run = run};
+  state.order_in_flight = true;
+  state.ordered_at = now;
+  state.progress_at = now;
+  AttachRun(name, ref, std::move(state));
+  job.started = true;
+  job.phase = job_phase::kRunning;
+  out.push_back({order_kind::kStart, runner.report.id, name, run,
+                 job.record.request.spec, ref.task->checkpoint, 100, ""});
+  events_.push_back({event_kind::kTaskStarted, name, run, runner.report.id, "",
+                     now - job.accepted_at});
+}
+
+bool scheduler::WithinCap(const job_state& job,
+                          const fleet::resources& needs) const {
+  const fleet::team_config* team = config_.FindTeam(job.record.team);
+  if (!team) return true;
+  fleet::resources used;
+  const auto it = team_use_.find(job.record.team);
+  if (it != team_use_.end()) used += it->second;
+  const auto unlisted = unlisted_use_.find(job.record.team);
+  if (unlisted != unlisted_use_.end()) used += unlisted->second;
+  return HasRoom(team->cap, used, needs);
+}
+
+bool scheduler::PoolUnknown(std::string_view pool) const {
+  return std::ranges::any_of(
+      expected_, [&](const auto& entry) { return entry.second == pool; });
+}
+
+bool scheduler::Usable(const runner_state& runner, const fleet::task_step& step,
+                       millis now) const {
+  if (!runner.listed || !runner.reachable || runner.cordoned ||
+      runner.report.draining || now < runner.not_before ||
+      !recorded_.contains(runner.report.id)) {
+    return false;
+  }
+  if (!step.required_label.empty() &&
+      std::ranges::find(runner.report.labels, step.required_label) ==
+          runner.report.labels.end()) {
+    return false;
+  }
+  return (runner.used + RunnerNeeds(step)).FitsIn(runner.report.capacity);
+}
+
+runner_state* scheduler::ChooseRunner(const job_state& job,
+                                      const fleet::task_step& step,
+                                      const step_state& state, int repetition,
+                                      int step_number, const task_state& task,
+                                      millis now) {
+  runner_state* best = nullptr;
+  double best_score = 0;
+  std::string gang_rack;
+  if (step.same_rack) {
+    for (const task_state& other : state.tasks) {
+      if (other.runs.empty()) continue;
+      const runner_state* host = FindRunner(other.runs.front().runner);
+      if (host) gang_rack = host->report.rack;
+    }
+  }
+  for (auto& [id, runner] : runners_) {
+    if (runner.report.pool != job.record.pool || !Usable(runner, step, now)) {
+      continue;
+    }
+    if (step.max_per_runner > 0) {
+      const auto here = std::ranges::count_if(
+          runner.tasks, [&](const fleet::task_name& name) {
+            return name.job == job.record.id && name.repetition == repetition &&
+                   name.step == step_number;
+          });
+      if (here >= step.max_per_runner) continue;
+    }
+    const auto free_cpu = static_cast<double>(
+        runner.report.capacity.cpu_millis - runner.used.cpu_millis);
+    const auto all_cpu = static_cast<double>(
+        std::max<std::int64_t>(1, runner.report.capacity.cpu_millis));
+    // Room decides among equals; what slows the task down comes before it.
+    double score = free_cpu / all_cpu;
+    if (runner.failures_in_row >= kSuspectFailures) score -= 8;
+    if (task.failed_on == id) score -= 4;
+    if (!step.data_rack.empty() && runner.report.rack != step.data_rack) {
+      score -= 2;
+    }
+    if (!gang_rack.empty() && runner.report.rack != gang_rack) score -= 2;
+    if (step.fills && HasKind(runner, true)) score -= 3;
+    if (step.target_tail_ms > 0 && HasKind(runner, false)) score -= 3;
+    if (!best || score > best_score) {
+      best = &runner;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+int scheduler::AwayCount(const step_state& state, millis now) const {
+  return static_cast<int>(
+      std::ranges::count_if(state.tasks, [&](const task_state& task) {
+        const bool recently =
+            task.disrupted_at >= 0 && now - task.disrupted_at < notice_ms_;
+        return !AtWork(task) || (recently && task.runs.empty());
+      }));
+}
+
+bool scheduler::Evacuate(const std::string& id, bool stop_batch, millis now) {
+  const auto it = runners_.find(id);
+  if (it == runners_.end()) return true;
+  for (const fleet::task_name& name : it->second.tasks) {
+    const task_ref ref = FindTask(name);
+    if (!ref.task) continue;
+    const auto run = std::ranges::find(ref.task->runs, id, &run_state::runner);
+    if (run == ref.task->runs.end() || run->phase != run_phase::kRunning) {
+      continue;
+    }
+    if (ref.step->long_running) {
+      const bool bounded = ref.step->bounded_disruption && AtWork(*ref.task);
+      if (bounded && AwayCount(*ref.state, now) >= ref.step->max_disrupted) {
+        continue;
+      }
+      ref.task->disrupted_at = now;
+      RequestStop(name, *run, "evacuate", now);
+    } else if (stop_batch) {
+      RequestStop(name, *run, "evacuate", now);
+    }
+  }
+  return it->second.tasks.empty();
+}
+
+}  // namespace radishwing::sched
--- /dev/null
+++ b/src/sched/task_state.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "src/base/clock.h"
+#include "src/sched/run_state.h"
+
+namespace radishwing::sched {
+
+/// One task of one repetition of a job.
+struct task_state {
+  bool done = false;
+  int failures = 0;     ///< Runs that have used an attempt.
+  int counted_run = 0;  ///< Highest run counted in `failures`.
+  int last_run = 0;     ///< Highest run number ever used.
+  millis not_before = 0;
+  /// When an order of ours last took it away from work.
+  millis disrupted_at = -1;
+  std::string checkpoint;
+  std::string failed_on;  ///< Runner of the last failed run.
+  std::vector<run_state> runs;
+};
+
+}  // namespace radishwing::sched
