Record ends of restored jobs that are listed before the first plan

Cause: a job restored from the store has no repetitions until the first plan, so ends listed before it found no task, were taken for strange ones and acknowledged without being kept; the task ran again (TWICE). Ruled out: a lost progress write (the record was never written).

--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -175,6 +175,20 @@
   return std::exchange(events_, {});
 }
 
+// An earlier leader may have started repetitions that this one has not planned
+// yet; what runners list of them must find its task.
+void scheduler::EnsureRepetition(const fleet::task_name& name) {
+  const auto it = jobs_.find(name.job);
+  if (it == jobs_.end() || it->second->Finished()) return;
+  job_state& job = *it->second;
+  const int total = std::max(1, job.record.request.repetitions);
+  if (name.repetition >= total) return;
+  while (job.created_repetitions <= name.repetition) {
+    job.repetitions[job.created_repetitions++] =
+        MakeRepetition(job.record.request);
+  }
+}
+
 scheduler::task_ref scheduler::FindTask(const fleet::task_name& name) {
   task_ref ref;
   const auto it = jobs_.find(name.job);
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -124,6 +124,7 @@
   };
 
   task_ref FindTask(const fleet::task_name& name);
+  void EnsureRepetition(const fleet::task_name& name);
   void ApplyEnd(const std::string& runner, const fleet::listed_end& end,
                 millis now, std::vector<recorded_end>& out);
   void EndRun(task_ref& ref, const fleet::task_name& name,
--- a/src/sched/scheduler_listing.cc
+++ b/src/sched/scheduler_listing.cc
@@ -61,6 +61,7 @@
 void scheduler::ApplyEnd(const std::string& runner,
                          const fleet::listed_end& end, millis now,
                          std::vector<recorded_end>& out) {
+  EnsureRepetition(end.task);
   task_ref ref = FindTask(end.task);
   if (!ref.task) {
     const job_state* job = FindJob(end.task.job);
@@ -144,6 +145,7 @@
 
 void scheduler::ApplyRunning(const std::string& runner,
                              const fleet::listed_run& listed, millis now) {
+  EnsureRepetition(listed.task);
   const task_ref ref = FindTask(listed.task);
   if (!ref.task) {
     queued_.push_back({order_kind::kStop, runner, listed.task, listed.run, "",
