--- a/src/node/leader_load.cc
+++ b/src/node/leader_load.cc
@@ -68,6 +68,7 @@
       self->entry_gone_since[runner.id] = self->context.now.Now();
       self->AddLink(runner, self->predecessor_until);
     }
+    self->runner_set_loaded = true;
     self->WatchRunners();
     self->LoadProgress("");
   });
--- a/src/node/leader_runners.cc
+++ b/src/node/leader_runners.cc
@@ -162,7 +162,8 @@
 // Runners that may hold orders are recorded before they get the first one, so
 // that a successor knows whom to ask.
 void leader::impl::RecordRunnerSet() {
-  if (runner_set_in_flight || ended) return;
+  // Before the predecessor's set is known, ours would drop its runners.
+  if (!runner_set_loaded || runner_set_in_flight || ended) return;
   json::array rows;
   std::set<std::string> ids;
   for (const auto& [id, link] : links) {
--- a/src/node/membership.cc
+++ b/src/node/membership.cc
@@ -220,6 +220,12 @@
 void membership::impl::Elect(std::uint64_t term_revision, int term,
                              bool resigned) {
   const leader_record record = context.members.Leader();
+  // Somebody may have been elected while the term was read.
+  if (!record.node.empty() &&
+      (record.node != self_member.name || Leads(record))) {
+    standing = false;
+    return;
+  }
   store::store_commit commit;
   commit.expected = {{ShardKey(), record.fence}, {TermKey(), term_revision}};
   commit.writes = {{ShardKey(), EncodeMember(self_member), lease},
--- a/src/sched/progress_codec.cc
+++ b/src/sched/progress_codec.cc
@@ -1,5 +1,6 @@
 #include "src/sched/progress_codec.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 
 #include "src/sched/job_steps.h"
@@ -12,14 +13,16 @@
   return {failure_kind::kInvalid, "progress record is unreadable"};
 }
 
-// [index, failures, counted run, checkpoint] of the tasks that have any.
+// [index, failed runs, checkpoint] of the tasks that have any.
 json::array EncodeTasks(const step_state& step) {
   json::array rows;
   for (std::size_t i = 0; i < step.tasks.size(); ++i) {
     const task_state& task = step.tasks[i];
-    if (task.done || (task.failures == 0 && task.checkpoint.empty())) continue;
+    if (task.done || (task.failed_runs.empty() && task.checkpoint.empty())) {
+      continue;
+    }
     rows.push_back(
-        json::array{i, task.failures, task.counted_run, task.checkpoint});
+        json::array{i, json::value_from(task.failed_runs), task.checkpoint});
   }
   return rows;
 }
@@ -36,10 +39,11 @@
     const auto index = row.at(0).to_number<std::size_t>();
     if (index >= step.tasks.size()) continue;
     task_state& task = step.tasks[index];
-    task.failures = row.at(1).to_number<int>();
-    task.counted_run = row.at(2).to_number<int>();
-    task.last_run = task.counted_run;
-    task.checkpoint = row.at(3).as_string().c_str();
+    for (const json::value& run : row.at(1).as_array()) {
+      task.failed_runs.push_back(run.to_number<int>());
+      task.last_run = std::max(task.last_run, task.failed_runs.back());
+    }
+    task.checkpoint = row.at(2).as_string().c_str();
   }
 }
 
--- a/src/sched/scheduler_listing.cc
+++ b/src/sched/scheduler_listing.cc
@@ -82,7 +82,7 @@
   bool was_paced = false;
   for (const run_state& run : task.runs) {
     if (run.runner != runner || run.run != end.run) continue;
-    took = now - run.confirmed_at;
+    if (run.confirmed_at > 0) took = now - run.confirmed_at;
     was_paced = run.pace < 100 || run.confirmed_at == 0;
   }
   events_.push_back({event_kind::kTaskEnded, name, end.run, runner,
@@ -114,13 +114,14 @@
     }
   }
   if (!finished_before && end.how == fleet::run_end::kFailed &&
-      !ref.step->long_running && end.run > task.counted_run) {
-    task.counted_run = end.run;
-    ++task.failures;
+      !ref.step->long_running &&
+      std::ranges::find(task.failed_runs, end.run) == task.failed_runs.end()) {
+    task.failed_runs.push_back(end.run);
     ++ref.job->change;
   }
   const bool exhausted =
-      !task.done && task.failures >= ref.job->record.attempts;
+      !task.done &&
+      static_cast<int>(task.failed_runs.size()) >= ref.job->record.attempts;
   const bool may_fail = exhausted && !ref.step->long_running;
   DetachRun(name, ref, runner, end.run);
   if (finished_before) return;  // The job's tasks may have been released.
--- a/src/sched/task_state.h
+++ b/src/sched/task_state.h
@@ -11,9 +11,10 @@
 /// One task of one repetition of a job.
 struct task_state {
   bool done = false;
-  int failures = 0;     ///< Runs that have used an attempt.
-  int counted_run = 0;  ///< Highest run counted in `failures`.
-  int last_run = 0;     ///< Highest run number ever used.
+  /// Runs that have used an attempt. Their ends may be told out of order and,
+  /// after a change of the leader, more than once.
+  std::vector<int> failed_runs;
+  int last_run = 0;  ///< Highest run number ever used.
   millis not_before = 0;
   /// When an order of ours last took it away from work.
   millis disrupted_at = -1;
--- /dev/null
+++ b/tests/sched/scheduler_fixture.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "src/fleet/job_record.h"
+#include "src/sched/scheduler.h"
+
+namespace radishwing::sched {
+
+/// A scheduler with one pool and one queue, driven by hand.
+struct scheduler_fixture {
+  scheduler_fixture() {
+    fleet::fleet_config config;
+    config.version = 1;
+    config.pools.push_back({"pool", false, false});
+    config.teams.push_back({"team", {"key"}, 1.0, {}});
+    subject.SetConfig(config);
+  }
+
+  /// A runner that has listed nothing.
+  void AddRunner(const std::string& id, std::int64_t cpu = 4000) {
+    fleet::runner_report report;
+    report.id = id;
+    report.pool = "pool";
+    report.capacity = {cpu, 65536, 0};
+    subject.AddRunner(report);
+    recorded.insert(id);
+    subject.SetRecorded(recorded);
+    List(id, {});
+  }
+
+  static fleet::task_step Step(int count, std::int64_t cpu = 1000) {
+    fleet::task_step step;
+    step.count = count;
+    step.needs = {cpu, 100, 0};
+    step.estimate_ms = 500;
+    return step;
+  }
+
+  void AddJob(const std::string& id, std::vector<fleet::task_step> steps,
+              bool restored = false, int attempts = 2) {
+    fleet::job_record record;
+    record.id = id;
+    record.queue = "queue";
+    record.pool = "pool";
+    record.team = "team";
+    record.attempts = attempts;
+    record.stretch = 2;
+    record.target_ms = 600;
+    record.accepted_unix_ms = now;
+    record.request.steps = std::move(steps);
+    subject.AddJob(std::move(record), restored, now, now);
+  }
+
+  std::vector<order> Plan() { return subject.Plan(now, now); }
+
+  /// Plans and accepts every order.
+  std::vector<order> PlanAndAccept() {
+    const std::vector<order> orders = Plan();
+    for (const order& given : orders) {
+      subject.OrderAnswered(given, fleet::order_outcome::kAccepted, now);
+    }
+    return orders;
+  }
+
+  std::vector<recorded_end> List(const std::string& runner,
+                                 fleet::runner_listing listing) {
+    return subject.ApplyListing(runner, listing, now, now);
+  }
+
+  /// An end of a run, as a listing.
+  static fleet::runner_listing End(std::uint64_t number,
+                                   const fleet::task_name& task, int run,
+                                   fleet::run_end how) {
+    fleet::runner_listing listing;
+    listing.ended.push_back({number, task, run, how, ""});
+    return listing;
+  }
+
+  millis now = 1000;
+  std::set<std::string> recorded;
+  scheduler subject{1, 4500};
+};
+
+}  // namespace radishwing::sched
--- /dev/null
+++ b/tests/sched/scheduler_order_test.cc
@@ -0,0 +1,98 @@
+#include <boost/test/unit_test.hpp>
+
+#include "tests/sched/scheduler_fixture.h"
+
+namespace radishwing::sched {
+namespace {
+
+BOOST_FIXTURE_TEST_SUITE(scheduler_orders, scheduler_fixture)
+
+// Guards against a second run of a task whose start got no answer.
+BOOST_AUTO_TEST_CASE(unanswered_start_is_repeated_on_the_same_runner_only) {
+  AddRunner("r1");
+  AddRunner("r2");
+  AddJob("a", {Step(1)});
+  const auto first = Plan();
+  BOOST_REQUIRE_EQUAL(first.size(), 1u);
+  subject.OrderAnswered(first[0], fleet::order_outcome::kUnknown, now);
+  now += 1000;
+  const auto second = Plan();
+  BOOST_REQUIRE_EQUAL(second.size(), 1u);
+  BOOST_TEST(second[0].runner == first[0].runner);
+  BOOST_TEST(second[0].run == first[0].run);
+}
+
+// Guards against the loss of an order that certainly was not sent.
+BOOST_AUTO_TEST_CASE(start_not_sent_goes_elsewhere) {
+  AddRunner("r1");
+  AddRunner("r2");
+  AddJob("a", {Step(1)});
+  const auto first = Plan();
+  subject.OrderAnswered(first[0], fleet::order_outcome::kNotSent, now);
+  const auto second = Plan();
+  BOOST_REQUIRE_EQUAL(second.size(), 1u);
+  BOOST_TEST(second[0].runner != first[0].runner);
+}
+
+// Guards against overfilling a runner that does not guard its capacity.
+BOOST_AUTO_TEST_CASE(runner_is_not_overfilled_while_a_task_stops) {
+  AddRunner("r1", 2000);
+  AddJob("a", {Step(2)});
+  BOOST_TEST(PlanAndAccept().size() == 2u);
+  subject.CancelJob("a", now);
+  AddJob("b", {Step(2)});
+  const auto orders = PlanAndAccept();
+  BOOST_REQUIRE_EQUAL(orders.size(), 2u);
+  BOOST_TEST((orders[0].kind == order_kind::kStop));
+  BOOST_TEST((orders[1].kind == order_kind::kStop));
+  now += 10;
+  auto ends = End(1, {"a", 0, 0, 0}, 1, fleet::run_end::kStopped);
+  ends.running.push_back({{"a", 0, 0, 1}, 1, "", 10, 0});
+  List("r1", ends);
+  BOOST_TEST(Plan().size() == 1u);
+}
+
+// Guards against an early start of a step.
+BOOST_AUTO_TEST_CASE(step_starts_after_all_tasks_before_it) {
+  AddRunner("r1");
+  fleet::task_step second = Step(1);
+  second.after = {0};
+  AddJob("a", {Step(2), second});
+  BOOST_TEST(PlanAndAccept().size() == 2u);
+  List("r1", End(1, {"a", 0, 0, 0}, 1, fleet::run_end::kDone));
+  BOOST_TEST(Plan().empty());
+  List("r1", End(2, {"a", 0, 0, 1}, 1, fleet::run_end::kDone));
+  const auto orders = Plan();
+  BOOST_REQUIRE_EQUAL(orders.size(), 1u);
+  BOOST_TEST(orders[0].task.step == 1);
+}
+
+// Guards against exceeding a team's cap.
+BOOST_AUTO_TEST_CASE(cap_of_team_bounds_running_tasks) {
+  fleet::fleet_config config;
+  config.teams.push_back({"team", {"key"}, 1.0, {2000, 0, 0}});
+  subject.SetConfig(config);
+  AddRunner("r1");
+  AddJob("a", {Step(4)});
+  BOOST_TEST(Plan().size() == 2u);
+}
+
+// Guards against taking a listing that was asked for before a start for proof
+// that the run has vanished.
+BOOST_AUTO_TEST_CASE(listing_older_than_start_drops_no_run) {
+  AddRunner("r1");
+  AddJob("a", {Step(1)});
+  const millis asked = now;
+  now += 5;
+  PlanAndAccept();
+  subject.ApplyListing("r1", {}, asked, now);
+  BOOST_TEST(subject.FindRunner("r1")->tasks.size() == 1u);
+  now += 5;
+  subject.ApplyListing("r1", {}, now, now);
+  BOOST_TEST(subject.FindRunner("r1")->tasks.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace radishwing::sched
