--- a/src/node/runner_link.cc
+++ b/src/node/runner_link.cc
@@ -103,7 +103,9 @@
   platform::hold_call call;
   call.fence = fence;
   call.ack_cursor = acknowledged;
-  call.lease_until_ms = ExtendLease();
+  // A look without an answer may still be carried out: extending the lease of
+  // a silent runner would keep its tasks from ever being started elsewhere.
+  call.lease_until_ms = reachable ? ExtendLease() : 0;
   call.wait_ms = reachable ? kLookWaitMs : 0;
   const millis sent_at = context.now.Now();
   client->Hold(call, [weak = weak_from_this(),
@@ -215,8 +217,9 @@
 
 void runner_link::Send(const sched::order& order,
                        std::function<void(fleet::order_outcome)> done) {
+  const bool start = order.kind == sched::order_kind::kStart;
   if (!impl_->hooks.may_order() || !impl_->Connect() ||
-      impl_->runner_clock < 0) {
+      impl_->runner_clock < 0 || (start && !impl_->reachable)) {
     return done(fleet::order_outcome::kNotSent);
   }
   auto answered = [weak = std::weak_ptr<impl>(impl_),
--- a/src/sched/runner_state.h
+++ b/src/sched/runner_state.h
@@ -21,6 +21,9 @@
   std::uint64_t last_end = 0;  ///< Highest number of an end that was recorded.
   fleet::resources used;       ///< By all runs that may be there.
   std::set<fleet::task_name> tasks;  ///< Tasks with a run there.
+  /// The last listing had runs of no known task. They are being stopped; what
+  /// they use is not known, so the runner gets no work until they are gone.
+  bool has_strays = false;
 };
 
 }  // namespace radishwing::sched
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -7,8 +7,7 @@
 
 namespace radishwing::sched {
 
-scheduler::scheduler(int first_run, millis notice_ms)
-    : next_run_base_(first_run), notice_ms_(notice_ms) {}
+scheduler::scheduler(int first_run) : next_run_base_(first_run) {}
 
 void scheduler::SetConfig(const fleet::fleet_config& config) {
   config_ = config;
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -48,7 +48,7 @@
 class scheduler {
  public:
   /// `first_run` is the lowest run number that no earlier leader has used.
-  scheduler(int first_run, millis notice_ms);
+  explicit scheduler(int first_run);
 
   void SetConfig(const fleet::fleet_config& config);
 
@@ -171,12 +171,12 @@
   void BeginStart(job_state& job, const fleet::task_name& name, task_ref ref,
                   runner_state& runner, int run, millis now,
                   std::vector<order>& out);
-  int AwayCount(const step_state& state, millis now) const;
+  /// Tasks of the step but `task` that are not at work as far as is known.
+  int OthersAway(const step_state& state, const task_state& task) const;
   fleet::resources RunnerNeeds(const fleet::task_step& step) const;
   bool HasKind(const runner_state& runner, bool serving) const;
 
   int next_run_base_;
-  millis notice_ms_;
   fleet::fleet_config config_;
   run_time_model run_times_;
   std::unordered_map<std::string, std::unique_ptr<job_state>> jobs_;
--- a/src/sched/scheduler_listing.cc
+++ b/src/sched/scheduler_listing.cc
@@ -49,6 +49,7 @@
     runner.last_end = end.number;
     ApplyEnd(id, end, now, recorded);
   }
+  runner.has_strays = false;
   for (const fleet::listed_run& run : listing.running) {
     ApplyRunning(id, run, now);
   }
@@ -149,6 +150,7 @@
   EnsureRepetition(listed.task);
   const task_ref ref = FindTask(listed.task);
   if (!ref.task) {
+    runners_[runner].has_strays = true;
     queued_.push_back({order_kind::kStop, runner, listed.task, listed.run, "",
                        "", 100, "unknown_task"});
     return;
--- a/src/sched/scheduler_plan.cc
+++ b/src/sched/scheduler_plan.cc
@@ -81,6 +81,8 @@
             run.phase == run_phase::kStopping && !run.stop_confirmed;
         const bool start = run.phase == run_phase::kStarting && run.unanswered;
         if (!stop && !start) continue;
+        // A start extends the lease there, so a silent runner gets none.
+        if (start && !runner.reachable) continue;
         run.order_in_flight = true;
         out.push_back({stop ? order_kind::kStop : order_kind::kStart, id, name,
                        run.run, start ? ref.job->record.request.spec : "",
@@ -336,7 +338,7 @@
 bool scheduler::Usable(const runner_state& runner, const fleet::task_step& step,
                        millis now) const {
   if (!runner.listed || !runner.reachable || runner.cordoned ||
-      runner.report.draining || now < runner.not_before ||
+      runner.has_strays || runner.report.draining || now < runner.not_before ||
       !recorded_.contains(runner.report.id)) {
     return false;
   }
@@ -397,12 +399,11 @@
   return best;
 }
 
-int scheduler::AwayCount(const step_state& state, millis now) const {
+int scheduler::OthersAway(const step_state& state,
+                          const task_state& task) const {
   return static_cast<int>(
-      std::ranges::count_if(state.tasks, [&](const task_state& task) {
-        const bool recently =
-            task.disrupted_at >= 0 && now - task.disrupted_at < notice_ms_;
-        return !AtWork(task) || (recently && task.runs.empty());
+      std::ranges::count_if(state.tasks, [&](const task_state& other) {
+        return &other != &task && !AtWork(other);
       }));
 }
 
@@ -417,11 +418,11 @@
       continue;
     }
     if (ref.step->long_running) {
-      const bool bounded = ref.step->bounded_disruption && AtWork(*ref.task);
-      if (bounded && AwayCount(*ref.state, now) >= ref.step->max_disrupted) {
+      // The task may be at work though its last look did not show it yet.
+      if (ref.step->bounded_disruption &&
+          OthersAway(*ref.state, *ref.task) >= ref.step->max_disrupted) {
         continue;
       }
-      ref.task->disrupted_at = now;
       RequestStop(name, *run, "evacuate", now);
     } else if (stop_batch) {
       RequestStop(name, *run, "evacuate", now);
--- a/src/sched/task_state.h
+++ b/src/sched/task_state.h
@@ -16,8 +16,6 @@
   std::vector<int> failed_runs;
   int last_run = 0;  ///< Highest run number ever used.
   millis not_before = 0;
-  /// When an order of ours last took it away from work.
-  millis disrupted_at = -1;
   std::string checkpoint;
   std::string failed_on;  ///< Runner of the last failed run.
   std::vector<run_state> runs;
--- a/tests/sched/scheduler_fixture.h
+++ b/tests/sched/scheduler_fixture.h
@@ -80,7 +80,7 @@
 
   millis now = 1000;
   std::set<std::string> recorded;
-  scheduler subject{1, 4500};
+  scheduler subject{1};
 };
 
 }  // namespace radishwing::sched
--- a/tests/sched/scheduler_takeover_test.cc
+++ b/tests/sched/scheduler_takeover_test.cc
@@ -80,6 +80,21 @@
   BOOST_TEST(Plan().empty());
 }
 
+// Guards against overfilling a runner on which tasks of a job that ended under
+// an earlier leader are still being stopped (voetnoot-prod trouble-2).
+BOOST_AUTO_TEST_CASE(runner_with_stray_runs_gets_no_work) {
+  AddRunner("r1");
+  fleet::runner_listing listing;
+  listing.running.push_back({{"gone", 0, 0, 0}, 1, "", 10, 0});
+  List("r1", listing);
+  AddJob("a", {Step(1)});
+  const auto orders = Plan();
+  BOOST_REQUIRE_EQUAL(orders.size(), 1u);
+  BOOST_TEST((orders[0].kind == order_kind::kStop));
+  List("r1", {});
+  BOOST_TEST(Plan().size() == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
