Move hosts to where work waits and to standby

Hosts with nothing on them now go to the pool with waiting work or, after 1.5 s, to standby; runners are packed so that hosts become empty.

--- a/src/fleet/host_info.h
+++ b/src/fleet/host_info.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 
 namespace radishwing::fleet {
@@ -12,7 +13,8 @@
   std::string name;
   std::string pool;
   host_state state = host_state::kDown;
-  std::string runner;  ///< Id of the runner on it; may be empty.
+  std::int64_t cpu_millis = 0;  ///< In all.
+  std::string runner;           ///< Id of the runner on it; may be empty.
 };
 
 }  // namespace radishwing::fleet
--- a/src/node/host_keeper.cc
+++ b/src/node/host_keeper.cc
@@ -11,16 +11,22 @@
 #include "platform/host_client.h"
 #include "platform/names.h"
 #include "src/node/record_keys.h"
+#include "src/sched/pool_planner.h"
 
 namespace radishwing::node {
 namespace json = boost::json;
 namespace {
 
-// Hosts are listed this often while a wave is on.
-constexpr millis kListMs = 700;
+// Hosts are listed this often.
+constexpr millis kListMs = 500;
 // Batch tasks get this long to end by themselves before they are stopped.
 constexpr millis kPatienceMs = 3500;
 constexpr millis kOrderRetryMs = 700;
+// A host's runner is back about this long after the move itself.
+constexpr millis kArrivalMs = 400;
+// Moves on their way at once, so that a burst of demand that was misjudged
+// does not empty the other pools.
+constexpr std::size_t kMoves = 16;
 // The holder of the hosts changes no faster than the platform's pause plus
 // what a last order of the predecessor may be on its way.
 constexpr millis kHolderMarginMs = 300;
@@ -52,7 +58,20 @@
         allowed_at(context.now.Now() + context.settings.duty_lease_ms +
                    kHolderMarginMs) {}
 
+  /// A move that was ordered and is not over.
+  struct move_state {
+    std::string to;
+    millis ordered_at = 0;
+    bool accepted = false;
+  };
+
   void Tick();
+  void PlanMoves();
+  std::vector<sched::pool_host> HostViews() const;
+  bool InWave(const std::string& host) const;
+  void Move(const sched::host_move& move);
+  void OnMoved(const std::string& host, fleet::order_outcome outcome);
+  void ExpireMoves();
   void List();
   void LoadWave(std::int64_t number);
   void StepWave(wave_state& wave);
@@ -72,6 +91,9 @@
   std::unique_ptr<platform::host_client> client;
   std::map<std::int64_t, wave_state> waves;
   std::vector<fleet::host_info> hosts;
+  std::map<std::string, move_state> moves;
+  std::unique_ptr<sched::pool_planner> planner;
+  std::string standby;
   millis allowed_at;
   millis listed_at = -kListMs;
   bool listing = false;
@@ -139,10 +161,8 @@
 
 void host_keeper::impl::Tick() {
   if (fenced) return;
-  bool active = false;
   for (auto& [number, wave] : waves) {
     if (wave.told_finished) continue;
-    active = true;
     if (!wave.loaded) {
       const millis now = context.now.Now();
       if (wave.retry_at[""] <= now) {
@@ -151,12 +171,119 @@
       }
     }
   }
-  if (!active) return;
   List();
   if (hosts.empty()) return;
+  ExpireMoves();
   for (auto& [number, wave] : waves) {
     if (wave.loaded && !wave.told_finished) StepWave(wave);
   }
+  if (context.now.Now() >= allowed_at) PlanMoves();
+}
+
+bool host_keeper::impl::InWave(const std::string& host) const {
+  return std::ranges::any_of(waves, [&](const auto& entry) {
+    return entry.second.draining_since.contains(host) ||
+           entry.second.down_since.contains(host);
+  });
+}
+
+std::vector<sched::pool_host> host_keeper::impl::HostViews() const {
+  std::vector<sched::pool_host> views;
+  for (const fleet::host_info& host : hosts) {
+    sched::pool_host view;
+    view.name = host.name;
+    view.pool = host.pool;
+    view.cpu_millis = host.cpu_millis;
+    const auto move = moves.find(host.name);
+    if (move != moves.end()) {
+      view.pool = move->second.to;
+      view.arriving = true;
+      views.push_back(std::move(view));
+      continue;
+    }
+    const sched::runner_state* runner = scheduler.FindRunner(host.runner);
+    const bool up = host.state == fleet::host_state::kUp;
+    view.arriving = host.state == fleet::host_state::kMoving;
+    view.empty = runner ? runner->tasks.empty() : host.pool == standby;
+    view.available = up && !InWave(host.name) &&
+                     (runner || host.pool == standby) &&
+                     (!runner || (runner->listed && !runner->report.draining));
+    views.push_back(std::move(view));
+  }
+  return views;
+}
+
+void host_keeper::impl::PlanMoves() {
+  if (!planner) {
+    for (const fleet::pool_config& pool : context.config->pools) {
+      if (pool.standby) standby = pool.name;
+    }
+    planner = std::make_unique<sched::pool_planner>(standby,
+                                                    context.settings.move_ms);
+  }
+  const auto wanted =
+      planner->Plan(context.now.Now(), HostViews(), scheduler.Demand());
+  for (const sched::host_move& move : wanted) {
+    if (moves.size() >= kMoves) return;
+    Move(move);
+  }
+}
+
+void host_keeper::impl::Move(const sched::host_move& move) {
+  const fleet::host_info* host = FindHost(move.host);
+  if (!host || moves.contains(move.host)) return;
+  const sched::runner_state* runner = scheduler.FindRunner(host->runner);
+  if (runner && !runner->tasks.empty()) return;
+  if (runner) scheduler.SetCordoned(host->runner, true);
+  moves[move.host] = {move.to, context.now.Now(), false};
+  client->Move(move.host, move.to, fence,
+               [weak = weak_from_this(),
+                name = move.host](fleet::order_outcome outcome) {
+                 if (const auto self = weak.lock()) {
+                   self->OnMoved(name, outcome);
+                 }
+               });
+}
+
+void host_keeper::impl::OnMoved(const std::string& name,
+                                fleet::order_outcome outcome) {
+  context.metrics.CountOrder("move", fleet::OrderOutcomeName(outcome));
+  context.log.Info("hosts", "move ordered, host=" + name +
+                                " pool=" + moves[name].to +
+                                " outcome=" + fleet::OrderOutcomeName(outcome));
+  if (outcome == fleet::order_outcome::kAccepted) {
+    moves[name].accepted = true;
+    return;
+  }
+  if (outcome == fleet::order_outcome::kFenced) fenced = true;
+  // Without an answer it may have moved: the next list tells.
+  if (outcome == fleet::order_outcome::kUnknown) return;
+  moves.erase(name);
+  const fleet::host_info* host = FindHost(name);
+  if (host) scheduler.SetCordoned(host->runner, false);
+}
+
+// A move is over when its host is listed with a runner in its new pool, or
+// when it should have been and is not.
+void host_keeper::impl::ExpireMoves() {
+  const millis now = context.now.Now();
+  std::erase_if(moves, [&](const auto& entry) {
+    const move_state& move = entry.second;
+    const millis age = now - move.ordered_at;
+    const fleet::host_info* host = FindHost(entry.first);
+    if (!host) return true;
+    const bool there = host->pool == move.to &&
+                       host->state == fleet::host_state::kUp &&
+                       listed_at > move.ordered_at + context.settings.move_ms;
+    if (there) {
+      const sched::runner_state* runner = scheduler.FindRunner(host->runner);
+      return move.to == standby || (runner && runner->listed) ||
+             age > 4 * (context.settings.move_ms + kArrivalMs);
+    }
+    if (age < 3 * (context.settings.move_ms + kArrivalMs)) return false;
+    scheduler.SetCordoned(host->runner, false);
+    return true;
+  });
 }
 
 void host_keeper::impl::StepWave(wave_state& wave) {
@@ -186,7 +313,10 @@
   };
   for (const std::string& name : left) {
     if (busy() >= wave.request.max_down) break;
-    if (FindHost(name)->state != fleet::host_state::kUp) continue;
+    if (FindHost(name)->state != fleet::host_state::kUp ||
+        moves.contains(name)) {
+      continue;
+    }
     wave.draining_since[name] = now;
     context.log.Info("hosts", "host drains, host=" + name + " wave=" +
                                   std::to_string(wave.request.number));
--- a/src/node/host_keeper.h
+++ b/src/node/host_keeper.h
@@ -9,8 +9,9 @@
 
 namespace radishwing::node {
 
-/// Carries out maintenance waves: drains hosts, orders their maintenance and
-/// tells the operator how far a wave is. Belongs to one term of a leader.
+/// Controls the hosts: carries out maintenance waves, tells the operator how
+/// far they are, and moves hosts between pools. Belongs to one term of a
+/// leader.
 class host_keeper {
  public:
   host_keeper(node_context& context, std::uint64_t fence,
--- /dev/null
+++ b/src/sched/pool_planner.cc
@@ -0,0 +1,97 @@
+#include "src/sched/pool_planner.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace radishwing::sched {
+namespace {
+
+// Waiting work that the pool can start within this time calls for no host:
+// about the slack of a short job before its objective.
+constexpr double kHorizonMs = 900;
+// An empty host of a pool without waiting work may go to one with waiting work
+// after this, as the next step of a job may be about to need it.
+constexpr millis kLendAfterMs = 400;
+// An idle host goes to standby after this. A move costs about as much as a
+// host's pool time of 1.2 s, and there are two.
+constexpr millis kStandbyAfterMs = 1500;
+// Room that stays in a pool for work that arrives in a lull.
+constexpr std::int64_t kReserveMillis = 16000;
+
+}  // namespace
+
+void pool_planner::TrackIdle(millis now, std::span<const pool_host> hosts) {
+  std::map<std::string, millis> still;
+  for (const pool_host& host : hosts) {
+    if (!host.available || !host.empty) continue;
+    const auto it = empty_since_.find(host.name);
+    still[host.name] = it == empty_since_.end() ? now : it->second;
+  }
+  empty_since_ = std::move(still);
+}
+
+millis pool_planner::IdleFor(millis now, const pool_host& host) const {
+  const auto it = empty_since_.find(host.name);
+  return it == empty_since_.end() ? 0 : now - it->second;
+}
+
+std::vector<host_move> pool_planner::Plan(
+    millis now, std::span<const pool_host> hosts,
+    const std::map<std::string, pool_demand>& demand) {
+  TrackIdle(now, hosts);
+  struct need {
+    std::string pool;
+    double shortage = 0;  ///< Thousandths of a core.
+  };
+  std::vector<need> needs;
+  std::map<std::string, std::int64_t> free_cpu;
+  for (const auto& [pool, asked] : demand) {
+    std::int64_t room = asked.room_cpu_millis - asked.used_cpu_millis;
+    for (const pool_host& host : hosts) {
+      if (host.pool == pool && host.arriving) room += host.cpu_millis;
+    }
+    free_cpu[pool] = room;
+    const double wanted = asked.waiting_core_ms / kHorizonMs * 1000;
+    const double shortage = wanted - static_cast<double>(room);
+    if (shortage > 0) needs.push_back({pool, shortage});
+  }
+  std::ranges::sort(needs, [](const need& a, const need& b) {
+    return a.shortage > b.shortage;
+  });
+  std::vector<const pool_host*> sources;
+  for (const pool_host& host : hosts) {
+    if (!host.available || host.arriving) continue;
+    const bool standby = host.pool == standby_;
+    if (!standby && (!host.empty || IdleFor(now, host) < kLendAfterMs)) {
+      continue;
+    }
+    const auto short_here = std::ranges::find(needs, host.pool, &need::pool);
+    if (short_here != needs.end()) continue;
+    sources.push_back(&host);
+  }
+  // Hosts that are running already come first: they cost the same there.
+  std::ranges::stable_partition(
+      sources, [&](const pool_host* host) { return host->pool != standby_; });
+  std::vector<host_move> moves;
+  auto next = sources.begin();
+  for (need& wanted : needs) {
+    while (wanted.shortage > 0 && next != sources.end()) {
+      const pool_host& host = **next++;
+      moves.push_back({host.name, wanted.pool});
+      wanted.shortage -= static_cast<double>(host.cpu_millis);
+      free_cpu[host.pool] -= host.cpu_millis;
+    }
+  }
+  if (standby_.empty()) return moves;
+  for (; next != sources.end(); ++next) {
+    const pool_host& host = **next;
+    if (host.pool == standby_ || IdleFor(now, host) < kStandbyAfterMs) continue;
+    std::int64_t& left = free_cpu[host.pool];
+    if (left - host.cpu_millis < kReserveMillis) continue;
+    left -= host.cpu_millis;
+    moves.push_back({host.name, standby_});
+  }
+  return moves;
+}
+
+}  // namespace radishwing::sched
--- /dev/null
+++ b/src/sched/pool_planner.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "src/base/clock.h"
+#include "src/sched/pool_demand.h"
+
+namespace radishwing::sched {
+
+/// A host as the pool planner sees it.
+struct pool_host {
+  std::string name;
+  std::string pool;
+  bool available = false;  ///< Up, and not due for maintenance right now.
+  bool arriving = false;   ///< On its way into the pool.
+  bool empty = false;      ///< Nothing runs on it.
+  std::int64_t cpu_millis = 0;
+};
+
+/// A host to move.
+struct host_move {
+  std::string host;
+  std::string to;
+};
+
+/// Decides which empty hosts go to another pool: to where work waits, and to
+/// standby when they have been idle for a while. Pure but for the memory of
+/// how long each host has been empty. Moves are priced, so a host that was
+/// moved is worth its price only if it stays busy, or off, for some seconds.
+class pool_planner {
+ public:
+  /// `standby` is the pool whose hosts are off; empty if there is none.
+  /// `move_ms`: a host is away this long when it moves.
+  pool_planner(std::string standby, millis move_ms)
+      : standby_(std::move(standby)), move_ms_(move_ms) {}
+
+  std::vector<host_move> Plan(millis now, std::span<const pool_host> hosts,
+                              const std::map<std::string, pool_demand>& demand);
+
+ private:
+  void TrackIdle(millis now, std::span<const pool_host> hosts);
+  millis IdleFor(millis now, const pool_host& host) const;
+
+  std::string standby_;
+  millis move_ms_;
+  std::map<std::string, millis> empty_since_;
+};
+
+}  // namespace radishwing::sched
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -18,6 +18,7 @@
 #include "src/fleet/runner_report.h"
 #include "src/sched/job_state.h"
 #include "src/sched/order.h"
+#include "src/sched/pool_demand.h"
 #include "src/sched/run_time_model.h"
 #include "src/sched/runner_state.h"
 #include "src/sched/scheduler_event.h"
@@ -92,6 +93,9 @@
   void OrderAnswered(const order& order, fleet::order_outcome outcome,
                      millis now);
 
+  /// What the jobs of each pool ask for.
+  std::map<std::string, pool_demand> Demand() const;
+
   /// Orders to give now.
   std::vector<order> Plan(millis now, millis unix_now);
   /// Asks for a stop of what runs on `id` as far as budgets allow it.
--- a/src/sched/scheduler_plan.cc
+++ b/src/sched/scheduler_plan.cc
@@ -381,8 +381,9 @@
         runner.report.capacity.cpu_millis - runner.used.cpu_millis);
     const auto all_cpu = static_cast<double>(
         std::max<std::int64_t>(1, runner.report.capacity.cpu_millis));
-    // Room decides among equals; what slows the task down comes before it.
-    double score = free_cpu / all_cpu;
+    // The fullest runner is taken, so that others become empty and can move.
+    // What slows the task down comes before that.
+    double score = 1 - free_cpu / all_cpu;
     if (runner.failures_in_row >= kSuspectFailures) score -= 8;
     if (task.failed_on == id) score -= 4;
     if (!step.data_rack.empty() && runner.report.rack != step.data_rack) {
@@ -399,6 +400,42 @@
   return best;
 }
 
+std::map<std::string, pool_demand> scheduler::Demand() const {
+  std::map<std::string, pool_demand> demand;
+  for (const fleet::pool_config& pool : config_.pools) {
+    if (!pool.standby) demand[pool.name];
+  }
+  for (const auto& [id, runner] : runners_) {
+    pool_demand& pool = demand[runner.report.pool];
+    if (!runner.listed || !runner.reachable || runner.cordoned ||
+        runner.report.draining) {
+      continue;
+    }
+    pool.room_cpu_millis += runner.report.capacity.cpu_millis;
+    pool.used_cpu_millis += runner.used.cpu_millis;
+  }
+  for (const auto& [id, job] : jobs_) {
+    if (job->Finished()) continue;
+    const auto& steps = job->record.request.steps;
+    const double ratio = run_times_.Ratio(job->record.queue);
+    pool_demand& pool = demand[job->record.pool];
+    for (const auto& [number, repetition] : job->repetitions) {
+      for (std::size_t s = 0; s < repetition.steps.size(); ++s) {
+        if (!StepReady(job->record.request, repetition, s)) continue;
+        const auto waiting = std::ranges::count_if(
+            repetition.steps[s].tasks, [](const task_state& task) {
+              return !task.done && task.runs.empty();
+            });
+        pool.waiting_core_ms += static_cast<double>(waiting) * ratio *
+                                static_cast<double>(steps[s].estimate_ms) *
+                                static_cast<double>(steps[s].needs.cpu_millis) /
+                                1000;
+      }
+    }
+  }
+  return demand;
+}
+
 int scheduler::OthersAway(const step_state& state,
                           const task_state& task) const {
   return static_cast<int>(
