--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -24,10 +24,6 @@
 constexpr int kRunsPerTerm = 64;
 // Late repeats of an identifier arrive within seconds of the answer.
 constexpr millis kRepeatMarginMs = 60000;
-// A leader that cannot renew its lease goes on for this long after it may
-// have run out: nobody can take over while the store is away for all.
-constexpr millis kLeaderGraceMs = 6000;
-constexpr millis kNodeLeaseMs = 2500;
 
 }  // namespace
 
@@ -43,11 +39,10 @@
       retry_timer(context.io),
       keep_timer(context.io),
       began_at(context.now.Now()),
-      renewed_at(context.now.Now()) {}
+      lease(context.now.Now()) {}
 
 bool leader::impl::MayOrder() const {
-  return !ended && !handed_over &&
-         context.now.Now() - renewed_at < kNodeLeaseMs + kLeaderGraceMs;
+  return !ended && !handed_over && lease.MayOrder(context.now.Now());
 }
 
 void leader::impl::Kick() {
@@ -290,9 +285,7 @@
 std::uint64_t leader::Fence() const { return impl_->fence; }
 bool leader::Ready() const { return impl_->ready; }
 
-void leader::Renewed(millis at) {
-  impl_->renewed_at = std::max(impl_->renewed_at, at);
-}
+void leader::Renewed(millis at) { impl_->lease.Renewed(at); }
 
 void leader::ConfigChanged() {
   impl_->MaybeReady();
--- a/src/node/leader_impl.h
+++ b/src/node/leader_impl.h
@@ -12,6 +12,7 @@
 #include "src/node/runner_link.h"
 #include "src/node/store_watch.h"
 #include "src/sched/scheduler.h"
+#include "src/sched/term_lease.h"
 
 namespace radishwing::node {
 
@@ -45,7 +46,7 @@
   runner_link_hooks LinkHooks();
   bool OnListing(const std::string& id, const fleet::runner_listing& listing,
                  millis sent_at);
-  void OnLeaseOver(const std::string& id);
+  bool OnLeaseOver(const std::string& id);
   void DropGoneLinks();
   void RecordRunnerSet();
 
@@ -89,7 +90,7 @@
   bool runner_set_loaded = false;
   bool runner_set_in_flight = false;
   millis began_at = 0;
-  millis renewed_at = 0;
+  sched::term_lease lease;
   bool runners_loaded = false;
   bool jobs_loaded = false;
   bool ready = false;
--- a/src/node/leader_runners.cc
+++ b/src/node/leader_runners.cc
@@ -98,7 +98,7 @@
     scheduler.RunnerReborn(id, context.now.Now());
     Kick();
   };
-  hooks.lease_over = [this](const std::string& id) { OnLeaseOver(id); };
+  hooks.lease_over = [this](const std::string& id) { return OnLeaseOver(id); };
   hooks.fenced = [this] {
     boost::asio::post(context.io, [weak = weak_from_this()] {
       if (const auto self = weak.lock()) self->Lose("fenced by a runner");
@@ -124,9 +124,10 @@
   return waiting.empty();
 }
 
-void leader::impl::OnLeaseOver(const std::string& id) {
+bool leader::impl::OnLeaseOver(const std::string& id) {
   const auto it = links.find(id);
-  if (it == links.end()) return;
+  if (it == links.end()) return true;
+  if (!lease.Sole(context.now.Now())) return false;
   context.log.Warning("runner", "lease over, runner=" + id);
   const fleet::runner_report report = it->second->Report();
   scheduler.RemoveRunner(id, context.now.Now());
@@ -134,6 +135,7 @@
   scheduler.AddRunner(report);
   if (entry_gone_since.contains(id)) scheduler.SetCordoned(id, true);
   Kick();
+  return true;
 }
 
 void leader::impl::DropGoneLinks() {
--- a/src/node/membership.cc
+++ b/src/node/membership.cc
@@ -6,22 +6,16 @@
 
 #include "src/node/record_keys.h"
 #include "src/node/store_watch.h"
+#include "src/sched/term_lease.h"
 
 namespace radishwing::node {
 namespace {
 
-// A dead leader's key goes after this; the store allows 1,000 at least.
-constexpr millis kLeaseMs = 2500;
 constexpr millis kRenewMs = 700;
 constexpr millis kRetryMs = 200;
 constexpr millis kWatchMs = 1000;
 // Nodes stand one after the other, so that they seldom collide.
 constexpr millis kStandDelayMs = 120;
-// By then the leases that a silent predecessor has given have run out: it
-// orders at most for its grace after its lease, and leases last 4,500 ms on a
-// clock that may be 2% slow.
-constexpr millis kPredecessorGraceMs = 6000;
-constexpr millis kPredecessorLeaseMs = 5000;
 // Ends the term's record of a leader that gave its last order.
 constexpr std::string_view kResignedMark = " resigned";
 
@@ -73,7 +67,7 @@
 void membership::impl::Grant() {
   const millis sent_at = context.now.Now();
   context.store->GrantLease(
-      kLeaseMs,
+      sched::kNodeLeaseMs,
       [weak = weak_from_this(), sent_at](const result<std::uint64_t>& granted) {
         const auto self = weak.lock();
         if (!self || self->left) return;
@@ -263,8 +257,8 @@
   led_fence = fence;
   millis until = 0;
   if (term > 1) {
-    until = context.now.Now() + kPredecessorLeaseMs +
-            (predecessor_silent ? 0 : kPredecessorGraceMs);
+    until = sched::term_lease::PredecessorOver(context.now.Now(),
+                                               predecessor_silent);
   }
   last_leader = self_member.name;
   context.log.Always(
--- a/src/node/runner_link.cc
+++ b/src/node/runner_link.cc
@@ -5,18 +5,13 @@
 #include <chrono>
 #include <utility>
 
+#include "src/sched/term_lease.h"
+
 namespace radishwing::node {
 namespace {
 
 // Longest wait of a look for an end; runners allow 2,000.
 constexpr millis kLookWaitMs = 1000;
-// Length of a lease, counted from each look and start. It must outlast the
-// takeover by another leader and is less than the runners' longest lease.
-constexpr millis kLeaseMs = 4500;
-// A runner's clock may be this much slow, in parts per thousand.
-constexpr millis kClockDriftPermille = 20;
-// Rounding and the way of the last answer.
-constexpr millis kLeaseMarginMs = 150;
 constexpr millis kRetryMs = 250;
 // Looks are put off no longer than this for ends that are not kept yet.
 constexpr millis kPutOffMs = 300;
@@ -78,12 +73,14 @@
   if (runner_clock < 0) return 0;
   const millis now = context.now.Now();
   const millis length =
-      std::min(kLeaseMs, context.settings.max_lease_ms - kLeaseMarginMs);
+      std::min(sched::kRunnerLeaseMs,
+               context.settings.max_lease_ms - sched::kRunnerLeaseMarginMs);
   // A slow clock of the runner stretches the lease, and it makes our estimate
   // of that clock too high by the same share of its age.
   const millis drift =
-      (length + (now - clock_read_at)) * kClockDriftPermille / 1000;
-  lease_until = std::max(lease_until, now + length + drift + kLeaseMarginMs);
+      (length + (now - clock_read_at)) * sched::kClockDriftPermille / 1000;
+  lease_until =
+      std::max(lease_until, now + length + drift + sched::kRunnerLeaseMarginMs);
   lease_over_told = false;
   return runner_clock + (now - clock_read_at) + length;
 }
@@ -171,8 +168,7 @@
 
 void runner_link::impl::CheckLease() {
   if (lease_over_told || context.now.Now() < lease_until) return;
-  lease_over_told = true;
-  hooks.lease_over(report.id);
+  lease_over_told = hooks.lease_over(report.id);
 }
 
 runner_link::runner_link(node_context& context, std::uint64_t fence,
--- a/src/node/runner_link.h
+++ b/src/node/runner_link.h
@@ -23,7 +23,9 @@
   /// The runner's process is a new one.
   std::function<void(const std::string& runner)> reborn;
   /// Whatever ran has ended: the lease has run out or the runner is another.
-  std::function<void(const std::string& runner)> lease_over;
+  /// Returns false if that is not certain, because another node may lead; it
+  /// is then told again.
+  std::function<bool(const std::string& runner)> lease_over;
   /// A higher fencing token is known there.
   std::function<void()> fenced;
   /// False once this node may give no more orders.
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -175,6 +175,7 @@
   void BeginStart(job_state& job, const fleet::task_name& name, task_ref ref,
                   runner_state& runner, int run, millis now,
                   std::vector<order>& out);
+  bool AtWork(const task_state& task) const;
   /// Tasks of the step but `task` that are not at work as far as is known.
   int OthersAway(const step_state& state, const task_state& task) const;
   fleet::resources RunnerNeeds(const fleet::task_step& step) const;
--- a/src/sched/scheduler_plan.cc
+++ b/src/sched/scheduler_plan.cc
@@ -21,12 +21,6 @@
 constexpr double kSlowAt = 0.75;
 constexpr double kResumeAt = 0.4;
 
-bool AtWork(const task_state& task) {
-  return std::ranges::any_of(task.runs, [](const run_state& run) {
-    return run.phase == run_phase::kRunning && run.percent >= 100;
-  });
-}
-
 bool HasRoom(const fleet::resources& cap, const fleet::resources& used,
              const fleet::resources& needs) {
   const auto fits = [](std::int64_t limit, std::int64_t in_use,
@@ -436,6 +430,15 @@
   return demand;
 }
 
+// A task on a silent runner counts as away, whatever was seen of it last.
+bool scheduler::AtWork(const task_state& task) const {
+  return std::ranges::any_of(task.runs, [&](const run_state& run) {
+    const runner_state* runner = FindRunner(run.runner);
+    return run.phase == run_phase::kRunning && run.percent >= 100 && runner &&
+           runner->reachable;
+  });
+}
+
 int scheduler::OthersAway(const step_state& state,
                           const task_state& task) const {
   return static_cast<int>(
--- a/tests/sched/scheduler_evacuate_test.cc
+++ b/tests/sched/scheduler_evacuate_test.cc
@@ -50,6 +50,15 @@
   BOOST_TEST(Plan().empty());
 }
 
+// Guards against counting a task on a silent runner as at work
+// (voetnoot-prod scale-1, a rack lost).
+BOOST_AUTO_TEST_CASE(task_on_silent_runner_counts_as_away) {
+  for (const order& started : orders) ListTask(started, 100);
+  subject.SetReachable(orders[1].runner, false);
+  subject.Evacuate(orders[0].runner, true, now);
+  BOOST_TEST(Plan().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- /dev/null
+++ b/tests/sched/term_lease_test.cc
@@ -0,0 +1,43 @@
+#include "src/sched/term_lease.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace radishwing::sched {
+namespace {
+
+struct term_lease_fixture {
+  static constexpr millis kStart = 100000;
+  term_lease subject{kStart};
+};
+
+BOOST_FIXTURE_TEST_SUITE(term_lease_rules, term_lease_fixture)
+
+// Guards against starting a task again because its runner is silent, while a
+// successor has extended the lease there (voetnoot-prod scale-2, zone cut).
+BOOST_AUTO_TEST_CASE(leader_without_renewal_orders_but_is_not_sole) {
+  const millis later = kStart + kNodeLeaseMs;
+  BOOST_TEST(subject.MayOrder(later));
+  BOOST_TEST(!subject.Sole(later));
+}
+
+BOOST_AUTO_TEST_CASE(renewal_of_an_older_call_does_not_shorten) {
+  subject.Renewed(kStart + 1000);
+  subject.Renewed(kStart + 500);
+  BOOST_TEST(subject.Sole(kStart + 1000 + kNodeLeaseMs - 1));
+}
+
+// Guards against a successor that starts a task before the last lease of its
+// predecessor has run out on a slow clock.
+BOOST_AUTO_TEST_CASE(successor_waits_longer_than_the_last_lease) {
+  const millis elected = kStart + kNodeLeaseMs;
+  const millis last_order = elected + kLeaderGraceMs - 1;
+  BOOST_TEST(!subject.MayOrder(last_order + 1));
+  const millis last_lease =
+      last_order + kRunnerLeaseMs * (1000 + kClockDriftPermille) / 1000;
+  BOOST_TEST(term_lease::PredecessorOver(elected, false) > last_lease);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace radishwing::sched
