--- a/src/node/host_keeper.cc
+++ b/src/node/host_keeper.cc
@@ -12,6 +12,7 @@
 #include "platform/names.h"
 #include "src/node/record_keys.h"
 #include "src/sched/pool_planner.h"
+#include "src/sched/wave_planner.h"
 
 namespace radishwing::node {
 namespace json = boost::json;
@@ -75,6 +76,7 @@
   void List();
   void LoadWave(std::int64_t number);
   void StepWave(wave_state& wave);
+  void ChooseDrains(wave_state& wave, const std::vector<std::string>& left);
   void StepHost(wave_state& wave, const fleet::host_info& host);
   void Begin(wave_state& wave, const fleet::host_info& host);
   void OnBegun(std::int64_t number, const std::string& host,
@@ -83,7 +85,6 @@
   void KeepWave(wave_state& wave);
   void Tell(wave_state& wave, bool finished);
   const fleet::host_info* FindHost(const std::string& name) const;
-  std::size_t Load(const std::string& host) const;
 
   node_context& context;
   std::uint64_t fence;
@@ -106,13 +107,6 @@
   return it == hosts.end() ? nullptr : &*it;
 }
 
-std::size_t host_keeper::impl::Load(const std::string& name) const {
-  const fleet::host_info* host = FindHost(name);
-  if (!host) return 0;
-  const sched::runner_state* runner = scheduler.FindRunner(host->runner);
-  return runner ? runner->tasks.size() : 0;
-}
-
 void host_keeper::impl::List() {
   const millis now = context.now.Now();
   if (listing || now - listed_at < kListMs) return;
@@ -303,24 +297,12 @@
     all_begun = false;
     if (!wave.draining_since.contains(name)) left.push_back(name);
   }
-  if (all_begun) return Tell(wave, true);
-  if (now < allowed_at) return;
-  std::ranges::stable_sort(
-      left, [&](const auto& a, const auto& b) { return Load(a) < Load(b); });
-  const auto busy = [&] {
-    return static_cast<int>(wave.down_since.size() +
-                            wave.draining_since.size());
-  };
-  for (const std::string& name : left) {
-    if (busy() >= wave.request.max_down) break;
-    if (FindHost(name)->state != fleet::host_state::kUp ||
-        moves.contains(name)) {
-      continue;
-    }
-    wave.draining_since[name] = now;
-    context.log.Info("hosts", "host drains, host=" + name + " wave=" +
-                                  std::to_string(wave.request.number));
+  if (all_begun) {
+    scheduler.SetDue({});
+    return Tell(wave, true);
   }
+  if (now < allowed_at) return;
+  ChooseDrains(wave, left);
   const auto draining = wave.draining_since;
   for (const auto& [name, since] : draining) {
     const fleet::host_info* host = FindHost(name);
@@ -332,6 +314,35 @@
   }
 }
 
+void host_keeper::impl::ChooseDrains(wave_state& wave,
+                                     const std::vector<std::string>& left) {
+  std::vector<sched::due_host> due;
+  std::set<std::string> due_runners;
+  for (const std::string& name : left) {
+    const fleet::host_info& host = *FindHost(name);
+    due_runners.insert(host.runner);
+    if (host.state != fleet::host_state::kUp || moves.contains(name)) continue;
+    due.push_back({name, host.pool, scheduler.TaskCount(host.runner),
+                   scheduler.LastingTaskCount(host.runner)});
+  }
+  std::vector<sched::draining_host> draining;
+  for (const auto& [name, since] : wave.draining_since) {
+    const fleet::host_info* host = FindHost(name);
+    if (!host) continue;
+    due_runners.insert(host->runner);
+    draining.push_back(
+        {host->pool, scheduler.LastingTaskCount(host->runner) > 0});
+  }
+  scheduler.SetDue(std::move(due_runners));
+  const int slots =
+      wave.request.max_down - static_cast<int>(wave.down_since.size());
+  for (const std::string& name : sched::ChooseDrains(due, draining, slots)) {
+    wave.draining_since[name] = context.now.Now();
+    context.log.Info("hosts", "host drains, host=" + name + " wave=" +
+                                  std::to_string(wave.request.number));
+  }
+}
+
 void host_keeper::impl::StepHost(wave_state& wave,
                                  const fleet::host_info& host) {
   const millis now = context.now.Now();
@@ -343,7 +354,8 @@
     const bool patient = now - wave.draining_since[host.name] < kPatienceMs;
     if (!scheduler.Evacuate(host.runner, !patient, now)) return;
   }
-  Begin(wave, host);
+  const auto down = wave.down_since.size() + wave.in_flight.size();
+  if (static_cast<int>(down) < wave.request.max_down) Begin(wave, host);
 }
 
 void host_keeper::impl::Begin(wave_state& wave, const fleet::host_info& host) {
--- a/src/sched/pool_planner.cc
+++ b/src/sched/pool_planner.cc
@@ -6,8 +6,8 @@
 namespace radishwing::sched {
 namespace {
 
-// Waiting work that the pool can start within this time calls for no host:
-// about the slack of a short job before its objective.
+// Hosts are called for so that the work that found no runner is done within
+// this time: about the slack of a short job before its objective.
 constexpr double kHorizonMs = 900;
 // An empty host of a pool without waiting work may go to one with waiting work
 // after this, as the next step of a job may be about to need it.
@@ -46,13 +46,20 @@
   std::vector<need> needs;
   std::map<std::string, std::int64_t> free_cpu;
   for (const auto& [pool, asked] : demand) {
-    std::int64_t room = asked.room_cpu_millis - asked.used_cpu_millis;
+    std::int64_t arriving = 0;
+    std::int64_t host_cpu = 0;
     for (const pool_host& host : hosts) {
-      if (host.pool == pool && host.arriving) room += host.cpu_millis;
+      host_cpu = std::max(host_cpu, host.cpu_millis);
+      if (host.pool == pool && host.arriving) arriving += host.cpu_millis;
     }
-    free_cpu[pool] = room;
-    const double wanted = asked.waiting_core_ms / kHorizonMs * 1000;
-    const double shortage = wanted - static_cast<double>(room);
+    free_cpu[pool] = asked.room_cpu_millis - asked.used_cpu_millis + arriving;
+    double shortage = asked.blocked_core_ms / kHorizonMs * 1000;
+    if (asked.blocked_lasting > 0) {
+      // Free room elsewhere in the pool does not help a task that may not
+      // share a runner with its like.
+      shortage += static_cast<double>(asked.blocked_lasting * host_cpu);
+    }
+    shortage -= static_cast<double>(arriving);
     if (shortage > 0) needs.push_back({pool, shortage});
   }
   std::ranges::sort(needs, [](const need& a, const need& b) {
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -188,6 +188,30 @@
   }
 }
 
+const fleet::task_step* scheduler::FindStep(
+    const fleet::task_name& name) const {
+  const job_state* job = FindJob(name.job);
+  if (!job) return nullptr;
+  const auto& steps = job->record.request.steps;
+  const auto step = static_cast<std::size_t>(name.step);
+  return step < steps.size() ? &steps[step] : nullptr;
+}
+
+int scheduler::TaskCount(const std::string& runner) const {
+  const runner_state* state = FindRunner(runner);
+  return state ? static_cast<int>(state->tasks.size()) : 0;
+}
+
+int scheduler::LastingTaskCount(const std::string& runner) const {
+  const runner_state* state = FindRunner(runner);
+  if (!state) return 0;
+  return static_cast<int>(
+      std::ranges::count_if(state->tasks, [&](const fleet::task_name& name) {
+        const fleet::task_step* step = FindStep(name);
+        return step && step->long_running;
+      }));
+}
+
 scheduler::task_ref scheduler::FindTask(const fleet::task_name& name) {
   task_ref ref;
   const auto it = jobs_.find(name.job);
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -93,7 +93,14 @@
   void OrderAnswered(const order& order, fleet::order_outcome outcome,
                      millis now);
 
-  /// What the jobs of each pool ask for.
+  /// Runners whose hosts are due for maintenance: tasks that last go
+  /// elsewhere if they can.
+  void SetDue(std::set<std::string> runners) { due_ = std::move(runners); }
+  int TaskCount(const std::string& runner) const;
+  /// Tasks on `runner` that never end by themselves.
+  int LastingTaskCount(const std::string& runner) const;
+
+  /// What the jobs of each pool ask for, as of the last plan.
   std::map<std::string, pool_demand> Demand() const;
 
   /// Orders to give now.
@@ -168,6 +175,9 @@
                              millis now);
   bool Usable(const runner_state& runner, const fleet::task_step& step,
               millis now) const;
+  /// Notes the tasks of a step that found no runner.
+  void CountBlocked(const job_state& job, const fleet::task_step& step,
+                    const step_state& state);
   bool WithinCap(const job_state& job, const fleet::resources& needs) const;
   bool PoolUnknown(std::string_view pool) const;
   void RequestStop(const fleet::task_name& name, run_state& run,
@@ -179,6 +189,7 @@
   /// Tasks of the step but `task` that are not at work as far as is known.
   int OthersAway(const step_state& state, const task_state& task) const;
   fleet::resources RunnerNeeds(const fleet::task_step& step) const;
+  const fleet::task_step* FindStep(const fleet::task_name& name) const;
   bool HasKind(const runner_state& runner, bool serving) const;
 
   int next_run_base_;
@@ -187,6 +198,8 @@
   std::unordered_map<std::string, std::unique_ptr<job_state>> jobs_;
   std::map<std::string, runner_state> runners_;
   std::set<std::string> recorded_;
+  std::set<std::string> due_;
+  std::map<std::string, pool_demand> blocked_;   ///< As of the last plan.
   std::map<std::string, std::string> expected_;  ///< Runner to pool.
   std::map<std::string, fleet::resources> team_use_;
   /// What runs of an earlier leader that nobody has listed may use.
--- a/src/sched/scheduler_plan.cc
+++ b/src/sched/scheduler_plan.cc
@@ -109,12 +109,8 @@
 
 bool scheduler::HasKind(const runner_state& runner, bool serving) const {
   return std::ranges::any_of(runner.tasks, [&](const fleet::task_name& name) {
-    const auto it = jobs_.find(name.job);
-    if (it == jobs_.end()) return false;
-    const auto& steps = it->second->record.request.steps;
-    const auto step = static_cast<std::size_t>(name.step);
-    if (step >= steps.size()) return false;
-    return serving ? steps[step].target_tail_ms > 0 : steps[step].fills;
+    const fleet::task_step* step = FindStep(name);
+    return step && (serving ? step->target_tail_ms > 0 : step->fills);
   });
 }
 
@@ -196,6 +192,7 @@
 
 void scheduler::PlanStarts(millis now, std::vector<order>& out) {
   CountUnlistedUse();
+  blocked_.clear();
   std::vector<candidate> ranked;
   for (auto& [id, job] : jobs_) {
     if (job->Finished()) continue;
@@ -250,7 +247,7 @@
     if (!WithinCap(job, step.needs)) return;
     runner_state* runner = ChooseRunner(job, step, state, repetition_number,
                                         step_number, task, now);
-    if (!runner) return;
+    if (!runner) return CountBlocked(job, step, state);
     const fleet::task_name name{job.record.id, repetition_number, step_number,
                                 static_cast<int>(i)};
     BeginStart(job, name, FindTask(name), *runner,
@@ -258,6 +255,22 @@
   }
 }
 
+void scheduler::CountBlocked(const job_state& job, const fleet::task_step& step,
+                             const step_state& state) {
+  const auto waiting = std::ranges::count_if(
+      state.tasks,
+      [](const task_state& task) { return !task.done && task.runs.empty(); });
+  pool_demand& pool = blocked_[job.record.pool];
+  if (step.long_running) {
+    pool.blocked_lasting += static_cast<int>(waiting);
+    return;
+  }
+  pool.blocked_core_ms += static_cast<double>(waiting) *
+                          run_times_.Ratio(job.record.queue) *
+                          static_cast<double>(step.estimate_ms) *
+                          static_cast<double>(step.needs.cpu_millis) / 1000;
+}
+
 void scheduler::StartGang(job_state& job, int repetition_number,
                           repetition_state& repetition, int step_number,
                           millis now, std::vector<order>& out) {
@@ -289,6 +302,7 @@
         member.task->last_run = run - 1;
         DetachRun(undo.task, member, undo.runner, run);
       }
+      CountBlocked(job, step, state);
       return;
     }
     BeginStart(job, name, FindTask(name), *runner, run, now, placed);
@@ -384,6 +398,7 @@
       score -= 2;
     }
     if (!gang_rack.empty() && runner.report.rack != gang_rack) score -= 2;
+    if (step.long_running && due_.contains(id)) score -= 1.5;
     if (step.fills && HasKind(runner, true)) score -= 3;
     if (step.target_tail_ms > 0 && HasKind(runner, false)) score -= 3;
     if (!best || score > best_score) {
@@ -408,24 +423,9 @@
     pool.room_cpu_millis += runner.report.capacity.cpu_millis;
     pool.used_cpu_millis += runner.used.cpu_millis;
   }
-  for (const auto& [id, job] : jobs_) {
-    if (job->Finished()) continue;
-    const auto& steps = job->record.request.steps;
-    const double ratio = run_times_.Ratio(job->record.queue);
-    pool_demand& pool = demand[job->record.pool];
-    for (const auto& [number, repetition] : job->repetitions) {
-      for (std::size_t s = 0; s < repetition.steps.size(); ++s) {
-        if (!StepReady(job->record.request, repetition, s)) continue;
-        const auto waiting = std::ranges::count_if(
-            repetition.steps[s].tasks, [](const task_state& task) {
-              return !task.done && task.runs.empty();
-            });
-        pool.waiting_core_ms += static_cast<double>(waiting) * ratio *
-                                static_cast<double>(steps[s].estimate_ms) *
-                                static_cast<double>(steps[s].needs.cpu_millis) /
-                                1000;
-      }
-    }
+  for (const auto& [pool, blocked] : blocked_) {
+    demand[pool].blocked_core_ms = blocked.blocked_core_ms;
+    demand[pool].blocked_lasting = blocked.blocked_lasting;
   }
   return demand;
 }
