--- a/src/node/host_keeper.cc
+++ b/src/node/host_keeper.cc
@@ -25,9 +25,9 @@
 constexpr millis kOrderRetryMs = 700;
 // A host's runner is back about this long after the move itself.
 constexpr millis kArrivalMs = 400;
-// Moves on their way at once, so that a burst of demand that was misjudged
-// does not empty the other pools.
-constexpr std::size_t kMoves = 16;
+// Share of the host service's order rate that moves may use; maintenance and
+// retries have the rest.
+constexpr double kMoveRateShare = 0.75;
 // The holder of the hosts changes no faster than the platform's pause plus
 // what a last order of the predecessor may be on its way.
 constexpr millis kHolderMarginMs = 300;
@@ -95,6 +95,8 @@
   std::map<std::string, move_state> moves;
   std::unique_ptr<sched::pool_planner> planner;
   std::string standby;
+  double move_tokens = 0;  ///< Moves that may be ordered now.
+  millis tokens_at = 0;
   millis allowed_at;
   millis listed_at = -kListMs;
   bool listing = false;
@@ -220,8 +222,14 @@
   }
   const auto wanted =
       planner->Plan(context.now.Now(), HostViews(), scheduler.Demand());
+  const millis now = context.now.Now();
+  const double rate = context.settings.host_orders_per_s * kMoveRateShare;
+  move_tokens = std::min(
+      rate, move_tokens + rate * static_cast<double>(now - tokens_at) / 1000);
+  tokens_at = now;
   for (const sched::host_move& move : wanted) {
-    if (moves.size() >= kMoves) return;
+    if (move_tokens < 1) return;
+    move_tokens -= 1;
     Move(move);
   }
 }
