Treat runners of moved hosts as ended at once; take no jobs while another node may lead

A 200 to a move or maintenance ends the runner, and a runner without an entry that no listed host has any more is gone. (3) Lending took every empty host of a pool.

--- a/src/node/host_keeper.cc
+++ b/src/node/host_keeper.cc
@@ -25,6 +25,7 @@
 constexpr millis kOrderRetryMs = 700;
 // A host's runner is back about this long after the move itself.
 constexpr millis kArrivalMs = 400;
+constexpr millis kPoolLogMs = 1000;
 // Share of the host service's order rate that moves may use; maintenance and
 // retries have the rest.
 constexpr double kMoveRateShare = 0.75;
@@ -52,10 +53,12 @@
     bool telling = false;
   };
 
-  impl(node_context& context, std::uint64_t fence, sched::scheduler& scheduler)
+  impl(node_context& context, std::uint64_t fence, sched::scheduler& scheduler,
+       host_keeper_hooks hooks)
       : context(context),
         fence(fence),
         scheduler(scheduler),
+        hooks(std::move(hooks)),
         allowed_at(context.now.Now() + context.settings.duty_lease_ms +
                    kHolderMarginMs) {}
 
@@ -64,12 +67,15 @@
     std::string to;
     millis ordered_at = 0;
     bool accepted = false;
+    std::string runner;  ///< On the host before the move.
   };
 
   void Tick();
   void PlanMoves();
   std::vector<sched::pool_host> HostViews() const;
   bool InWave(const std::string& host) const;
+  void LogPools(const std::vector<sched::pool_host>& views,
+                const std::map<std::string, sched::pool_demand>& demand);
   void Move(const sched::host_move& move);
   void OnMoved(const std::string& host, fleet::order_outcome outcome);
   void ExpireMoves();
@@ -89,12 +95,14 @@
   node_context& context;
   std::uint64_t fence;
   sched::scheduler& scheduler;
+  host_keeper_hooks hooks;
   std::unique_ptr<platform::host_client> client;
   std::map<std::int64_t, wave_state> waves;
   std::map<std::string, fleet::host_info> hosts;
   std::map<std::string, move_state> moves;
   std::unique_ptr<sched::pool_planner> planner;
   std::string standby;
+  millis pools_logged_at = 0;
   double move_tokens = 0;  ///< Moves that may be ordered now.
   millis tokens_at = 0;
   millis allowed_at;
@@ -127,9 +135,12 @@
         self->listing = false;
         if (Ok(listed)) {
           self->hosts.clear();
+          std::set<std::string> runners;
           for (fleet::host_info& host : Value(listed)) {
+            if (!host.runner.empty()) runners.insert(host.runner);
             self->hosts[host.name] = std::move(host);
           }
+          self->hooks.listed(runners, self->listed_at);
         } else {
           self->context.log.Warning(
               "hosts", "list failed, error=" + Error(listed).message);
@@ -220,8 +231,10 @@
     planner = std::make_unique<sched::pool_planner>(standby,
                                                     context.settings.move_ms);
   }
-  const auto wanted =
-      planner->Plan(context.now.Now(), HostViews(), scheduler.Demand());
+  const auto views = HostViews();
+  const auto demand = scheduler.Demand();
+  LogPools(views, demand);
+  const auto wanted = planner->Plan(context.now.Now(), views, demand);
   const millis now = context.now.Now();
   const double rate = context.settings.host_orders_per_s * kMoveRateShare;
   move_tokens = std::min(
@@ -234,13 +247,43 @@
   }
 }
 
+// The inputs of the decisions on moves, once a second.
+void host_keeper::impl::LogPools(
+    const std::vector<sched::pool_host>& views,
+    const std::map<std::string, sched::pool_demand>& demand) {
+  const millis now = context.now.Now();
+  if (now - pools_logged_at < kPoolLogMs) return;
+  pools_logged_at = now;
+  for (const auto& [pool, asked] : demand) {
+    int count = 0;
+    int empty = 0;
+    int arriving = 0;
+    for (const sched::pool_host& host : views) {
+      if (host.pool != pool) continue;
+      ++count;
+      empty += host.available && host.empty ? 1 : 0;
+      arriving += host.arriving ? 1 : 0;
+    }
+    context.log.Info(
+        "pools",
+        "pool load, pool=" + pool + " hosts=" + std::to_string(count) +
+            " empty=" + std::to_string(empty) +
+            " arriving=" + std::to_string(arriving) +
+            " room_cpu=" + std::to_string(asked.room_cpu_millis) +
+            " used_cpu=" + std::to_string(asked.used_cpu_millis) +
+            " blocked_core_ms=" +
+            std::to_string(static_cast<int>(asked.blocked_core_ms)) +
+            " blocked_lasting=" + std::to_string(asked.blocked_lasting));
+  }
+}
+
 void host_keeper::impl::Move(const sched::host_move& move) {
   const fleet::host_info* host = FindHost(move.host);
   if (!host || moves.contains(move.host)) return;
   const sched::runner_state* runner = scheduler.FindRunner(host->runner);
   if (runner && !runner->tasks.empty()) return;
   if (runner) scheduler.SetCordoned(host->runner, true);
-  moves[move.host] = {move.to, context.now.Now(), false};
+  moves[move.host] = {move.to, context.now.Now(), false, host->runner};
   client->Move(move.host, move.to, fence,
                [weak = weak_from_this(),
                 name = move.host](fleet::order_outcome outcome) {
@@ -258,6 +301,7 @@
                                 " outcome=" + fleet::OrderOutcomeName(outcome));
   if (outcome == fleet::order_outcome::kAccepted) {
     moves[name].accepted = true;
+    hooks.runner_ended(moves[name].runner);
     return;
   }
   if (outcome == fleet::order_outcome::kFenced) fenced = true;
@@ -394,6 +438,9 @@
     case order_outcome::kAccepted:
       wave.begun.insert(host);
       wave.down_since[host] = context.now.Now();
+      if (const fleet::host_info* info = FindHost(host)) {
+        hooks.runner_ended(info->runner);
+      }
       wave.draining_since.erase(host);
       KeepWave(wave);
       return;
@@ -465,8 +512,9 @@
 }
 
 host_keeper::host_keeper(node_context& context, std::uint64_t fence,
-                         sched::scheduler& scheduler)
-    : impl_(std::make_shared<impl>(context, fence, scheduler)) {}
+                         sched::scheduler& scheduler, host_keeper_hooks hooks)
+    : impl_(std::make_shared<impl>(context, fence, scheduler,
+                                   std::move(hooks))) {}
 
 host_keeper::~host_keeper() = default;
 
--- a/src/node/host_keeper.h
+++ b/src/node/host_keeper.h
@@ -1,7 +1,10 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <set>
+#include <string>
 
 #include "src/fleet/wave_request.h"
 #include "src/node/node_context.h"
@@ -9,13 +12,23 @@
 
 namespace radishwing::node {
 
+/// What a host_keeper tells about runners.
+struct host_keeper_hooks {
+  /// The host of `runner` was moved or taken down: nothing runs there.
+  std::function<void(const std::string& runner)> runner_ended;
+  /// All runners that the hosts had when they were listed, asked at
+  /// `asked_at`.
+  std::function<void(const std::set<std::string>& runners, millis asked_at)>
+      listed;
+};
+
 /// Controls the hosts: carries out maintenance waves, tells the operator how
 /// far they are, and moves hosts between pools. Belongs to one term of a
 /// leader.
 class host_keeper {
  public:
   host_keeper(node_context& context, std::uint64_t fence,
-              sched::scheduler& scheduler);
+              sched::scheduler& scheduler, host_keeper_hooks hooks);
   ~host_keeper();
 
   void AddWave(const fleet::wave_request& wave);
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -1,6 +1,7 @@
 #include "src/node/leader.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <chrono>
 #include <utility>
 
@@ -229,6 +230,17 @@
   }
 }
 
+void leader::impl::OnRenewed(millis at) {
+  lease.Renewed(at);
+  if (!jobs_skipped || !lease.Sole(context.now.Now())) return;
+  jobs_skipped = false;
+  // The caller may be the watch's own handler.
+  boost::asio::post(context.io, [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self && !self->ended) self->WatchJobs();
+  });
+}
+
 void leader::impl::DropOldJobs() {
   if (old_jobs.empty()) {
     old_jobs = scheduler.DropOld(context.now.Now(),
@@ -274,8 +286,16 @@
                millis predecessor_until, std::function<void()> lost)
     : impl_(std::make_shared<impl>(context, fence, term, predecessor_until,
                                    std::move(lost))) {
-  impl_->hosts =
-      std::make_unique<host_keeper>(context, fence, impl_->scheduler);
+  host_keeper_hooks hooks;
+  hooks.runner_ended = [raw = impl_.get()](const std::string& runner) {
+    raw->DropRunner(runner, "host moved or taken down");
+  };
+  hooks.listed = [raw = impl_.get()](const std::set<std::string>& runners,
+                                     millis asked_at) {
+    raw->OnHostsListed(runners, asked_at);
+  };
+  impl_->hosts = std::make_unique<host_keeper>(context, fence, impl_->scheduler,
+                                               std::move(hooks));
   impl_->Load();
   impl_->Tick();
 }
@@ -285,7 +305,7 @@
 std::uint64_t leader::Fence() const { return impl_->fence; }
 bool leader::Ready() const { return impl_->ready; }
 
-void leader::Renewed(millis at) { impl_->lease.Renewed(at); }
+void leader::Renewed(millis at) { impl_->OnRenewed(at); }
 
 void leader::ConfigChanged() {
   impl_->MaybeReady();
--- a/src/node/leader_impl.h
+++ b/src/node/leader_impl.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,9 @@
                  millis sent_at);
   bool OnLeaseOver(const std::string& id);
   void DropGoneLinks();
+  /// Nothing of `id` runs any more and nothing will.
+  void DropRunner(const std::string& id, std::string_view why);
+  void OnHostsListed(const std::set<std::string>& runners, millis asked_at);
   void RecordRunnerSet();
 
   // Scheduling and keeping: leader.cc.
@@ -61,6 +65,8 @@
   void OnKept(const std::vector<sched::pending_write>& writes,
               result<store::commit_outcome> outcome);
   void CheckConflict(const store::commit_outcome& outcome);
+  /// The store renewed the node's lease by a call sent at `at`.
+  void OnRenewed(millis at);
   void OnJobItem(const store::store_item& item);
   void DropOldJobs();
   bool MayOrder() const;
@@ -94,6 +100,7 @@
   sched::term_lease lease;
   bool runners_loaded = false;
   bool jobs_loaded = false;
+  bool jobs_skipped = false;  ///< While another node might lead.
   bool ready = false;
   bool plan_pending = false;
   bool keep_pending = false;
--- a/src/node/leader_load.cc
+++ b/src/node/leader_load.cc
@@ -119,6 +119,8 @@
   store_watch_hooks hooks;
   hooks.snapshot = [this](const std::vector<store::store_item>& items) {
     for (const store::store_item& item : items) OnJobItem(item);
+    // Without all jobs, what runners list would be taken for strange tasks.
+    if (ended || (jobs_skipped && !jobs_loaded)) return;
     jobs_loaded = true;
     loaded_progress.clear();
     MaybeReady();
@@ -139,12 +141,18 @@
     return Kick();
   }
   if (scheduler.FindJob(id)) return;
+  if (!lease.Sole(now)) {
+    // A successor may run it already. It is read again after a renewal.
+    jobs_skipped = true;
+    return;
+  }
   auto job = DecodeJobRecord(id, item.value);
   if (!Ok(job)) {
     context.log.Warning("jobs", "record unreadable, job=" + id +
                                     " error=" + Error(job).message);
     return;
   }
+  if (Value(job).leader_fence > fence) return Lose("a later leader has a job");
   // A job that was sent to this leader cannot have been started by another.
   const bool restored =
       Value(job).leader_fence != fence && Value(job).leader_fence != 0;
--- a/src/node/leader_runners.cc
+++ b/src/node/leader_runners.cc
@@ -141,28 +141,45 @@
   return true;
 }
 
+void leader::impl::DropRunner(const std::string& id, std::string_view why) {
+  if (!links.contains(id) && !scheduler.FindRunner(id)) return;
+  context.log.Info("runner",
+                   "runner dropped, runner=" + id + " why=" + std::string(why));
+  links.erase(id);
+  unkept.erase(id);
+  scheduler.RemoveRunner(id, context.now.Now());
+  entry_gone_since.erase(id);
+  runner_set_stale = true;
+  RecordRunnerSet();
+  Kick();
+}
+
+// A host that has another runner now has ended the earlier one for good.
+void leader::impl::OnHostsListed(const std::set<std::string>& runners,
+                                 millis asked_at) {
+  std::vector<std::string> gone;
+  for (const auto& [id, since] : entry_gone_since) {
+    const auto link = links.find(id);
+    const bool silent = link == links.end() || !link->second->Reachable();
+    if (silent && since < asked_at && !runners.contains(id)) gone.push_back(id);
+  }
+  for (const std::string& id : gone) DropRunner(id, "host has another runner");
+}
+
 void leader::impl::DropGoneLinks() {
   const millis now = context.now.Now();
-  for (auto it = entry_gone_since.begin(); it != entry_gone_since.end();) {
-    const std::string id = it->first;
+  std::vector<std::string> gone;
+  for (const auto& [id, since] : entry_gone_since) {
     const auto link = links.find(id);
-    const sched::runner_state* runner = scheduler.FindRunner(id);
-    const bool idle = !runner || runner->tasks.empty();
     const bool silent = link != links.end() && !link->second->Reachable() &&
                         link->second->LeaseOver();
-    if (now - it->second > kForgetMs && idle &&
-        (silent || link == links.end() || link->second->Reachable())) {
-      context.log.Info("runner", "runner dropped, runner=" + id);
-      links.erase(id);
-      runner_set_stale = true;
-      unkept.erase(id);
-      scheduler.RemoveRunner(id, now);
-      it = entry_gone_since.erase(it);
-      RecordRunnerSet();
-    } else {
-      ++it;
+    const bool answers = link != links.end() && link->second->Reachable();
+    if (now - since > kForgetMs && scheduler.TaskCount(id) == 0 &&
+        (silent || link == links.end() || answers)) {
+      gone.push_back(id);
     }
   }
+  for (const std::string& id : gone) DropRunner(id, "no entry");
 }
 
 // Runners that may hold orders are recorded before they get the first one, so
--- a/src/sched/pool_planner.cc
+++ b/src/sched/pool_planner.cc
@@ -16,7 +16,7 @@
 // host's pool time of 1.2 s, and there are two.
 constexpr millis kStandbyAfterMs = 1500;
 // Room that stays in a pool for work that arrives in a lull.
-constexpr std::int64_t kReserveMillis = 16000;
+constexpr std::int64_t kReserveMillis = 32000;
 
 }  // namespace
 
@@ -65,6 +65,7 @@
   std::ranges::sort(needs, [](const need& a, const need& b) {
     return a.shortage > b.shortage;
   });
+  std::map<std::string, std::int64_t> spare_cpu = free_cpu;
   std::vector<const pool_host*> sources;
   for (const pool_host& host : hosts) {
     if (!host.available || host.arriving) continue;
@@ -74,6 +75,12 @@
     }
     const auto short_here = std::ranges::find(needs, host.pool, &need::pool);
     if (short_here != needs.end()) continue;
+    if (!standby) {
+      // Lent hosts leave the pool what arrives in a lull.
+      std::int64_t& left = spare_cpu[host.pool];
+      if (left - host.cpu_millis < kReserveMillis) continue;
+      left -= host.cpu_millis;
+    }
     sources.push_back(&host);
   }
   // Hosts that are running already come first: they cost the same there.
