--- a/src/node/member_table.cc
+++ b/src/node/member_table.cc
@@ -69,14 +69,19 @@
   return members;
 }
 
-std::size_t member_table::Rank(const std::string& name) const {
-  const auto own = live_.find(name);
-  if (own == live_.end()) return 0;
+std::size_t member_table::Rank(const member& self) const {
   const auto before = [&](const auto& entry) {
-    const int more = entry.second.cpu_millis - own->second.cpu_millis;
-    return more > 0 || (more == 0 && entry.first < name);
+    const int more = entry.second.cpu_millis - self.cpu_millis;
+    return entry.first != self.name &&
+           (more > 0 || (more == 0 && entry.first < self.name));
   };
   return static_cast<std::size_t>(std::ranges::count_if(live_, before));
 }
 
+bool member_table::HasMuchLarger(const member& self) const {
+  return std::ranges::any_of(live_, [&](const auto& entry) {
+    return entry.second.cpu_millis >= 2 * self.cpu_millis;
+  });
+}
+
 }  // namespace radishwing::node
--- a/src/node/member_table.h
+++ b/src/node/member_table.h
@@ -37,9 +37,11 @@
   const leader_record& Leader() const { return leader_; }
   /// Live nodes first.
   std::vector<member> Members() const;
-  /// Position of `name` among the live nodes, those with the most processor
-  /// first; 0 if it is not among them.
-  std::size_t Rank(const std::string& name) const;
+  /// How many live nodes come before `self`, those with the most processor
+  /// first. `self` need not be among them yet.
+  std::size_t Rank(const member& self) const;
+  /// True if a live node has at least twice the processor of `self`.
+  bool HasMuchLarger(const member& self) const;
 
  private:
   std::map<std::string, member> live_;
--- a/src/node/membership.cc
+++ b/src/node/membership.cc
@@ -43,6 +43,7 @@
   void StandLater();
   void Stand();
   void Elect(std::uint64_t term_revision, int term, bool resigned);
+  void YieldPast(std::uint64_t term_revision, int term);
   void BecomeLeader(std::uint64_t fence, int term, bool predecessor_silent);
   void OnElected(const result<store::commit_outcome>& outcome, int term,
                  bool silent);
@@ -177,7 +178,7 @@
 void membership::impl::StandLater() {
   if (standing || !announced || context.stopping) return;
   standing = true;
-  const auto rank = static_cast<millis>(context.members.Rank(self_member.name));
+  const auto rank = static_cast<millis>(context.members.Rank(self_member));
   const bool own_past = context.members.Leader().node == self_member.name;
   const millis first = last_leader.empty() ? kFirstStandDelayMs : 0;
   const millis turn = std::min(rank * kStandDelayMs, kLongestStandDelayMs);
@@ -213,6 +214,11 @@
     }
     const std::string& text = Value(item).value;
     const bool resigned = text.ends_with(kResignedMark);
+    const leader_record& record = self->context.members.Leader();
+    if (record.node == self->self_member.name && !self->Leads(record) &&
+        self->context.members.HasMuchLarger(self->self_member)) {
+      return self->YieldPast(Value(item).revision, std::atoi(text.c_str()));
+    }
     self->Elect(Value(item).revision, std::atoi(text.c_str()) + 1, resigned);
   });
 }
@@ -243,6 +249,22 @@
                         });
 }
 
+// An earlier run of this node led, but a larger node had better do so now: its
+// key is removed instead of waiting for its lease.
+void membership::impl::YieldPast(std::uint64_t term_revision, int term) {
+  store::store_commit commit;
+  commit.expected = {{ShardKey(), context.members.Leader().fence},
+                     {TermKey(), term_revision}};
+  commit.removals = {ShardKey()};
+  commit.writes = {
+      {TermKey(), std::to_string(term) + std::string(kResignedMark), 0}};
+  context.store->Commit(
+      commit, [weak = weak_from_this()](const result<store::commit_outcome>&) {
+        // The watch shows the outcome; without one the lease ends the key.
+        if (const auto self = weak.lock()) self->standing = false;
+      });
+}
+
 void membership::impl::OnElected(const result<store::commit_outcome>& outcome,
                                  int term, bool silent) {
   if (!Ok(outcome)) return;  // The watch shows it if it was carried out.
@@ -289,6 +311,11 @@
   impl_->stand_timer.cancel();
 }
 
+bool membership::ShouldYield() const {
+  return impl_->led_fence != 0 &&
+         impl_->context.members.HasMuchLarger(impl_->self_member);
+}
+
 void membership::Resign(std::function<void()> done) {
   const std::uint64_t fence = std::exchange(impl_->led_fence, 0);
   if (fence == 0) return done();
--- a/src/node/membership.h
+++ b/src/node/membership.h
@@ -28,6 +28,8 @@
              membership_hooks hooks);
   ~membership();
 
+  /// True if this node leads although a much larger one is live.
+  bool ShouldYield() const;
   /// The leadership has ended here; the key is given back.
   void Resign(std::function<void()> done);
   /// Gives back all keys. The node stands no more.
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -44,6 +44,8 @@
   void OnOperatorItem(const store::store_item& item);
   void JoinMembers();
   void Lead(std::uint64_t fence, int term, millis predecessor_until);
+  /// Hands the leadership over: keeps what has ended, then resigns.
+  void GiveUpLeadership();
   void EndLeadership();
   http::server_response Readiness();
   void PollStop(millis deadline);
@@ -213,7 +215,13 @@
     Lead(fence, term, until);
   };
   hooks.renewed = [this](millis sent_at) {
-    if (own_leader) own_leader->Renewed(sent_at);
+    if (!own_leader) return;
+    own_leader->Renewed(sent_at);
+    if (own_leader->Ready() && member->ShouldYield()) {
+      context.log.Always("leader", "yields to a larger node, fence=" +
+                                       std::to_string(own_leader->Fence()));
+      GiveUpLeadership();
+    }
   };
   hooks.deposed = [this] { EndLeadership(); };
   member = std::make_unique<membership>(
@@ -234,6 +242,15 @@
   for (const auto& [number, wave] : waves) own_leader->WaveRequested(wave);
 }
 
+void node::impl::GiveUpLeadership() {
+  own_leader->HandOver([weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (!self) return;
+    self->EndLeadership();
+    self->member->Resign([] {});
+  });
+}
+
 void node::impl::EndLeadership() {
   context.metrics.SetLeading(false);
   // The caller may be one of the leader's own handlers.
@@ -305,14 +322,7 @@
   impl_->context.log.Always(
       "node",
       "stopping, requests=" + std::to_string(impl_->front_server->InFlight()));
-  if (impl_->own_leader) {
-    impl_->own_leader->HandOver([weak = std::weak_ptr<impl>(impl_)] {
-      const auto self = weak.lock();
-      if (!self) return;
-      self->EndLeadership();
-      self->member->Resign([] {});
-    });
-  }
+  if (impl_->own_leader) impl_->GiveUpLeadership();
   impl_->PollStop(impl_->context.now.Now() + impl_->context.settings.grace_ms -
                   kStopMarginMs);
 }
