--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -6,6 +6,13 @@
 #include "src/sched/progress_codec.h"
 
 namespace radishwing::sched {
+namespace {
+
+// Cancels that are remembered for jobs that are not known yet; more would
+// come only from cancels of jobs that were dropped long ago.
+constexpr std::size_t kEarlyCancels = 10000;
+
+}  // namespace
 
 scheduler::scheduler(int first_run) : next_run_base_(first_run) {}
 
@@ -30,6 +37,8 @@
   slot->chain_left_ms = slot->chain_ms;
   CreateRepetitions(*slot, unix_now);
   active_.push_back(slot.get());
+  const std::string id = slot->record.id;
+  if (early_cancels_.erase(id) > 0) CancelJob(id, now);
 }
 
 result<done> scheduler::RestoreProgress(const std::string& id,
@@ -63,7 +72,12 @@
 
 void scheduler::CancelJob(const std::string& id, millis now) {
   const auto it = jobs_.find(id);
-  if (it == jobs_.end() || it->second->Finished()) return;
+  if (it == jobs_.end()) {
+    // The cancel came before the job.
+    if (early_cancels_.size() < kEarlyCancels) early_cancels_.insert(id);
+    return;
+  }
+  if (it->second->Finished()) return;
   FinishJob(*it->second, job_phase::kCancelled, now);
 }
 
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -202,8 +202,9 @@
   fleet::fleet_config config_;
   run_time_model run_times_;
   std::unordered_map<std::string, std::unique_ptr<job_state>> jobs_;
-  std::vector<job_state*> active_;  ///< Not finished, as of the last plan.
-  std::set<std::string> changed_;   ///< Jobs with progress to keep.
+  std::vector<job_state*> active_;       ///< Not finished, as of the last plan.
+  std::set<std::string> early_cancels_;  ///< Of jobs that are not known yet.
+  std::set<std::string> changed_;        ///< Jobs with progress to keep.
   std::map<std::string, runner_state> runners_;
   std::map<std::string, std::vector<runner_state*>> pools_;
   bool pools_stale_ = true;
--- a/tests/sched/scheduler_order_test.cc
+++ b/tests/sched/scheduler_order_test.cc
@@ -92,6 +92,16 @@
   BOOST_TEST(subject.FindRunner("r1")->tasks.empty());
 }
 
+// Guards against starting a job whose cancel arrived before the job itself
+// (bmkm-radishwing-grown trouble-3).
+BOOST_AUTO_TEST_CASE(cancel_before_the_job_is_remembered) {
+  AddRunner("r1");
+  subject.CancelJob("a", now);
+  AddJob("a", {Step(1)});
+  BOOST_TEST(Plan().empty());
+  BOOST_TEST((subject.FindJob("a")->phase == job_phase::kCancelled));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
