--- /dev/null
+++ b/tests/node/node_fixture.cc
@@ -0,0 +1,141 @@
+#include "tests/node/node_fixture.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+#include <chrono>
+#include <stdexcept>
+
+namespace radishwing::node {
+namespace json = boost::json;
+namespace {
+
+// Bound against hanging; a run on an idle machine takes a small part of it.
+constexpr std::chrono::seconds kHangBound{60};
+constexpr millis kTaskMs = 60;
+
+int FreePort() {
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::acceptor acceptor(
+      io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  return acceptor.local_endpoint().port();
+}
+
+std::string Local(int port) { return "127.0.0.1:" + std::to_string(port); }
+
+}  // namespace
+
+node_fixture::node_fixture() {
+  PutConfig({"k1", "k2"});
+  for (int i = 0; i < 3; ++i) {
+    workers.push_back(std::make_unique<fleet_fake::worker_stand_in>(
+        io, store, ledger, "w" + std::to_string(i), "pool", kTaskMs));
+  }
+}
+
+node_fixture::~node_fixture() {
+  nodes.clear();
+  io.poll();
+}
+
+void node_fixture::PutConfig(const std::vector<std::string>& keys) {
+  json::array listed;
+  for (const std::string& key : keys) listed.emplace_back(key);
+  store.Put("op/config",
+            json::serialize(json::object{
+                {"version", ++version},
+                {"routes",
+                 json::array{json::object{{"name", "q"},
+                                          {"host", "h.example"},
+                                          {"prefix", "/q/"},
+                                          {"backend", "pool"},
+                                          {"attempts", 2},
+                                          {"stretch", 2.0},
+                                          {"target-latency-ms", 600}}}},
+                {"services", json::array{json::object{{"name", "pool"}}}},
+                {"tenants", json::array{json::object{{"name", "team"},
+                                                     {"api-keys", listed},
+                                                     {"weight", 1}}}}}));
+}
+
+std::string node_fixture::AddNode(const std::string& name) {
+  fleet::node_settings settings;
+  settings.name = name;
+  settings.ip = "127.0.0.1";
+  settings.data_centre = "z";
+  settings.front_address = Local(FreePort());
+  settings.readiness_address = Local(FreePort());
+  settings.first_port = FreePort();
+  settings.metrics_address = Local(FreePort());
+  settings.store_address = store.Address();
+  settings.hosts_address = Local(FreePort());  // Nobody listens there.
+  auto made = node::Make(io, settings, [] {});
+  if (!Ok(made)) throw std::runtime_error(Error(made).message);
+  nodes[name] = std::move(Value(made));
+  return settings.front_address;
+}
+
+void node_fixture::KillNode(const std::string& name) { nodes.erase(name); }
+
+bool node_fixture::RunUntil(const std::function<bool()>& condition) {
+  const auto bound = std::chrono::steady_clock::now() + kHangBound;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() > bound) return false;
+    io.run_one_for(std::chrono::milliseconds(20));
+  }
+  return true;
+}
+
+unsigned node_fixture::Call(const std::string& front,
+                            boost::beast::http::verb method,
+                            const std::string& target, const std::string& body,
+                            const std::string& key) {
+  http::client_options options;
+  options.address = front;
+  auto made = http::client::Make(io, options);
+  if (!Ok(made)) return 0;
+  http::client_request request;
+  request.method = method;
+  request.target = target;
+  request.body = body;
+  request.headers = {{"Host", "h.example"}, {"X-Api-Key", key}};
+  request.deadline_ms = 10000;
+  bool ended = false;
+  unsigned status = 0;
+  Value(made)->Send(request, [&](result<http::client_response> response) {
+    ended = true;
+    if (!Ok(response)) return;
+    status = Value(response).status;
+    answer = Value(response).body;
+    retry_after =
+        std::string(http::FindHeader(Value(response).headers, "Retry-After"));
+  });
+  RunUntil([&] { return ended; });
+  return status;
+}
+
+bool node_fixture::CallUntil(const std::string& front,
+                             boost::beast::http::verb method,
+                             const std::string& target, unsigned status,
+                             const std::string& body) {
+  return RunUntil([&] { return Call(front, method, target, body) == status; });
+}
+
+bool node_fixture::WaitForState(const std::string& front, const std::string& id,
+                                const std::string& state) {
+  return RunUntil([&] {
+    return Call(front, boost::beast::http::verb::get, "/q/" + id) == 200 &&
+           answer.find('"' + state + '"') != std::string::npos;
+  });
+}
+
+std::string node_fixture::Job(int width) {
+  const json::object step{
+      {"count", width}, {"cpu", 500}, {"mem-mb", 100}, {"estimate-ms", 60}};
+  json::object second = step;
+  second["after"] = json::array{0};
+  return json::serialize(
+      json::object{{"spec", "s"}, {"steps", json::array{step, second}}});
+}
+
+}  // namespace radishwing::node
--- /dev/null
+++ b/tools/fleet_fake/store_stand_in.cc
@@ -0,0 +1,239 @@
+#include "tools/fleet_fake/store_stand_in.h"
+
+#include <boost/beast/core/detail/base64.hpp>
+#include <chrono>
+#include <stdexcept>
+#include <utility>
+
+namespace radishwing::fleet_fake {
+namespace json = boost::json;
+namespace base64 = boost::beast::detail::base64;
+namespace {
+
+constexpr millis kWatchPollMs = 5;
+constexpr std::size_t kPageItems = 50;
+
+std::string Encode64(const std::string& bytes) {
+  std::string text(base64::encoded_size(bytes.size()), '\0');
+  text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
+  return text;
+}
+
+std::string Decode64(const std::string& text) {
+  std::string bytes(base64::decoded_size(text.size()), '\0');
+  bytes.resize(base64::decode(bytes.data(), text.data(), text.size()).first);
+  return bytes;
+}
+
+std::uint64_t Number(const json::object& object, std::string_view key) {
+  const json::value* value = object.if_contains(key);
+  return value ? value->to_number<std::uint64_t>() : 0;
+}
+
+std::uint64_t Number(std::string_view text) {
+  return std::strtoull(std::string(text).c_str(), nullptr, 10);
+}
+
+}  // namespace
+
+store_stand_in::store_stand_in(boost::asio::io_context& io) : io_(io) {
+  auto made = http::server::Make(
+      io, {}, [this](const http::server_request& request, auto respond) {
+        Handle(request, std::move(respond));
+      });
+  if (!Ok(made)) throw std::runtime_error(Error(made).message);
+  server_ = std::move(radishwing::Value(std::move(made)));
+}
+
+json::object store_stand_in::Encode(const std::string& key, const item& value) {
+  return {{"key", key},
+          {"value", Encode64(value.value)},
+          {"revision", value.revision},
+          {"created", value.created},
+          {"lease", value.lease}};
+}
+
+void store_stand_in::Put(const std::string& key, const std::string& value) {
+  ++revision_;
+  Write(key, value, 0);
+}
+
+std::string store_stand_in::Value(const std::string& key) const {
+  const auto it = items_.find(key);
+  return it == items_.end() ? std::string() : it->second.value;
+}
+
+void store_stand_in::Write(const std::string& key, const std::string& value,
+                           std::uint64_t lease) {
+  item& entry = items_[key];
+  if (entry.created == 0) entry.created = revision_;
+  entry.value = value;
+  entry.revision = revision_;
+  entry.lease = lease;
+  history_.push_back({key, revision_, false, entry});
+}
+
+void store_stand_in::Remove(const std::string& key) {
+  if (items_.erase(key) > 0) history_.push_back({key, revision_, true, {}});
+}
+
+void store_stand_in::ExpireLeases() {
+  const millis now = now_.Now();
+  for (auto it = leases_.begin(); it != leases_.end();) {
+    if (it->second.ends_at > now) {
+      ++it;
+      continue;
+    }
+    std::vector<std::string> keys;
+    for (const auto& [key, entry] : items_) {
+      if (entry.lease == it->first) keys.push_back(key);
+    }
+    ++revision_;
+    for (const std::string& key : keys) Remove(key);
+    it = leases_.erase(it);
+  }
+}
+
+void store_stand_in::Handle(const http::server_request& request,
+                            http::server::responder respond) {
+  ExpireLeases();
+  const std::string& path = request.target.path;
+  if (refusing_) return respond(http::ErrorResponse(503, "busy", "refused"));
+  if (path == "/kv-txn") return Commit(request, respond);
+  if (path == "/kv-range") return Range(request, respond);
+  if (path == "/kv-watch") return Watch(request, std::move(respond));
+  if (path == "/kv-key") {
+    const std::string key(request.target.Param("key"));
+    const auto it = items_.find(key);
+    if (it == items_.end()) {
+      return respond(http::ErrorResponse(404, "none", key));
+    }
+    return respond(http::JsonResponse(200, Encode(key, it->second)));
+  }
+  if (path == "/kv-lease") {
+    const millis ttl = static_cast<millis>(
+        Number(json::parse(request.body).as_object(), "ttl-ms"));
+    const std::uint64_t id = next_lease_++;
+    leases_[id] = {ttl, now_.Now() + ttl};
+    return respond(
+        http::JsonResponse(200, json::object{{"lease", id}, {"ttl-ms", ttl}}));
+  }
+  const std::uint64_t id = Number(path.substr(path.rfind('/') + 1));
+  const auto held = leases_.find(id);
+  if (held == leases_.end()) {
+    return respond(http::ErrorResponse(404, "none", path));
+  }
+  const bool keep = path.starts_with("/kv-keep/");
+  held->second.ends_at = keep ? now_.Now() + held->second.ttl_ms : 0;
+  ExpireLeases();
+  respond(http::JsonResponse(200, json::object{}));
+}
+
+void store_stand_in::Commit(const http::server_request& request,
+                            const http::server::responder& respond) {
+  const json::object body = json::parse(request.body).as_object();
+  json::array current;
+  bool met = true;
+  for (const json::value& entry : body.at("expected-rev").as_array()) {
+    const json::object& row = entry.as_object();
+    const std::string key(row.at("key").as_string());
+    const auto it = items_.find(key);
+    item now;
+    if (it != items_.end()) now = it->second;
+    if (now.revision != Number(row, "revision")) met = false;
+    current.push_back(Encode(key, now));
+  }
+  if (!met) {
+    return respond(
+        http::JsonResponse(412, json::object{{"items", std::move(current)}}));
+  }
+  ++commits_;
+  ++revision_;
+  for (const json::value& entry : body.at("writes").as_array()) {
+    const json::object& row = entry.as_object();
+    Write(std::string(row.at("key").as_string()),
+          Decode64(std::string(row.at("value").as_string())),
+          Number(row, "lease"));
+  }
+  for (const json::value& key : body.at("remove").as_array()) {
+    Remove(std::string(key.as_string()));
+  }
+  http::server_response response =
+      http::JsonResponse(200, json::object{{"revision", revision_}});
+  if (lost_answers_ > 0) {
+    --lost_answers_;
+    response.disposition = http::disposition::kClose;
+  }
+  respond(std::move(response));
+}
+
+void store_stand_in::Range(const http::server_request& request,
+                           const http::server::responder& respond) {
+  const std::string prefix(request.target.Param("prefix"));
+  const std::string after(request.target.Param("after"));
+  json::array items;
+  bool more = false;
+  for (const auto& [key, entry] : items_) {
+    if (!key.starts_with(prefix) || key <= after) continue;
+    if (items.size() == kPageItems) {
+      more = true;
+      break;
+    }
+    items.push_back(Encode(key, entry));
+  }
+  respond(http::JsonResponse(200, json::object{{"items", std::move(items)},
+                                               {"has-more", more},
+                                               {"current-rev", revision_}}));
+}
+
+json::array store_stand_in::Events(const std::string& prefix,
+                                   std::uint64_t after) {
+  json::array events;
+  for (const change& entry : history_) {
+    if (entry.revision <= after || !entry.key.starts_with(prefix)) continue;
+    if (entry.removed) {
+      events.push_back(json::object{
+          {"key", entry.key}, {"revision", entry.revision}, {"removed", true}});
+    } else {
+      events.push_back(Encode(entry.key, entry.now));
+    }
+  }
+  return events;
+}
+
+void store_stand_in::Watch(const http::server_request& request,
+                           http::server::responder respond) {
+  const std::string prefix(request.target.Param("prefix"));
+  const std::uint64_t after = Number(request.target.Param("after"));
+  const millis until =
+      now_.Now() + static_cast<millis>(Number(request.target.Param("wait-ms")));
+  auto timer = std::make_shared<boost::asio::steady_timer>(io_);
+  auto poll = std::make_shared<std::function<void()>>();
+  *poll = [this, prefix, after, until, timer, poll, respond] {
+    ExpireLeases();
+    if (after < compacted_) {
+      *poll = nullptr;
+      return respond(http::ErrorResponse(410, "gone", "history"));
+    }
+    json::array events = Events(prefix, after);
+    if (!events.empty() || now_.Now() >= until || refusing_) {
+      const auto done = respond;
+      http::server_response response =
+          http::JsonResponse(200, json::object{{"events", std::move(events)},
+                                               {"current-rev", revision_}});
+      done(std::move(response));
+      *poll = nullptr;
+      return;
+    }
+    timer->expires_after(std::chrono::milliseconds(kWatchPollMs));
+    timer->async_wait([poll](boost::system::error_code error) {
+      if (error || !*poll) return;
+      const auto step = *poll;
+      step();
+    });
+  };
+  const auto step = *poll;
+  step();
+}
+
+}  // namespace radishwing::fleet_fake
