--- a/src/node/event_log.cc
+++ b/src/node/event_log.cc
@@ -5,8 +5,8 @@
 namespace radishwing::node {
 namespace {
 
-// Lines a second; each costs about 20 us of the processor.
-constexpr int kLinesPerSecond = 300;
+// Lines of one part in a second; each costs about 20 us of the processor.
+constexpr int kLinesPerSecond = 120;
 constexpr millis kWindowMs = 1000;
 
 }  // namespace
@@ -14,20 +14,22 @@
 void event_log::Write(log_level level, std::string_view part,
                       std::string_view text) {
   const millis now = clock_.Now();
-  if (now - window_ >= kWindowMs) {
-    window_ = now;
-    written_ = 0;
-    if (dropped_ != told_) {
-      Log(log_level::kWarning, "log",
-          "lines dropped, count=" + std::to_string(dropped_ - told_));
-      told_ = dropped_;
+  budget& own = budgets_[part];
+  if (now - own.window >= kWindowMs) {
+    own.window = now;
+    own.written = 0;
+    if (own.dropped > 0) {
+      Log(log_level::kWarning, part,
+          "lines dropped, count=" + std::to_string(own.dropped));
+      own.dropped = 0;
     }
   }
-  if (written_ >= kLinesPerSecond) {
+  if (own.written >= kLinesPerSecond) {
+    ++own.dropped;
     ++dropped_;
     return;
   }
-  ++written_;
+  ++own.written;
   Log(level, part, text);
 }
 
--- a/src/node/event_log.h
+++ b/src/node/event_log.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <array>
 #include <cstdint>
+#include <map>
 #include <string_view>
 
 #include "src/base/clock.h"
@@ -9,9 +9,10 @@
 
 namespace radishwing::node {
 
-/// Writes log lines within a budget per part and second, so that a burst of
-/// decisions does not use up the processor. What it drops is counted and told
-/// with the first line of the next second.
+/// Writes log lines within a budget for each part and second, so that a burst
+/// of decisions of one part uses up neither the processor nor the others'
+/// lines. What it drops is counted and told with the part's first line
+/// afterwards. `part` must be a literal: its text is kept by reference.
 class event_log {
  public:
   explicit event_log(clock clock) : clock_(std::move(clock)) {}
@@ -32,11 +33,16 @@
  private:
   void Write(log_level level, std::string_view part, std::string_view text);
 
+  /// The current second of one part.
+  struct budget {
+    millis window = 0;
+    int written = 0;
+    std::uint64_t dropped = 0;
+  };
+
   clock clock_;
-  millis window_ = 0;
-  int written_ = 0;
+  std::map<std::string_view, budget> budgets_;
   std::uint64_t dropped_ = 0;
-  std::uint64_t told_ = 0;
 };
 
 }  // namespace radishwing::node
--- a/src/node/front.cc
+++ b/src/node/front.cc
@@ -95,16 +95,18 @@
       self->context.metrics.CountRequest(call, response.status, took);
       const bool fine = response.status < 300;
       if (call != "state" || !fine) {
+        const bool question = call == "state" || call == "pending";
         const std::string version = std::to_string(
             self->context.config ? self->context.config->version : 0);
         self->context.log.Info(
-            "front", "answered, call=" + std::string(call) + " job=" + id +
-                         " status=" + std::to_string(response.status) +
-                         " took_ms=" + std::to_string(took) +
-                         " config=" + version + " config_age_ms=" +
-                         std::to_string(self->context.now.Now() -
-                                        self->context.config_current_at) +
-                         (fine ? "" : " body=" + response.body));
+            question ? "query" : "front",
+            "answered, call=" + std::string(call) + " job=" + id +
+                " status=" + std::to_string(response.status) +
+                " took_ms=" + std::to_string(took) + " config=" + version +
+                " config_age_ms=" +
+                std::to_string(self->context.now.Now() -
+                               self->context.config_current_at) +
+                (fine ? "" : " body=" + response.body));
       }
     }
     respond(std::move(response));
--- /dev/null
+++ b/tests/node/event_log_test.cc
@@ -0,0 +1,36 @@
+#include "src/node/event_log.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace radishwing::node {
+namespace {
+
+struct event_log_fixture {
+  manual_clock time{1000};
+  event_log subject{time.View()};
+};
+
+BOOST_FIXTURE_TEST_SUITE(event_log_budget, event_log_fixture)
+
+// Guards against a burst of one part that hides the lines of the others.
+BOOST_AUTO_TEST_CASE(burst_of_one_part_leaves_the_others_their_lines) {
+  for (int i = 0; i < 1000; ++i) subject.Info("query", "asked");
+  const std::uint64_t dropped = subject.Dropped();
+  BOOST_TEST(dropped > 0u);
+  subject.Info("front", "answered");
+  BOOST_TEST(subject.Dropped() == dropped);
+}
+
+// Guards against a budget that is never renewed.
+BOOST_AUTO_TEST_CASE(next_second_has_a_budget_of_its_own) {
+  for (int i = 0; i < 1000; ++i) subject.Info("query", "asked");
+  const std::uint64_t dropped = subject.Dropped();
+  time.Advance(1000);
+  subject.Info("query", "asked");
+  BOOST_TEST(subject.Dropped() == dropped);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace radishwing::node
