Order hosts as soon as the predecessor's pause is over; confirm that a runner ended

Causes: (1) each takeover waited 3.3 s before moves and maintenance, also when its predecessor had resigned long after its last order; the term's record now says who led, whether it resigned and how old its last order was. It also replaces a guess by name of the last leader seen, which a node that had been cut off could get wrong.

--- /dev/null
+++ b/src/node/election.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+
+#include "src/base/clock.h"
+
+namespace radishwing::node {
+
+/// One term of leadership as it begins.
+struct election {
+  std::uint64_t fence = 0;  ///< Fencing token of all orders of the term.
+  int term = 1;             ///< Counts leaderships.
+  /// By then every lease that an earlier leader can have given has run out.
+  millis predecessor_until = 0;
+  /// From then on hosts may be ordered: the platform wants a pause between the
+  /// last order of one holder and the first of the next.
+  millis hosts_free_at = 0;
+};
+
+}  // namespace radishwing::node
--- a/src/node/host_keeper.cc
+++ b/src/node/host_keeper.cc
@@ -29,9 +29,6 @@
 // Share of the host service's order rate that moves may use; maintenance and
 // retries have the rest.
 constexpr double kMoveRateShare = 0.75;
-// The holder of the hosts changes no faster than the platform's pause plus
-// what a last order of the predecessor may be on its way.
-constexpr millis kHolderMarginMs = 300;
 
 std::string WaveKey(std::int64_t wave) {
   return "rw/w/" + std::to_string(wave);
@@ -53,14 +50,14 @@
     bool telling = false;
   };
 
-  impl(node_context& context, std::uint64_t fence, sched::scheduler& scheduler,
+  impl(node_context& context, const election& won, sched::scheduler& scheduler,
        host_keeper_hooks hooks)
       : context(context),
-        fence(fence),
+        fence(won.fence),
         scheduler(scheduler),
         hooks(std::move(hooks)),
-        allowed_at(context.now.Now() + context.settings.duty_lease_ms +
-                   kHolderMarginMs) {}
+        allowed_at(won.hosts_free_at),
+        ordered_at(context.now.Now()) {}
 
   /// A move that was ordered and is not over.
   struct move_state {
@@ -70,6 +67,12 @@
     std::string runner;  ///< On the host before the move.
   };
 
+  /// A runner whose host took an order that ends it.
+  struct ending_runner {
+    std::string host;
+    millis ordered_at = 0;
+  };
+
   void Tick();
   void PlanMoves();
   std::vector<sched::pool_host> HostViews() const;
@@ -79,6 +82,8 @@
   void Move(const sched::host_move& move);
   void OnMoved(const std::string& host, fleet::order_outcome outcome);
   void ExpireMoves();
+  /// Tells of the runners that accepted orders have ended.
+  void ConfirmEnds();
   void List();
   void LoadWave(std::int64_t number);
   void StepWave(wave_state& wave);
@@ -100,12 +105,14 @@
   std::map<std::int64_t, wave_state> waves;
   std::map<std::string, fleet::host_info> hosts;
   std::map<std::string, move_state> moves;
+  std::map<std::string, ending_runner> ending;  ///< By runner.
   std::unique_ptr<sched::pool_planner> planner;
   std::string standby;
   millis pools_logged_at = 0;
   double move_tokens = 0;  ///< Moves that may be ordered now.
   millis tokens_at = 0;
   millis allowed_at;
+  millis ordered_at;
   millis listed_at = -kListMs;
   bool listing = false;
   bool fenced = false;
@@ -141,6 +148,7 @@
             self->hosts[host.name] = std::move(host);
           }
           self->hooks.listed(runners, self->listed_at);
+          self->ConfirmEnds();
         } else {
           self->context.log.Warning(
               "hosts", "list failed, error=" + Error(listed).message);
@@ -283,6 +291,7 @@
   const sched::runner_state* runner = scheduler.FindRunner(host->runner);
   if (runner && !runner->tasks.empty()) return;
   if (runner) scheduler.SetCordoned(host->runner, true);
+  ordered_at = context.now.Now();
   moves[move.host] = {move.to, context.now.Now(), false, host->runner};
   client->Move(move.host, move.to, fence,
                [weak = weak_from_this(),
@@ -301,7 +310,7 @@
                                 " outcome=" + fleet::OrderOutcomeName(outcome));
   if (outcome == fleet::order_outcome::kAccepted) {
     moves[name].accepted = true;
-    hooks.runner_ended(moves[name].runner);
+    ending[moves[name].runner] = {name, context.now.Now()};
     return;
   }
   if (outcome == fleet::order_outcome::kFenced) fenced = true;
@@ -312,6 +321,27 @@
   if (host) scheduler.SetCordoned(host->runner, false);
 }
 
+// An order is also accepted if it was carried out before, and then the runner
+// lives on: only a list that was asked for after the order tells.
+void host_keeper::impl::ConfirmEnds() {
+  std::vector<std::string> ended;
+  for (auto it = ending.begin(); it != ending.end();) {
+    if (it->second.ordered_at >= listed_at) {
+      ++it;
+      continue;
+    }
+    const fleet::host_info* host = FindHost(it->second.host);
+    if (!host || host->runner != it->first ||
+        host->state != fleet::host_state::kUp) {
+      ended.push_back(it->first);
+    } else {
+      scheduler.SetCordoned(it->first, false);
+    }
+    it = ending.erase(it);
+  }
+  for (const std::string& runner : ended) hooks.runner_ended(runner);
+}
+
 // A move is over when its host is listed with a runner in its new pool, or
 // when it should have been and is not.
 void host_keeper::impl::ExpireMoves() {
@@ -415,6 +445,7 @@
 
 void host_keeper::impl::Begin(wave_state& wave, const fleet::host_info& host) {
   wave.in_flight.insert(host.name);
+  ordered_at = context.now.Now();
   client->BeginMaintenance(
       host.name, wave.request.number, fence,
       [weak = weak_from_this(), number = wave.request.number,
@@ -439,7 +470,7 @@
       wave.begun.insert(host);
       wave.down_since[host] = context.now.Now();
       if (const fleet::host_info* info = FindHost(host)) {
-        hooks.runner_ended(info->runner);
+        ending[info->runner] = {host, context.now.Now()};
       }
       wave.draining_since.erase(host);
       KeepWave(wave);
@@ -511,10 +542,10 @@
       });
 }
 
-host_keeper::host_keeper(node_context& context, std::uint64_t fence,
+host_keeper::host_keeper(node_context& context, const election& won,
                          sched::scheduler& scheduler, host_keeper_hooks hooks)
-    : impl_(std::make_shared<impl>(context, fence, scheduler,
-                                   std::move(hooks))) {}
+    : impl_(std::make_shared<impl>(context, won, scheduler, std::move(hooks))) {
+}
 
 host_keeper::~host_keeper() = default;
 
@@ -531,6 +562,10 @@
                    " duration_ms=" + std::to_string(wave.duration_ms));
 }
 
+millis host_keeper::OrderAge() const {
+  return impl_->context.now.Now() - impl_->ordered_at;
+}
+
 void host_keeper::Tick() { impl_->Tick(); }
 
 }  // namespace radishwing::node
--- a/src/node/host_keeper.h
+++ b/src/node/host_keeper.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "src/fleet/wave_request.h"
+#include "src/node/election.h"
 #include "src/node/node_context.h"
 #include "src/sched/scheduler.h"
 
@@ -27,11 +28,14 @@
 /// leader.
 class host_keeper {
  public:
-  host_keeper(node_context& context, std::uint64_t fence,
+  host_keeper(node_context& context, const election& won,
               sched::scheduler& scheduler, host_keeper_hooks hooks);
   ~host_keeper();
 
   void AddWave(const fleet::wave_request& wave);
+  /// Time since the last order of this term, in ms; without one, since it
+  /// began.
+  millis OrderAge() const;
   /// Takes the next steps; called often.
   void Tick();
 
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -28,13 +28,13 @@
 
 }  // namespace
 
-leader::impl::impl(node_context& context, std::uint64_t fence, int term,
-                   millis predecessor_until, std::function<void()> lost)
+leader::impl::impl(node_context& context, const election& won,
+                   std::function<void()> lost)
     : context(context),
-      fence(fence),
-      predecessor_until(predecessor_until),
+      fence(won.fence),
+      predecessor_until(won.predecessor_until),
       lost(std::move(lost)),
-      scheduler((term - 1) * kRunsPerTerm + 1),
+      scheduler((won.term - 1) * kRunsPerTerm + 1),
       plan_timer(context.io),
       tick_timer(context.io),
       retry_timer(context.io),
@@ -99,6 +99,7 @@
         if (!self->MayOrder() && !self->handed_over) {
           return self->Lose("lease not renewed");
         }
+        self->SetGauges();
         self->DropGoneLinks();
         self->RecordRunnerSet();
         self->DropOldJobs();
@@ -108,6 +109,13 @@
       });
 }
 
+void leader::impl::SetGauges() {
+  const auto reachable = static_cast<std::size_t>(std::ranges::count_if(
+      links, [](const auto& entry) { return entry.second->Reachable(); }));
+  context.metrics.SetRunners(reachable, links.size() - reachable);
+  context.metrics.SetUnknownStarts(scheduler.UnknownStarts());
+}
+
 void leader::impl::LogEvents() {
   for (const sched::scheduler_event& event : scheduler.TakeEvents()) {
     const std::string task = fleet::FormatTaskName(event.task);
@@ -282,10 +290,9 @@
   links.clear();
 }
 
-leader::leader(node_context& context, std::uint64_t fence, int term,
-               millis predecessor_until, std::function<void()> lost)
-    : impl_(std::make_shared<impl>(context, fence, term, predecessor_until,
-                                   std::move(lost))) {
+leader::leader(node_context& context, const election& won,
+               std::function<void()> lost)
+    : impl_(std::make_shared<impl>(context, won, std::move(lost))) {
   host_keeper_hooks hooks;
   hooks.runner_ended = [raw = impl_.get()](const std::string& runner) {
     raw->DropRunner(runner, "host moved or taken down");
@@ -294,7 +301,7 @@
                                      millis asked_at) {
     raw->OnHostsListed(runners, asked_at);
   };
-  impl_->hosts = std::make_unique<host_keeper>(context, fence, impl_->scheduler,
+  impl_->hosts = std::make_unique<host_keeper>(context, won, impl_->scheduler,
                                                std::move(hooks));
   impl_->Load();
   impl_->Tick();
@@ -347,6 +354,10 @@
   return impl_->scheduler.PendingCount(queue);
 }
 
+millis leader::HostOrderAge() const {
+  return impl_->hosts ? impl_->hosts->OrderAge() : 0;
+}
+
 void leader::HandOver(std::function<void()> done) {
   impl_->handed_over = std::move(done);
   impl_->KeepProgress();
--- a/src/node/leader.h
+++ b/src/node/leader.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "src/fleet/wave_request.h"
+#include "src/node/election.h"
 #include "src/node/node_context.h"
 #include "src/sched/job_state.h"
 
@@ -23,11 +24,9 @@
 /// the node's thread.
 class leader {
  public:
-  /// `term` counts leaderships. `predecessor_until`: by then every lease that
-  /// an earlier leader can have given has run out. `lost` runs once, when a
-  /// higher fencing token was seen.
-  leader(node_context& context, std::uint64_t fence, int term,
-         millis predecessor_until, std::function<void()> lost);
+  /// `lost` runs once, when a higher fencing token was seen.
+  leader(node_context& context, const election& won,
+         std::function<void()> lost);
   ~leader();
 
   std::uint64_t Fence() const;
@@ -42,6 +41,8 @@
   void CancelJob(const std::string& id);
   job_answer State(const std::string& id) const;
   std::size_t PendingCount(std::string_view queue) const;
+  /// Time since the last order to a host, in ms.
+  millis HostOrderAge() const;
   /// Gives no more orders, keeps what has ended, then runs `done`.
   void HandOver(std::function<void()> done);
 
--- a/src/node/leader_impl.h
+++ b/src/node/leader_impl.h
@@ -26,8 +26,7 @@
     std::uint64_t change = 0;
   };
 
-  impl(node_context& context, std::uint64_t fence, int term,
-       millis predecessor_until, std::function<void()> lost);
+  impl(node_context& context, const election& won, std::function<void()> lost);
 
   // Taking over: leader_load.cc.
   void Load();
@@ -59,6 +58,7 @@
   void Plan();
   void Give(const sched::order& order);
   void Tick();
+  void SetGauges();
   void LogEvents();
   void AcknowledgeEnds();
   void KeepProgress();
--- a/src/node/membership.cc
+++ b/src/node/membership.cc
@@ -6,6 +6,7 @@
 
 #include "src/node/record_keys.h"
 #include "src/node/store_watch.h"
+#include "src/node/term_record.h"
 #include "src/sched/term_lease.h"
 
 namespace radishwing::node {
@@ -19,8 +20,8 @@
 constexpr millis kLongestStandDelayMs = 960;
 // All nodes start within 300 ms; the one with the most processor leads.
 constexpr millis kFirstStandDelayMs = 400;
-// Ends the term's record of a leader that gave its last order.
-constexpr std::string_view kResignedMark = " resigned";
+// What a last order of the predecessor may be on its way.
+constexpr millis kHolderMarginMs = 300;
 
 }  // namespace
 
@@ -42,11 +43,10 @@
   void OnChange();
   void StandLater();
   void Stand();
-  void Elect(std::uint64_t term_revision, int term, bool resigned);
-  void YieldPast(std::uint64_t term_revision, int term);
-  void BecomeLeader(std::uint64_t fence, int term, bool predecessor_silent);
-  void OnElected(const result<store::commit_outcome>& outcome, int term,
-                 bool silent);
+  void Elect(std::uint64_t term_revision, const term_record& before);
+  void YieldPast(std::uint64_t term_revision, term_record before);
+  void BecomeLeader(std::uint64_t fence);
+  void OnElected(const result<store::commit_outcome>& outcome);
   bool Leads(const leader_record& record) const {
     return record.node == self_member.name &&
            record.started_unix_ms == self_member.started_unix_ms;
@@ -60,7 +60,7 @@
   boost::asio::steady_timer stand_timer;
   std::unique_ptr<store_watch> watch;
   std::string last_leader;
-  int proposed_term = 1;
+  term_record before_own;  ///< The term before the one that this node won.
   std::uint64_t resigned_fence = 0;
   std::uint64_t led_fence = 0;  ///< 0: this node does not lead.
   bool synced = false;
@@ -168,8 +168,7 @@
   if (led_fence == 0 && !standing && Leads(record) &&
       record.fence != resigned_fence) {
     // The answer to the own election was lost.
-    BecomeLeader(record.fence, proposed_term, last_leader == self_member.name);
-    return;
+    return BecomeLeader(record.fence);
   }
   const bool own_past = record.node == self_member.name && !Leads(record);
   if (led_fence == 0 && (record.node.empty() || own_past)) StandLater();
@@ -212,19 +211,18 @@
       self->standing = false;
       return;
     }
-    const std::string& text = Value(item).value;
-    const bool resigned = text.ends_with(kResignedMark);
+    const term_record before = DecodeTerm(Value(item).value);
     const leader_record& record = self->context.members.Leader();
     if (record.node == self->self_member.name && !self->Leads(record) &&
         self->context.members.HasMuchLarger(self->self_member)) {
-      return self->YieldPast(Value(item).revision, std::atoi(text.c_str()));
+      return self->YieldPast(Value(item).revision, before);
     }
-    self->Elect(Value(item).revision, std::atoi(text.c_str()) + 1, resigned);
+    self->Elect(Value(item).revision, before);
   });
 }
 
-void membership::impl::Elect(std::uint64_t term_revision, int term,
-                             bool resigned) {
+void membership::impl::Elect(std::uint64_t term_revision,
+                             const term_record& before) {
   const leader_record record = context.members.Leader();
   // Somebody may have been elected while the term was read.
   if (!record.node.empty() &&
@@ -234,30 +232,31 @@
   }
   store::store_commit commit;
   commit.expected = {{ShardKey(), record.fence}, {TermKey(), term_revision}};
+  const term_record own{before.term + 1, self_member.name, false, 0};
   commit.writes = {{ShardKey(), EncodeMember(self_member), lease},
-                   {TermKey(), std::to_string(term), 0}};
-  // An earlier run of this node gives no orders any more.
-  const bool silent = resigned || last_leader == self_member.name;
-  proposed_term = term;
-  context.store->Commit(commit,
-                        [weak = weak_from_this(), term,
-                         silent](const result<store::commit_outcome>& outcome) {
-                          const auto self = weak.lock();
-                          if (!self || self->left) return;
-                          self->standing = false;
-                          self->OnElected(outcome, term, silent);
-                        });
+                   {TermKey(), EncodeTerm(own), 0}};
+  before_own = before;
+  context.store->Commit(commit, [weak = weak_from_this()](
+                                    const result<store::commit_outcome>& done) {
+    const auto self = weak.lock();
+    if (!self || self->left) return;
+    self->standing = false;
+    self->OnElected(done);
+  });
 }
 
 // An earlier run of this node led, but a larger node had better do so now: its
 // key is removed instead of waiting for its lease.
-void membership::impl::YieldPast(std::uint64_t term_revision, int term) {
+void membership::impl::YieldPast(std::uint64_t term_revision,
+                                 term_record before) {
+  // When that run gave its last order to a host is not known.
+  before.resigned = true;
+  before.host_order_age_ms = 0;
   store::store_commit commit;
   commit.expected = {{ShardKey(), context.members.Leader().fence},
                      {TermKey(), term_revision}};
   commit.removals = {ShardKey()};
-  commit.writes = {
-      {TermKey(), std::to_string(term) + std::string(kResignedMark), 0}};
+  commit.writes = {{TermKey(), EncodeTerm(before), 0}};
   context.store->Commit(
       commit, [weak = weak_from_this()](const result<store::commit_outcome>&) {
         // The watch shows the outcome; without one the lease ends the key.
@@ -265,14 +264,13 @@
       });
 }
 
-void membership::impl::OnElected(const result<store::commit_outcome>& outcome,
-                                 int term, bool silent) {
+void membership::impl::OnElected(const result<store::commit_outcome>& outcome) {
   if (!Ok(outcome)) return;  // The watch shows it if it was carried out.
   if (Value(outcome).committed) {
     store::store_item own{ShardKey(), EncodeMember(self_member),
                           Value(outcome).revision, lease};
     context.members.Apply(own);
-    return BecomeLeader(Value(outcome).revision, term, silent);
+    return BecomeLeader(Value(outcome).revision);
   }
   for (const store::store_item& item : Value(outcome).current) {
     if (item.key == ShardKey()) context.members.Apply(item);
@@ -280,20 +278,26 @@
   OnChange();
 }
 
-void membership::impl::BecomeLeader(std::uint64_t fence, int term,
-                                    bool predecessor_silent) {
+void membership::impl::BecomeLeader(std::uint64_t fence) {
   led_fence = fence;
-  millis until = 0;
-  if (term > 1) {
-    until = sched::term_lease::PredecessorOver(context.now.Now(),
-                                               predecessor_silent);
-  }
   last_leader = self_member.name;
+  const millis now = context.now.Now();
+  const bool silent = before_own.Silent(self_member.name);
+  election won{.fence = fence, .term = before_own.term + 1};
+  if (before_own.term > 0) {
+    won.predecessor_until = sched::term_lease::PredecessorOver(now, silent);
+    const millis pause =
+        context.settings.duty_lease_ms + kHolderMarginMs -
+        (before_own.resigned ? before_own.host_order_age_ms : 0);
+    won.hosts_free_at = now + std::max<millis>(0, pause);
+  }
   context.log.Always(
-      "member", "leading, fence=" + std::to_string(fence) +
-                    " term=" + std::to_string(term) +
-                    " predecessor_silent=" + (predecessor_silent ? "1" : "0"));
-  hooks.elected(fence, term, until);
+      "member",
+      "leading, fence=" + std::to_string(fence) +
+          " term=" + std::to_string(won.term) +
+          " predecessor_silent=" + (silent ? "1" : "0") + " hosts_free_in_ms=" +
+          std::to_string(std::max<millis>(0, won.hosts_free_at - now)));
+  hooks.elected(won);
 }
 
 membership::membership(node_context& context, std::string peer_address,
@@ -316,20 +320,22 @@
          impl_->context.members.HasMuchLarger(impl_->self_member);
 }
 
-void membership::Resign(std::function<void()> done) {
+void membership::Resign(millis host_order_age_ms) {
   const std::uint64_t fence = std::exchange(impl_->led_fence, 0);
-  if (fence == 0) return done();
+  if (fence == 0) return;
   impl_->resigned_fence = fence;
+  const term_record own{impl_->before_own.term + 1, impl_->self_member.name,
+                        true, host_order_age_ms};
   store::store_commit commit;
   commit.expected = {{ShardKey(), fence}};
   commit.removals = {ShardKey()};
-  commit.writes = {
-      {TermKey(),
-       std::to_string(impl_->proposed_term) + std::string(kResignedMark), 0}};
+  commit.writes = {{TermKey(), EncodeTerm(own), 0}};
   impl_->context.store->Commit(
-      commit, [done = std::move(done)](const result<store::commit_outcome>&) {
+      commit, [impl = impl_](const result<store::commit_outcome>& outcome) {
+        if (Ok(outcome)) return;
         // If it was not removed, the lease ends it.
-        done();
+        impl->context.log.Warning(
+            "member", "resignation not kept, error=" + Error(outcome).message);
       });
 }
 
--- a/src/node/membership.h
+++ b/src/node/membership.h
@@ -4,16 +4,15 @@
 #include <functional>
 #include <memory>
 
+#include "src/node/election.h"
 #include "src/node/node_context.h"
 
 namespace radishwing::node {
 
 /// What a membership tells.
 struct membership_hooks {
-  /// This node leads now. `predecessor_until`: by then every lease that an
-  /// earlier leader can have given has run out.
-  std::function<void(std::uint64_t fence, int term, millis predecessor_until)>
-      elected;
+  /// This node leads now.
+  std::function<void(const election& won)> elected;
   /// The node's lease was renewed by a call sent at `sent_at`.
   std::function<void(millis sent_at)> renewed;
   /// Another node leads, or the own key has gone.
@@ -31,7 +30,8 @@
   /// True if this node leads although a much larger one is live.
   bool ShouldYield() const;
   /// The leadership has ended here; the key is given back.
-  void Resign(std::function<void()> done);
+  /// `host_order_age_ms`: time since the term's last order to a host.
+  void Resign(millis host_order_age_ms);
   /// Gives back all keys. The node stands no more.
   void Leave(std::function<void()> done);
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -43,9 +43,10 @@
   void WatchOperator();
   void OnOperatorItem(const store::store_item& item);
   void JoinMembers();
-  void Lead(std::uint64_t fence, int term, millis predecessor_until);
+  void Lead(const election& won);
   /// Hands the leadership over: keeps what has ended, then resigns.
   void GiveUpLeadership();
+  void EndAndResign();
   void EndLeadership();
   http::server_response Readiness();
   void PollStop(millis deadline);
@@ -211,9 +212,7 @@
 
 void node::impl::JoinMembers() {
   membership_hooks hooks;
-  hooks.elected = [this](std::uint64_t fence, int term, millis until) {
-    Lead(fence, term, until);
-  };
+  hooks.elected = [this](const election& won) { Lead(won); };
   hooks.renewed = [this](millis sent_at) {
     if (!own_leader) return;
     own_leader->Renewed(sent_at);
@@ -230,27 +229,27 @@
       std::move(hooks));
 }
 
-void node::impl::Lead(std::uint64_t fence, int term, millis predecessor_until) {
+void node::impl::Lead(const election& won) {
   context.metrics.SetLeading(true);
-  own_leader = std::make_unique<leader>(context, fence, term, predecessor_until,
-                                        [weak = weak_from_this()] {
-                                          const auto self = weak.lock();
-                                          if (!self) return;
-                                          self->EndLeadership();
-                                          self->member->Resign([] {});
-                                        });
+  own_leader =
+      std::make_unique<leader>(context, won, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) self->EndAndResign();
+      });
   for (const auto& [number, wave] : waves) own_leader->WaveRequested(wave);
 }
 
 void node::impl::GiveUpLeadership() {
   own_leader->HandOver([weak = weak_from_this()] {
-    const auto self = weak.lock();
-    if (!self) return;
-    self->EndLeadership();
-    self->member->Resign([] {});
+    if (const auto self = weak.lock()) self->EndAndResign();
   });
 }
 
+void node::impl::EndAndResign() {
+  const millis age = own_leader ? own_leader->HostOrderAge() : 0;
+  EndLeadership();
+  member->Resign(age);
+}
+
 void node::impl::EndLeadership() {
   context.metrics.SetLeading(false);
   // The caller may be one of the leader's own handlers.
--- /dev/null
+++ b/src/node/term_record.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "src/base/clock.h"
+
+namespace radishwing::node {
+
+/// What the store keeps of the newest term of leadership.
+struct term_record {
+  int term = 0;           ///< 0: nobody has led yet.
+  std::string node;       ///< Who led.
+  bool resigned = false;  ///< It gave its last order before this was written.
+  /// Then also: time since its last order to a host.
+  millis host_order_age_ms = 0;
+
+  /// True if the leader of that term gives no orders any more, seen from
+  /// `self`: it resigned, or it was an earlier run of the same node.
+  bool Silent(std::string_view self) const { return resigned || node == self; }
+};
+
+std::string EncodeTerm(const term_record& record);
+
+/// An unreadable text is a term that nobody led.
+term_record DecodeTerm(std::string_view text);
+
+}  // namespace radishwing::node
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -103,6 +103,8 @@
   /// What the jobs of each pool ask for, as of the last plan.
   std::map<std::string, pool_demand> Demand() const;
 
+  /// Starts that may or may not have been carried out.
+  std::size_t UnknownStarts() const;
   /// Orders to give now.
   std::vector<order> Plan(millis now, millis unix_now);
   /// Asks for a stop of what runs on `id` as far as budgets allow it.
--- a/src/sched/scheduler_runs.cc
+++ b/src/sched/scheduler_runs.cc
@@ -103,6 +103,23 @@
   }
 }
 
+std::size_t scheduler::UnknownStarts() const {
+  std::size_t count = 0;
+  for (const job_state* job : active_) {
+    for (const auto& [number, repetition] : job->repetitions) {
+      for (const step_state& step : repetition.steps) {
+        for (const task_state& task : step.tasks) {
+          count += static_cast<std::size_t>(
+              std::ranges::count_if(task.runs, [](const run_state& run) {
+                return run.phase == run_phase::kStarting && run.unanswered;
+              }));
+        }
+      }
+    }
+  }
+  return count;
+}
+
 std::map<std::string, pool_demand> scheduler::Demand() const {
   std::map<std::string, pool_demand> demand;
   for (const fleet::pool_config& pool : config_.pools) {
@@ -144,6 +161,8 @@
 bool scheduler::Evacuate(const std::string& id, bool stop_batch, millis now) {
   const auto it = runners_.find(id);
   if (it == runners_.end()) return true;
+  // What an unlisted runner has is not known yet.
+  if (!it->second.listed) return false;
   for (const fleet::task_name& name : it->second.tasks) {
     const task_ref ref = FindTask(name);
     if (!ref.task) continue;
--- /dev/null
+++ b/tests/node/term_record_test.cc
@@ -0,0 +1,34 @@
+#include "src/node/term_record.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace radishwing::node {
+namespace {
+
+BOOST_AUTO_TEST_SUITE(term_record_text)
+
+BOOST_AUTO_TEST_CASE(encoded_record_is_read_back) {
+  const term_record read = DecodeTerm(EncodeTerm({7, "n1", true, 1234}));
+  BOOST_TEST(read.term == 7);
+  BOOST_TEST(read.node == "n1");
+  BOOST_TEST(read.resigned);
+  BOOST_TEST(read.host_order_age_ms == 1234);
+}
+
+// Guards against taking a leader for silent that this node has not seen: after
+// being cut off it knew only its own earlier term.
+BOOST_AUTO_TEST_CASE(other_node_that_did_not_resign_is_not_silent) {
+  BOOST_TEST(!(term_record{3, "n2", false, 0}).Silent("n1"));
+  BOOST_TEST((term_record{3, "n2", true, 0}).Silent("n1"));
+  BOOST_TEST((term_record{3, "n1", false, 0}).Silent("n1"));
+}
+
+BOOST_AUTO_TEST_CASE(unreadable_text_is_no_term) {
+  BOOST_TEST(DecodeTerm("").term == 0);
+  BOOST_TEST(DecodeTerm("3 resigned").term == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace radishwing::node
--- a/tests/sched/scheduler_evacuate_test.cc
+++ b/tests/sched/scheduler_evacuate_test.cc
@@ -59,6 +59,16 @@
   BOOST_TEST(Plan().empty());
 }
 
+// Guards against taking a runner for empty that has not told what runs there
+// (AVAIL, voetnoot-prod trouble-2 right after a handover).
+BOOST_AUTO_TEST_CASE(runner_that_has_not_listed_is_not_empty) {
+  fleet::runner_report report;
+  report.id = "r9";
+  report.pool = "pool";
+  subject.AddRunner(report);
+  BOOST_TEST(!subject.Evacuate("r9", true, now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
