--- a/src/sched/pool_planner.cc
+++ b/src/sched/pool_planner.cc
@@ -87,27 +87,26 @@
   std::stable_partition(
       sources.begin(), sources.end(),
       [&](const pool_host* host) { return host->pool != standby_; });
-});
-std::vector<host_move> moves;
-auto next = sources.begin();
-for (need& wanted : needs) {
-  while (wanted.shortage > 0 && next != sources.end()) {
-    const pool_host& host = **next++;
-    moves.push_back({host.name, wanted.pool});
-    wanted.shortage -= static_cast<double>(host.cpu_millis);
-    free_cpu[host.pool] -= host.cpu_millis;
+  std::vector<host_move> moves;
+  auto next = sources.begin();
+  for (need& wanted : needs) {
+    while (wanted.shortage > 0 && next != sources.end()) {
+      const pool_host& host = **next++;
+      moves.push_back({host.name, wanted.pool});
+      wanted.shortage -= static_cast<double>(host.cpu_millis);
+      free_cpu[host.pool] -= host.cpu_millis;
+    }
   }
-}
-if (standby_.empty()) return moves;
-for (; next != sources.end(); ++next) {
-  const pool_host& host = **next;
-  if (host.pool == standby_ || IdleFor(now, host) < kStandbyAfterMs) continue;
-  std::int64_t& left = free_cpu[host.pool];
-  if (left - host.cpu_millis < kReserveMillis) continue;
-  left -= host.cpu_millis;
-  moves.push_back({host.name, standby_});
-}
-return moves;
+  if (standby_.empty()) return moves;
+  for (; next != sources.end(); ++next) {
+    const pool_host& host = **next;
+    if (host.pool == standby_ || IdleFor(now, host) < kStandbyAfterMs) continue;
+    std::int64_t& left = free_cpu[host.pool];
+    if (left - host.cpu_millis < kReserveMillis) continue;
+    left -= host.cpu_millis;
+    moves.push_back({host.name, standby_});
+  }
+  return moves;
 }
 
 }  // namespace radishwing::sched
