Never wait for the reader of the log; refuse transfer codings that are not understood

Causes: a pipe that nobody reads stopped a node at its next log line; a request with Transfer-Encoding: xchunked was served.

--- /dev/null
+++ b/src/base/line_output.cc
@@ -0,0 +1,39 @@
+#include "src/base/line_output.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+namespace radishwing {
+namespace {
+
+// A pipe that is ready takes this much without blocking (POSIX PIPE_BUF on
+// Linux); longer lines are cut.
+constexpr std::size_t kMaxLine = 4096;
+
+}  // namespace
+
+void line_output::WriteLine() {
+  pollfd ready{fd_, POLLOUT, 0};
+  const bool room = ::poll(&ready, 1, 0) == 1 && (ready.revents & POLLOUT) != 0;
+  if (!room || ::write(fd_, line_.data(), line_.size()) < 0) ++dropped_;
+  line_.clear();
+}
+
+void line_output::Append(char c) {
+  if (line_.size() + 1 < kMaxLine || c == '\n') line_ += c;
+  if (c == '\n') WriteLine();
+}
+
+line_output::int_type line_output::overflow(int_type c) {
+  if (!traits_type::eq_int_type(c, traits_type::eof())) {
+    Append(traits_type::to_char_type(c));
+  }
+  return traits_type::not_eof(c);
+}
+
+std::streamsize line_output::xsputn(const char* text, std::streamsize size) {
+  for (std::streamsize i = 0; i < size; ++i) Append(text[i]);
+  return size;
+}
+
+}  // namespace radishwing
--- a/src/http/server_session.cc
+++ b/src/http/server_session.cc
@@ -91,6 +91,10 @@
         if (self->closed_) return;
         if (error) {
           self->OnReadError(error);
+        } else if (self->HasUnknownCoding()) {
+          self->keep_alive_ = false;
+          self->Respond(ErrorResponse(501, "transfer_coding",
+                                      "only chunked is understood"));
         } else if (self->parser_->is_done()) {
           self->Handle();
         } else {
@@ -99,6 +103,13 @@
       });
 }
 
+bool server_session::HasUnknownCoding() const {
+  const auto& header = parser_->get();
+  const auto coding = header.find(beast_http::field::transfer_encoding);
+  return coding != header.end() &&
+         !boost::beast::iequals(coding->value(), "chunked");
+}
+
 void server_session::ReadBody() {
   ArmTimer(options_.body_ms);
   beast_http::async_read(socket_, buffer_, *parser_,
--- a/src/http/server_session.h
+++ b/src/http/server_session.h
@@ -31,6 +31,7 @@
 
   void AwaitRequest();
   void ReadHeader();
+  bool HasUnknownCoding() const;
   void ReadBody();
   void OnReadError(boost::system::error_code error);
   void Handle();
--- a/src/programs/node.cc
+++ b/src/programs/node.cc
@@ -1,4 +1,5 @@
 #include <signal.h>
+#include <unistd.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -10,6 +11,7 @@
 #include <string>
 
 #include "platform/node_settings_codec.h"
+#include "src/base/line_output.h"
 #include "src/base/log.h"
 #include "src/node/node.h"
 
@@ -47,6 +49,9 @@
     return decoded.findings.empty() ? 0 : 1;
   }
   signal(SIGPIPE, SIG_IGN);
+  // A reader of the log that does not read must not stop the node.
+  static line_output log_lines(STDOUT_FILENO);
+  std::cout.rdbuf(&log_lines);
   ConfigureLogs("radishwing-node", log_level::kInfo);
   boost::asio::io_context io(1);
   auto made = node::node::Make(io, decoded.settings, [&io] { io.stop(); });
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -35,6 +35,24 @@
                  .starts_with("HTTP/1.1 400"));
 }
 
+// Guards against serving a request whose body cannot be told from the next
+// request, because its transfer coding is not understood.
+BOOST_FIXTURE_TEST_CASE(http_server_unknown_coding_gets_501, http_fixture) {
+  Serve();
+  for (const char* coding :
+       {"xchunked", "gzip, chunked", "chunked, identity"}) {
+    const std::string request =
+        "POST / HTTP/1.1\r\nTransfer-Encoding: " + std::string(coding) +
+        "\r\n\r\n";
+    const std::string answer = Converse(*this, request);
+    BOOST_TEST_CONTEXT(coding) {
+      BOOST_TEST((answer.starts_with("HTTP/1.1 501") ||
+                  answer.starts_with("HTTP/1.1 400")));
+    }
+  }
+  BOOST_TEST(handled == 0);
+}
+
 // Guards against unbounded memory for a header or a body.
 BOOST_FIXTURE_TEST_CASE(http_server_oversize_gets_431_and_413, http_fixture) {
   options.max_body_bytes = 100;
