--- /dev/null
+++ b/src/node/host_moves.cc
@@ -0,0 +1,180 @@
+#include <algorithm>
+#include <utility>
+
+#include "src/node/host_keeper_impl.h"
+
+// Moves of hosts between pools.
+
+namespace radishwing::node {
+namespace {
+
+// A host's runner is back about this long after the move itself.
+constexpr millis kArrivalMs = 400;
+constexpr millis kPoolLogMs = 1000;
+// Share of the host service's order rate that moves may use; maintenance and
+// retries have the rest.
+constexpr double kMoveRateShare = 0.75;
+
+}  // namespace
+
+std::vector<sched::pool_host> host_keeper::impl::HostViews() const {
+  std::vector<sched::pool_host> views;
+  for (const auto& [name, host] : hosts) {
+    sched::pool_host view;
+    view.name = host.name;
+    view.pool = host.pool;
+    view.cpu_millis = host.cpu_millis;
+    const auto move = moves.find(host.name);
+    if (move != moves.end()) {
+      view.pool = move->second.to;
+      view.arriving = true;
+      views.push_back(std::move(view));
+      continue;
+    }
+    const sched::runner_state* runner = scheduler.FindRunner(host.runner);
+    const bool up = host.state == fleet::host_state::kUp;
+    view.arriving = host.state == fleet::host_state::kMoving;
+    view.empty = runner ? runner->tasks.empty() : host.pool == standby;
+    view.available = up && !InWave(host.name) &&
+                     (runner || host.pool == standby) &&
+                     (!runner || (runner->listed && !runner->report.draining));
+    views.push_back(std::move(view));
+  }
+  return views;
+}
+
+void host_keeper::impl::PlanMoves() {
+  if (!planner) {
+    for (const fleet::pool_config& pool : context.config->pools) {
+      if (pool.standby) standby = pool.name;
+    }
+    planner = std::make_unique<sched::pool_planner>(standby,
+                                                    context.settings.move_ms);
+  }
+  const auto views = HostViews();
+  const auto demand = scheduler.Demand();
+  LogPools(views, demand);
+  const auto wanted = planner->Plan(context.now.Now(), views, demand);
+  const millis now = context.now.Now();
+  const double rate = context.settings.host_orders_per_s * kMoveRateShare;
+  move_tokens = std::min(
+      rate, move_tokens + rate * static_cast<double>(now - tokens_at) / 1000);
+  tokens_at = now;
+  for (const sched::host_move& move : wanted) {
+    if (move_tokens < 1) return;
+    move_tokens -= 1;
+    Move(move);
+  }
+}
+
+// The inputs of the decisions on moves, once a second.
+void host_keeper::impl::LogPools(
+    const std::vector<sched::pool_host>& views,
+    const std::map<std::string, sched::pool_demand>& demand) {
+  const millis now = context.now.Now();
+  if (now - pools_logged_at < kPoolLogMs) return;
+  pools_logged_at = now;
+  for (const auto& [pool, asked] : demand) {
+    int count = 0;
+    int empty = 0;
+    int arriving = 0;
+    for (const sched::pool_host& host : views) {
+      if (host.pool != pool) continue;
+      ++count;
+      empty += host.available && host.empty ? 1 : 0;
+      arriving += host.arriving ? 1 : 0;
+    }
+    context.log.Info(
+        "pools",
+        "pool load, pool=" + pool + " hosts=" + std::to_string(count) +
+            " empty=" + std::to_string(empty) +
+            " arriving=" + std::to_string(arriving) +
+            " room_cpu=" + std::to_string(asked.room_cpu_millis) +
+            " used_cpu=" + std::to_string(asked.used_cpu_millis) +
+            " blocked_core_ms=" +
+            std::to_string(static_cast<int>(asked.blocked_core_ms)) +
+            " blocked_lasting=" + std::to_string(asked.blocked_lasting));
+  }
+}
+
+void host_keeper::impl::Move(const sched::host_move& move) {
+  const fleet::host_info* host = FindHost(move.host);
+  if (!host || moves.contains(move.host)) return;
+  const sched::runner_state* runner = scheduler.FindRunner(host->runner);
+  if (runner && !runner->tasks.empty()) return;
+  if (runner) scheduler.SetCordoned(host->runner, true);
+  ordered_at = context.now.Now();
+  moves[move.host] = {move.to, context.now.Now(), false, host->runner};
+  client->Move(move.host, move.to, fence,
+               [weak = weak_from_this(),
+                name = move.host](fleet::order_outcome outcome) {
+                 if (const auto self = weak.lock()) {
+                   self->OnMoved(name, outcome);
+                 }
+               });
+}
+
+void host_keeper::impl::OnMoved(const std::string& name,
+                                fleet::order_outcome outcome) {
+  context.metrics.CountOrder("move", fleet::OrderOutcomeName(outcome));
+  context.log.Info("hosts", "move ordered, host=" + name +
+                                " pool=" + moves[name].to +
+                                " outcome=" + fleet::OrderOutcomeName(outcome));
+  if (outcome == fleet::order_outcome::kAccepted) {
+    moves[name].accepted = true;
+    ending[moves[name].runner] = {name, context.now.Now()};
+    return;
+  }
+  if (outcome == fleet::order_outcome::kFenced) fenced = true;
+  // Without an answer it may have moved: the next list tells.
+  if (outcome == fleet::order_outcome::kUnknown) return;
+  moves.erase(name);
+  const fleet::host_info* host = FindHost(name);
+  if (host) scheduler.SetCordoned(host->runner, false);
+}
+
+// An order is also accepted if it was carried out before, and then the runner
+// lives on: only a list that was asked for after the order tells.
+void host_keeper::impl::ConfirmEnds() {
+  std::vector<std::string> ended;
+  for (auto it = ending.begin(); it != ending.end();) {
+    if (it->second.ordered_at >= listed_at) {
+      ++it;
+      continue;
+    }
+    const fleet::host_info* host = FindHost(it->second.host);
+    if (!host || host->runner != it->first ||
+        host->state != fleet::host_state::kUp) {
+      ended.push_back(it->first);
+    } else {
+      scheduler.SetCordoned(it->first, false);
+    }
+    it = ending.erase(it);
+  }
+  for (const std::string& runner : ended) hooks.runner_ended(runner);
+}
+
+// A move is over when its host is listed with a runner in its new pool, or
+// when it should have been and is not.
+void host_keeper::impl::ExpireMoves() {
+  const millis now = context.now.Now();
+  std::erase_if(moves, [&](const auto& entry) {
+    const move_state& move = entry.second;
+    const millis age = now - move.ordered_at;
+    const fleet::host_info* host = FindHost(entry.first);
+    if (!host) return true;
+    const bool there = host->pool == move.to &&
+                       host->state == fleet::host_state::kUp &&
+                       listed_at > move.ordered_at + context.settings.move_ms;
+    if (there) {
+      const sched::runner_state* runner = scheduler.FindRunner(host->runner);
+      return move.to == standby || (runner && runner->listed) ||
+             age > 4 * (context.settings.move_ms + kArrivalMs);
+    }
+    if (age < 3 * (context.settings.move_ms + kArrivalMs)) return false;
+    scheduler.SetCordoned(host->runner, false);
+    return true;
+  });
+}
+
+}  // namespace radishwing::node
