--- a/src/node/store_watch.cc
+++ b/src/node/store_watch.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr millis kRetryMs = 200;
+// After the store cut a waiting watch; changes may have been made meanwhile.
+constexpr millis kCutRetryMs = 20;
 
 }  // namespace
 
@@ -36,6 +38,7 @@
   std::vector<store::store_item> items;
   std::uint64_t revision = 0;
   millis read_began = 0;
+  millis watch_began = 0;
   bool stopped = false;
 };
 
@@ -49,7 +52,9 @@
 
 void store_watch::impl::Failed(const failure& problem, bool reading) {
   if (hooks.failed) hooks.failed(problem);
-  Later(kRetryMs, [this, reading] {
+  const bool cut = !reading && problem.kind == failure_kind::kTimeout &&
+                   now.Now() - watch_began < options.wait_ms;
+  Later(cut ? kCutRetryMs : kRetryMs, [this, reading] {
     if (reading) {
       ReadPage("");
     } else {
@@ -89,6 +94,7 @@
 
 void store_watch::impl::Watch() {
   const millis asked_at = now.Now();
+  watch_began = asked_at;
   store.Watch(options.prefix, revision, options.wait_ms,
               [self = shared_from_this(),
                asked_at](result<store::store_changes> changes) {
