Give work only to runners that are certainly in the recorded set

The set is now written under its own revision, and while the outcome of a write is open only runners of the old and the new set count. Test: recorded_runners_rules. Ruled out: the hand-over (same node, predecessor silent).

--- a/src/node/leader_impl.h
+++ b/src/node/leader_impl.h
@@ -12,6 +12,7 @@
 #include "src/node/leader.h"
 #include "src/node/runner_link.h"
 #include "src/node/store_watch.h"
+#include "src/sched/recorded_runners.h"
 #include "src/sched/scheduler.h"
 #include "src/sched/term_lease.h"
 
@@ -52,6 +53,7 @@
   void DropRunner(const std::string& id, std::string_view why);
   void OnHostsListed(const std::set<std::string>& runners, millis asked_at);
   void RecordRunnerSet();
+  void OnRunnerSetWritten(const result<store::commit_outcome>& outcome);
 
   // Scheduling and keeping: leader.cc.
   void Kick();
@@ -92,7 +94,10 @@
   boost::asio::steady_timer keep_timer;
   std::function<void()> handed_over;
   std::vector<std::string> old_jobs;
-  std::string recorded_runner_set;
+  sched::recorded_runners recorded;
+  std::uint64_t runner_set_revision = 0;
+  /// The record holds exactly the runners that were written last.
+  bool runner_set_certain = false;
   bool runner_set_stale = true;
   bool runner_set_loaded = false;
   bool runner_set_in_flight = false;
--- a/src/node/leader_load.cc
+++ b/src/node/leader_load.cc
@@ -62,12 +62,15 @@
     if (!Ok(item)) {
       return self->Retry([raw = self.get()] { raw->LoadRunnerSet(); });
     }
-    self->recorded_runner_set = Value(item).value;
+    self->runner_set_revision = Value(item).revision;
+    std::set<std::string> ids;
     for (const auto& runner : DecodeRunnerSet(Value(item).value)) {
+      ids.insert(runner.id);
       self->scheduler.ExpectRunner(runner.id, runner.pool);
       self->entry_gone_since[runner.id] = self->context.now.Now();
       self->AddLink(runner, self->predecessor_until);
     }
+    self->recorded.Read(std::move(ids));
     self->runner_set_loaded = true;
     self->WatchRunners();
     self->LoadProgress("");
--- a/src/node/leader_runners.cc
+++ b/src/node/leader_runners.cc
@@ -197,28 +197,47 @@
     rows.push_back(json::array{id, report.pool, report.address});
     ids.insert(id);
   }
-  std::string text = json::serialize(rows);
   runner_set_stale = false;
-  if (text == recorded_runner_set) return scheduler.SetRecorded(ids);
+  if (ids == recorded.Certain() && runner_set_certain) return;
+  recorded.WriteSent(ids);
+  runner_set_certain = false;
+  scheduler.SetRecorded(recorded.Certain());
   store::store_commit commit;
-  commit.expected = {{ShardKey(), fence}};
-  commit.writes = {{RunnerSetKey(), text, 0}};
+  // With the key's own revision, an earlier write without an answer cannot
+  // come after this one.
+  commit.expected = {{ShardKey(), fence},
+                     {RunnerSetKey(), runner_set_revision}};
+  commit.writes = {{RunnerSetKey(), json::serialize(rows), 0}};
   runner_set_in_flight = true;
-  context.store->Commit(commit, [weak = weak_from_this(), text,
-                                 ids](result<store::commit_outcome> outcome) {
-    const auto self = weak.lock();
-    if (!self || self->ended) return;
-    self->runner_set_in_flight = false;
-    if (Ok(outcome) && Value(outcome).committed) {
-      self->recorded_runner_set = text;
-      self->scheduler.SetRecorded(ids);
-      self->Kick();
-      self->RecordRunnerSet();
-      return;
-    }
-    self->runner_set_stale = true;
-    if (Ok(outcome)) self->CheckConflict(Value(outcome));
-  });
+  context.store->Commit(
+      commit,
+      [weak = weak_from_this()](const result<store::commit_outcome>& outcome) {
+        const auto self = weak.lock();
+        if (self && !self->ended) self->OnRunnerSetWritten(outcome);
+      });
+}
+
+void leader::impl::OnRunnerSetWritten(
+    const result<store::commit_outcome>& outcome) {
+  runner_set_in_flight = false;
+  if (Ok(outcome) && Value(outcome).committed) {
+    recorded.WriteKept();
+    runner_set_revision = Value(outcome).revision;
+    runner_set_certain = true;
+    scheduler.SetRecorded(recorded.Certain());
+    Kick();
+    return RecordRunnerSet();
+  }
+  runner_set_stale = true;  // Tick writes again.
+  if (!Ok(outcome)) {
+    context.log.Warning("runner",
+                        "runner set not kept, error=" + Error(outcome).message);
+    return;
+  }
+  for (const store::store_item& item : Value(outcome).current) {
+    if (item.key == RunnerSetKey()) runner_set_revision = item.revision;
+  }
+  CheckConflict(Value(outcome));
 }
 
 }  // namespace radishwing::node
--- /dev/null
+++ b/tests/sched/recorded_runners_test.cc
@@ -0,0 +1,37 @@
+#include "src/sched/recorded_runners.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace radishwing::sched {
+namespace {
+
+BOOST_AUTO_TEST_SUITE(recorded_runners_rules)
+
+// Guards against giving work to a runner that the record lacks: it was dropped
+// by a write without an answer and came back (bmkm-radishwing trouble-1 seed
+// 382899574681; a successor did not ask it and its task ran twice).
+BOOST_AUTO_TEST_CASE(runner_dropped_by_an_unanswered_write_is_not_certain) {
+  recorded_runners subject;
+  subject.Read({"a", "x"});
+  subject.WriteSent({"a"});
+  BOOST_TEST(!subject.Certain().contains("x"));
+  subject.WriteSent({"a", "x"});
+  BOOST_TEST(!subject.Certain().contains("x"));
+  BOOST_TEST(subject.Certain().contains("a"));
+  subject.WriteKept();
+  BOOST_TEST(subject.Certain().contains("x"));
+}
+
+BOOST_AUTO_TEST_CASE(new_runner_is_certain_after_its_write_only) {
+  recorded_runners subject;
+  subject.Read({"a"});
+  subject.WriteSent({"a", "b"});
+  BOOST_TEST(!subject.Certain().contains("b"));
+  subject.WriteKept();
+  BOOST_TEST(subject.Certain().contains("b"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace radishwing::sched
