Read the change through: one piece of code where the logic is the same

Finding a run, giving one up, telling the leader, who may stand for leader and a stand-in's held-back answer had two to four copies each; the loaded progress was a text taken apart again; the suspicion count stood twice. Gauges are set when the metrics are read, not ten times a second (they walk all tasks). Dead code goes: kKeepRetryMs, pool_planner's move_ms, Runners(), move_state::accepted. Behaviour and assertions are as before.

--- a/src/node/front.cc
+++ b/src/node/front.cc
@@ -73,6 +73,9 @@
               const std::string& id, const std::string& body,
               responder respond);
   void Push(const std::string& id, const std::string& record);
+  /// `what` is a literal: the message's name and the log line's subject.
+  void TellLeader(std::string_view what, const std::string& id,
+                  const std::string& body);
   void State(const std::string& id, responder respond);
   void StateFromStore(const std::string& id, responder respond);
   void Cancel(const std::string& id, responder respond);
@@ -222,17 +225,24 @@
 
 void front::impl::Push(const std::string& id, const std::string& record) {
   if (leader* local = local_leader()) return local->AddJob(id, record);
+  TellLeader("job", id, record);
+}
+
+// The store has what is told; a leader that misses it reads it there.
+void front::impl::TellLeader(std::string_view what, const std::string& id,
+                             const std::string& body) {
   const std::string& address = context.members.Leader().address;
-  if (address.empty()) return;  // The next leader reads it from the store.
-  peers.Call(address, "/peer/job?id=" + id, record, kPushMs,
-             [weak = weak_from_this(), id](const result<std::string>& answer) {
-               const auto self = weak.lock();
-               if (self && !Ok(answer)) {
-                 self->context.log.Warning(
-                     "front", "job not pushed, job=" + id +
-                                  " error=" + Error(answer).message);
-               }
-             });
+  if (address.empty()) return;
+  peers.Call(
+      address, "/peer/" + std::string(what) + "?id=" + id, body, kPushMs,
+      [weak = weak_from_this(), what, id](const result<std::string>& answer) {
+        const auto self = weak.lock();
+        if (self && !Ok(answer)) {
+          self->context.log.Warning(
+              "front", std::string(what) + " not pushed, job=" + id +
+                           " error=" + Error(answer).message);
+        }
+      });
 }
 
 void front::impl::State(const std::string& id, responder respond) {
@@ -318,17 +328,7 @@
 
 void front::impl::PushCancel(const std::string& id) {
   if (leader* local = local_leader()) return local->CancelJob(id);
-  const std::string& address = context.members.Leader().address;
-  if (address.empty()) return;
-  peers.Call(address, "/peer/cancel?id=" + id, "", kPushMs,
-             [weak = weak_from_this(), id](const result<std::string>& answer) {
-               const auto self = weak.lock();
-               if (self && !Ok(answer)) {
-                 self->context.log.Warning(
-                     "front", "cancel not pushed, job=" + id +
-                                  " error=" + Error(answer).message);
-               }
-             });
+  TellLeader("cancel", id, "");
 }
 
 void front::impl::Pending(const std::string& queue, responder respond) {
--- a/src/node/host_keeper.cc
+++ b/src/node/host_keeper.cc
@@ -53,14 +53,10 @@
 void host_keeper::impl::Tick() {
   if (fenced) return;
   for (auto& [number, wave] : waves) {
-    if (wave.told_finished) continue;
-    if (!wave.loaded) {
-      const millis now = context.now.Now();
-      if (wave.retry_at[""] <= now) {
-        wave.retry_at[""] = now + kHostOrderRetryMs;
-        LoadWave(number);
-      }
-    }
+    const millis now = context.now.Now();
+    if (wave.told_finished || wave.loaded || now < wave.load_at) continue;
+    wave.load_at = now + kHostOrderRetryMs;
+    LoadWave(number);
   }
   List();
   if (hosts.empty()) return;
--- a/src/node/host_keeper_impl.h
+++ b/src/node/host_keeper_impl.h
@@ -24,6 +24,7 @@
     std::map<std::string, millis> draining_since;
     std::map<std::string, millis> retry_at;
     std::set<std::string> in_flight;
+    millis load_at = 0;  ///< Not before this.
     bool loaded = false;
     bool told_running = false;
     bool told_finished = false;
@@ -43,7 +44,6 @@
   struct move_state {
     std::string to;
     millis ordered_at = 0;
-    bool accepted = false;
     std::string runner;  ///< On the host before the move.
   };
 
--- a/src/node/host_moves.cc
+++ b/src/node/host_moves.cc
@@ -48,8 +48,7 @@
     for (const fleet::pool_config& pool : context.config->pools) {
       if (pool.standby) standby = pool.name;
     }
-    planner = std::make_unique<sched::pool_planner>(standby,
-                                                    context.settings.move_ms);
+    planner = std::make_unique<sched::pool_planner>(standby);
   }
   const auto views = HostViews();
   const auto demand = scheduler.Demand();
@@ -104,7 +103,7 @@
   if (runner && !runner->tasks.empty()) return;
   if (runner) scheduler.SetCordoned(host->runner, true);
   ordered_at = context.now.Now();
-  moves[move.host] = {move.to, context.now.Now(), false, host->runner};
+  moves[move.host] = {move.to, context.now.Now(), host->runner};
   client->Move(move.host, move.to, fence,
                [weak = weak_from_this(),
                 name = move.host](fleet::order_outcome outcome) {
@@ -121,7 +120,6 @@
                                 " pool=" + moves[name].to +
                                 " outcome=" + fleet::OrderOutcomeName(outcome));
   if (outcome == fleet::order_outcome::kAccepted) {
-    moves[name].accepted = true;
     ending[moves[name].runner] = {name, context.now.Now()};
     return;
   }
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -18,7 +18,6 @@
 constexpr millis kTickMs = 100;
 // Ends that come together are kept together.
 constexpr millis kKeepDelayMs = 15;
-constexpr millis kKeepRetryMs = 150;
 // The store takes 32 entries a commit: one for the shard's key, two a job.
 constexpr std::size_t kJobsPerCommit = 15;
 // Run numbers of a term; a task is started less often than that in one term.
@@ -99,7 +98,6 @@
         if (!self->MayOrder() && !self->handed_over) {
           return self->Lose("lease not renewed");
         }
-        self->SetGauges();
         self->DropGoneLinks();
         self->RecordRunnerSet();
         self->DropOldJobs();
@@ -354,6 +352,8 @@
   return impl_->scheduler.PendingCount(queue);
 }
 
+void leader::SetGauges() { impl_->SetGauges(); }
+
 millis leader::HostOrderAge() const {
   return impl_->hosts ? impl_->hosts->OrderAge() : 0;
 }
--- a/src/node/leader.h
+++ b/src/node/leader.h
@@ -41,6 +41,8 @@
   void CancelJob(const std::string& id);
   job_answer State(const std::string& id) const;
   std::size_t PendingCount(std::string_view queue) const;
+  /// Brings the gauges up to date; called before the metrics are read.
+  void SetGauges();
   /// Time since the last order to a host, in ms.
   millis HostOrderAge() const;
   /// Gives no more orders, keeps what has ended, then runs `done`.
--- a/src/node/leader_impl.h
+++ b/src/node/leader_impl.h
@@ -86,7 +86,7 @@
   std::map<std::string, millis> entry_gone_since;
   std::unique_ptr<store_watch> runner_watch;
   std::unique_ptr<store_watch> job_watch;
-  std::map<std::string, std::string> loaded_progress;
+  std::map<std::string, store::store_item> loaded_progress;  ///< By job.
   std::unique_ptr<host_keeper> hosts;
   boost::asio::steady_timer plan_timer;
   boost::asio::steady_timer tick_timer;
--- a/src/node/leader_load.cc
+++ b/src/node/leader_load.cc
@@ -91,7 +91,7 @@
         for (store::store_item& item : Value(page).items) {
           last = item.key;
           self->loaded_progress[item.key.substr(kProgressPrefix.size())] =
-              std::to_string(item.revision) + " " + item.value;
+              std::move(item);
         }
         if (Value(page).has_more && !last.empty()) {
           return self->LoadProgress(last);
@@ -163,10 +163,8 @@
                    context.unix_now.Now());
   const auto progress = loaded_progress.find(id);
   if (progress == loaded_progress.end()) return Kick();
-  const std::size_t space = progress->second.find(' ');
-  const auto revision = std::stoull(progress->second.substr(0, space));
   const auto applied = scheduler.RestoreProgress(
-      id, std::string_view(progress->second).substr(space + 1), revision, now);
+      id, progress->second.value, progress->second.revision, now);
   if (!Ok(applied)) {
     context.log.Warning("jobs", "progress unreadable, job=" + id +
                                     " error=" + Error(applied).message);
--- a/src/node/leader_runners.cc
+++ b/src/node/leader_runners.cc
@@ -171,11 +171,9 @@
   std::vector<std::string> gone;
   for (const auto& [id, since] : entry_gone_since) {
     const auto link = links.find(id);
-    const bool silent = link != links.end() && !link->second->Reachable() &&
-                        link->second->LeaseOver();
-    const bool answers = link != links.end() && link->second->Reachable();
-    if (now - since > kForgetMs && scheduler.TaskCount(id) == 0 &&
-        (silent || link == links.end() || answers)) {
+    const bool known = link == links.end() || link->second->Reachable() ||
+                       link->second->LeaseOver();
+    if (known && now - since > kForgetMs && scheduler.TaskCount(id) == 0) {
       gone.push_back(id);
     }
   }
--- a/src/node/membership.cc
+++ b/src/node/membership.cc
@@ -52,6 +52,14 @@
            record.started_unix_ms == self_member.started_unix_ms;
   }
 
+  /// An earlier run of this node led; it gives no orders any more.
+  bool OwnPast(const leader_record& record) const {
+    return record.node == self_member.name && !Leads(record);
+  }
+  bool MayStand(const leader_record& record) const {
+    return record.node.empty() || OwnPast(record);
+  }
+
   node_context& context;
   membership_hooks hooks;
   member self_member;
@@ -170,8 +178,7 @@
     // The answer to the own election was lost.
     return BecomeLeader(record.fence);
   }
-  const bool own_past = record.node == self_member.name && !Leads(record);
-  if (led_fence == 0 && (record.node.empty() || own_past)) StandLater();
+  if (led_fence == 0 && MayStand(record)) StandLater();
 }
 
 void membership::impl::StandLater() {
@@ -196,10 +203,8 @@
 }
 
 void membership::impl::Stand() {
-  const leader_record record = context.members.Leader();
-  const bool own_past = record.node == self_member.name && !Leads(record);
-  if (led_fence != 0 || (!record.node.empty() && !own_past) || lease == 0 ||
-      context.stopping) {
+  const leader_record& record = context.members.Leader();
+  if (led_fence != 0 || !MayStand(record) || lease == 0 || context.stopping) {
     standing = false;
     return;
   }
@@ -213,7 +218,7 @@
     }
     const term_record before = DecodeTerm(Value(item).value);
     const leader_record& record = self->context.members.Leader();
-    if (record.node == self->self_member.name && !self->Leads(record) &&
+    if (self->OwnPast(record) &&
         self->context.members.HasMuchLarger(self->self_member)) {
       return self->YieldPast(Value(item).revision, before);
     }
@@ -225,8 +230,7 @@
                              const term_record& before) {
   const leader_record record = context.members.Leader();
   // Somebody may have been elected while the term was read.
-  if (!record.node.empty() &&
-      (record.node != self_member.name || Leads(record))) {
+  if (!MayStand(record)) {
     standing = false;
     return;
   }
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -134,6 +134,7 @@
        &peer_server},
       {context.settings.metrics_address,
        [this](const http::server_request&, const auto& respond) {
+         if (own_leader) own_leader->SetGauges();
          context.metrics.SetConfigAge(context.now.Now() -
                                       context.config_current_at);
          http::server_response response;
--- a/src/sched/pool_planner.cc
+++ b/src/sched/pool_planner.cc
@@ -1,7 +1,6 @@
 #include "src/sched/pool_planner.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace radishwing::sched {
 namespace {
--- a/src/sched/pool_planner.h
+++ b/src/sched/pool_planner.h
@@ -33,9 +33,7 @@
 class pool_planner {
  public:
   /// `standby` is the pool whose hosts are off; empty if there is none.
-  /// `move_ms`: a host is away this long when it moves.
-  pool_planner(std::string standby, millis move_ms)
-      : standby_(std::move(standby)), move_ms_(move_ms) {}
+  explicit pool_planner(std::string standby) : standby_(std::move(standby)) {}
 
   std::vector<host_move> Plan(millis now, std::span<const pool_host> hosts,
                               const std::map<std::string, pool_demand>& demand);
@@ -45,7 +43,6 @@
   millis IdleFor(millis now, const pool_host& host) const;
 
   std::string standby_;
-  millis move_ms_;
   std::map<std::string, millis> empty_since_;
 };
 
--- a/src/sched/runner_state.h
+++ b/src/sched/runner_state.h
@@ -10,6 +10,10 @@
 
 namespace radishwing::sched {
 
+/// Failed ends in a row after which a runner is used only if no other has room;
+/// a stuck task counts as that many.
+inline constexpr int kSuspectFailures = 3;
+
 /// A runner as the scheduler sees it.
 struct runner_state {
   fleet::runner_report report;
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -143,9 +143,7 @@
     if (!ref.task) continue;
     const auto run = std::ranges::find(ref.task->runs, id, &run_state::runner);
     if (run == ref.task->runs.end()) continue;
-    events_.push_back({event_kind::kTaskLost, name, run->run, id, "runner_gone",
-                       now - run->ordered_at});
-    DetachRun(name, ref, id, run->run);
+    GiveUpRun(name, ref, *run, "runner_gone", now);
   }
   runners_.erase(id);
   pools_stale_ = true;
@@ -169,9 +167,7 @@
       RequestStop(name, *run, "runner_reborn", now);
       continue;
     }
-    events_.push_back({event_kind::kTaskLost, name, run->run, id,
-                       "runner_reborn", now - run->ordered_at});
-    DetachRun(name, ref, id, run->run);
+    GiveUpRun(name, ref, *run, "runner_reborn", now);
   }
 }
 
@@ -295,10 +291,7 @@
 
 void scheduler::DetachRun(const fleet::task_name& name, const task_ref& ref,
                           const std::string& runner, int run) {
-  const auto it =
-      std::ranges::find_if(ref.task->runs, [&](const run_state& state) {
-        return state.runner == runner && state.run == run;
-      });
+  const auto it = FindRun(*ref.task, runner, run);
   if (it == ref.task->runs.end()) return;
   const auto host = runners_.find(runner);
   if (host != runners_.end()) {
@@ -310,6 +303,24 @@
   ReleaseIfIdle(*ref.job);
 }
 
+std::vector<run_state>::iterator scheduler::FindRun(task_state& task,
+                                                    const std::string& runner,
+                                                    int run) {
+  return std::ranges::find_if(task.runs, [&](const run_state& state) {
+    return state.runner == runner && state.run == run;
+  });
+}
+
+void scheduler::GiveUpRun(const fleet::task_name& name, const task_ref& ref,
+                          const run_state& run, std::string_view why,
+                          millis now) {
+  events_.push_back({event_kind::kTaskLost, name, run.run, run.runner,
+                     std::string(why), now - run.ordered_at});
+  // Copied: the run goes with its last reference.
+  const std::string runner = run.runner;
+  DetachRun(name, ref, runner, run.run);
+}
+
 // A finished job without runs needs only its state.
 void scheduler::ReleaseIfIdle(job_state& job) {
   if (!job.Finished() || job.active_runs > 0) return;
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -4,7 +4,6 @@
 #include <map>
 #include <memory>
 #include <set>
-#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -82,9 +81,6 @@
   /// `id` has begun a new life: what ran is gone, unanswered starts are not.
   void RunnerReborn(const std::string& id, millis now);
   const runner_state* FindRunner(const std::string& id) const;
-  const std::map<std::string, runner_state>& Runners() const {
-    return runners_;
-  }
 
   /// A runner's listing in answer to a look sent at `sent_at`.
   std::vector<recorded_end> ApplyListing(const std::string& id,
@@ -154,6 +150,12 @@
                  const std::string& runner, int run);
   void AttachRun(const fleet::task_name& name, const task_ref& ref,
                  run_state run);
+  static std::vector<run_state>::iterator FindRun(task_state& task,
+                                                  const std::string& runner,
+                                                  int run);
+  /// Detaches a run of which no end was listed, and says why.
+  void GiveUpRun(const fleet::task_name& name, const task_ref& ref,
+                 const run_state& run, std::string_view why, millis now);
   void Charge(const task_ref& ref, runner_state& runner, int sign);
 
   /// Notes that the job's progress has to be kept.
--- a/src/sched/scheduler_listing.cc
+++ b/src/sched/scheduler_listing.cc
@@ -163,9 +163,7 @@
                        "", 100, "unknown_task"});
     return;
   }
-  auto it = std::ranges::find_if(ref.task->runs, [&](const run_state& run) {
-    return run.runner == runner && run.run == listed.run;
-  });
+  auto it = FindRun(*ref.task, runner, listed.run);
   if (it == ref.task->runs.end()) {
     run_state adopted{.runner = runner, .run = listed.run};
     adopted.phase = run_phase::kRunning;
@@ -225,9 +223,7 @@
           return run.task == name && run.run == it->run;
         });
     if (present) continue;
-    events_.push_back({event_kind::kTaskLost, name, it->run, id, "not_listed",
-                       now - it->ordered_at});
-    DetachRun(name, ref, id, it->run);
+    GiveUpRun(name, ref, *it, "not_listed", now);
   }
 }
 
@@ -237,10 +233,7 @@
   if (order.kind == order_kind::kPace) return;
   const task_ref ref = FindTask(order.task);
   if (!ref.task) return;
-  const auto it =
-      std::ranges::find_if(ref.task->runs, [&](const run_state& run) {
-        return run.runner == order.runner && run.run == order.run;
-      });
+  const auto it = FindRun(*ref.task, order.runner, order.run);
   if (it == ref.task->runs.end()) return;
   run_state& run = *it;
   if (order.kind == order_kind::kStop) {
@@ -293,9 +286,7 @@
       break;
   }
   if (run.phase != run_phase::kStarting) return;  // Listed meanwhile.
-  events_.push_back({event_kind::kTaskLost, order.task, order.run, order.runner,
-                     fleet::OrderOutcomeName(outcome), now - run.ordered_at});
-  DetachRun(order.task, ref, order.runner, order.run);
+  GiveUpRun(order.task, ref, run, fleet::OrderOutcomeName(outcome), now);
 }
 
 }  // namespace radishwing::sched
--- a/src/sched/scheduler_plan.cc
+++ b/src/sched/scheduler_plan.cc
@@ -8,8 +8,6 @@
 namespace radishwing::sched {
 namespace {
 
-// Failed ends in a row after which a runner is used only if no other has room.
-constexpr int kSuspectFailures = 3;
 // A run that takes this many times as long as expected, and the time to tell
 // of its end, gets a copy if its step allows one.
 constexpr double kCopyFactor = 2;
@@ -91,9 +89,7 @@
   unlisted_use_.clear();
   if (expected_.empty()) return;
   for (const job_state* job : active_) {
-    if (!job->restored || job->Finished() || !PoolUnknown(job->record.pool)) {
-      continue;
-    }
+    if (!job->restored || !PoolUnknown(job->record.pool)) continue;
     const auto& request = job->record.request;
     for (const auto& [number, repetition] : job->repetitions) {
       for (std::size_t s = 0; s < repetition.steps.size(); ++s) {
--- a/src/sched/scheduler_runs.cc
+++ b/src/sched/scheduler_runs.cc
@@ -11,8 +11,6 @@
 // A task whose progress has not changed for this long while it was looked at
 // is stuck: runners report progress at least once a second.
 constexpr millis kStuckMs = 2500;
-// Runners with a stuck task are used like those with failures in a row.
-constexpr int kSuspectFailures = 3;
 // Pace of tasks that fill while a neighbour is near its latency target, and
 // shares of the target at which they slow down and speed up.
 constexpr int kSlowPace = 0;
--- a/tests/sched/pool_planner_test.cc
+++ b/tests/sched/pool_planner_test.cc
@@ -15,7 +15,7 @@
   millis now = 0;
   std::vector<pool_host> hosts;
   std::map<std::string, pool_demand> demand = {{"a", {}}, {"b", {}}};
-  pool_planner subject{"off", 1500};
+  pool_planner subject{"off"};
 };
 
 BOOST_FIXTURE_TEST_SUITE(pool_planner_moves, pool_planner_fixture)
--- /dev/null
+++ b/tools/fleet_fake/poll_until.cc
@@ -0,0 +1,24 @@
+#include "tools/fleet_fake/poll_until.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <memory>
+#include <utility>
+
+namespace radishwing::fleet_fake {
+namespace {
+
+constexpr std::chrono::milliseconds kInterval{5};
+
+}  // namespace
+
+void PollUntil(boost::asio::io_context& io, std::function<bool()> step) {
+  if (step()) return;
+  auto timer = std::make_shared<boost::asio::steady_timer>(io, kInterval);
+  timer->async_wait(
+      [&io, timer, step = std::move(step)](boost::system::error_code error) {
+        if (!error) PollUntil(io, step);
+      });
+}
+
+}  // namespace radishwing::fleet_fake
--- a/tools/fleet_fake/store_stand_in.cc
+++ b/tools/fleet_fake/store_stand_in.cc
@@ -1,16 +1,16 @@
 #include "tools/fleet_fake/store_stand_in.h"
 
 #include <boost/beast/core/detail/base64.hpp>
-#include <chrono>
 #include <stdexcept>
 #include <utility>
 
+#include "tools/fleet_fake/poll_until.h"
+
 namespace radishwing::fleet_fake {
 namespace json = boost::json;
 namespace base64 = boost::beast::detail::base64;
 namespace {
 
-constexpr millis kWatchPollMs = 5;
 constexpr std::size_t kPageItems = 50;
 
 std::string Encode64(const std::string& bytes) {
@@ -207,33 +207,18 @@
   const std::uint64_t after = Number(request.target.Param("after"));
   const millis until =
       now_.Now() + static_cast<millis>(Number(request.target.Param("wait-ms")));
-  auto timer = std::make_shared<boost::asio::steady_timer>(io_);
-  auto poll = std::make_shared<std::function<void()>>();
-  *poll = [this, prefix, after, until, timer, poll, respond] {
+  PollUntil(io_, [this, prefix, after, until, respond = std::move(respond)] {
     ExpireLeases();
     if (after < compacted_) {
-      *poll = nullptr;
-      return respond(http::ErrorResponse(410, "gone", "history"));
+      respond(http::ErrorResponse(410, "gone", "history"));
+      return true;
     }
     json::array events = Events(prefix, after);
-    if (!events.empty() || now_.Now() >= until || refusing_) {
-      const auto done = respond;
-      http::server_response response =
-          http::JsonResponse(200, json::object{{"events", std::move(events)},
-                                               {"current-rev", revision_}});
-      done(std::move(response));
-      *poll = nullptr;
-      return;
-    }
-    timer->expires_after(std::chrono::milliseconds(kWatchPollMs));
-    timer->async_wait([poll](boost::system::error_code error) {
-      if (error || !*poll) return;
-      const auto step = *poll;
-      step();
-    });
-  };
-  const auto step = *poll;
-  step();
+    if (events.empty() && now_.Now() < until && !refusing_) return false;
+    respond(http::JsonResponse(200, json::object{{"events", std::move(events)},
+                                                 {"current-rev", revision_}}));
+    return true;
+  });
 }
 
 }  // namespace radishwing::fleet_fake
--- a/tools/fleet_fake/worker_stand_in.cc
+++ b/tools/fleet_fake/worker_stand_in.cc
@@ -1,16 +1,15 @@
 #include "tools/fleet_fake/worker_stand_in.h"
 
 #include <algorithm>
-#include <chrono>
 #include <stdexcept>
 #include <utility>
 
+#include "tools/fleet_fake/poll_until.h"
+
 namespace radishwing::fleet_fake {
 namespace json = boost::json;
 namespace {
 
-constexpr millis kPollMs = 5;
-
 std::int64_t Number(const json::object& object, std::string_view key) {
   const json::value* value = object.if_contains(key);
   return value ? value->to_number<std::int64_t>() : 0;
@@ -145,24 +144,12 @@
   const auto cursor = static_cast<std::uint64_t>(Number(body, "ack-cursor"));
   std::erase_if(ended_, [&](const ended& end) { return end.number <= cursor; });
   const millis until = now_.Now() + Number(body, "wait-ms");
-  auto timer = std::make_shared<boost::asio::steady_timer>(io_);
-  auto poll = std::make_shared<std::function<void()>>();
-  *poll = [this, until, timer, poll, respond = std::move(respond)] {
+  PollUntil(io_, [this, until, respond = std::move(respond)] {
     Advance();
-    if (!ended_.empty() || now_.Now() >= until) {
-      respond(http::JsonResponse(200, Listing()));
-      *poll = nullptr;
-      return;
-    }
-    timer->expires_after(std::chrono::milliseconds(kPollMs));
-    timer->async_wait([poll](boost::system::error_code error) {
-      if (error || !*poll) return;
-      const auto step = *poll;
-      step();
-    });
-  };
-  const auto step = *poll;
-  step();
+    if (ended_.empty() && now_.Now() < until) return false;
+    respond(http::JsonResponse(200, Listing()));
+    return true;
+  });
 }
 
 }  // namespace radishwing::fleet_fake
--- a/tools/fleet_fake/worker_stand_in.h
+++ b/tools/fleet_fake/worker_stand_in.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 #include <cstdint>
 #include <map>
