Do not take a new lease for the renewal of the one that leadership hung on

A lost lease deposes at once now, and a term's lease counts from the call that renewed it, not from the election. Ruled out: the read-through (neither path was touched by it). Test: membership_leases (renewed came before deposed; fails without the change).

--- a/src/node/election.h
+++ b/src/node/election.h
@@ -10,6 +10,8 @@
 struct election {
   std::uint64_t fence = 0;  ///< Fencing token of all orders of the term.
   int term = 1;             ///< Counts leaderships.
+  /// The node's lease, to which the shard's key is tied, runs from then on.
+  millis lease_renewed_at = 0;
   /// By then every lease that an earlier leader can have given has run out.
   millis predecessor_until = 0;
   /// From then on hosts may be ordered: the platform wants a pause between the
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -39,7 +39,7 @@
       retry_timer(context.io),
       keep_timer(context.io),
       began_at(context.now.Now()),
-      lease(context.now.Now()) {}
+      lease(won.lease_renewed_at) {}
 
 bool leader::impl::MayOrder() const {
   return !ended && !handed_over && lease.MayOrder(context.now.Now());
--- a/src/node/membership.cc
+++ b/src/node/membership.cc
@@ -41,6 +41,8 @@
   void RenewLater(millis delay);
   void Watch();
   void OnChange();
+  /// The own leadership, if there is one, is over.
+  void Depose();
   void StandLater();
   void Stand();
   void Elect(std::uint64_t term_revision, const term_record& before);
@@ -69,8 +71,9 @@
   std::unique_ptr<store_watch> watch;
   std::string last_leader;
   term_record before_own;  ///< The term before the one that this node won.
-  std::uint64_t resigned_fence = 0;
-  std::uint64_t led_fence = 0;  ///< 0: this node does not lead.
+  std::uint64_t over_fence = 0;  ///< Of the last own leadership that ended.
+  millis renewed_at = 0;         ///< The lease runs from this call at least.
+  std::uint64_t led_fence = 0;   ///< 0: this node does not lead.
   bool synced = false;
   bool announced = false;
   bool standing = false;
@@ -86,8 +89,8 @@
         if (!self || self->left) return;
         if (!Ok(granted)) return self->RenewLater(kRetryMs);
         self->lease = Value(granted);
+        self->renewed_at = sent_at;
         self->announced = false;
-        self->hooks.renewed(sent_at);
         self->Announce();
       });
 }
@@ -127,6 +130,7 @@
         if (!self || self->left) return;
         if (!Ok(kept)) return self->RenewLater(kRetryMs);
         if (Value(kept)) {
+          self->renewed_at = sent_at;
           self->hooks.renewed(sent_at);
           self->OnChange();
           return self->RenewLater(kRenewMs);
@@ -134,6 +138,8 @@
         self->context.log.Always(
             "member", "lease ran out, lease=" + std::to_string(self->lease));
         self->lease = 0;
+        // The shard's key has gone with the lease; a new one renews nothing.
+        self->Depose();
         self->Grant();
       });
 }
@@ -163,18 +169,23 @@
                                         std::move(options), std::move(watched));
 }
 
+void membership::impl::Depose() {
+  if (led_fence == 0) return;
+  over_fence = std::exchange(led_fence, 0);
+  hooks.deposed();
+}
+
 void membership::impl::OnChange() {
   if (!synced || left) return;
   const leader_record& record = context.members.Leader();
   // A watch may lag behind the own election: only a newer record deposes.
   if (led_fence != 0 && record.fence != led_fence &&
       (record.fence > led_fence || record.node.empty())) {
-    led_fence = 0;
-    hooks.deposed();
+    Depose();
   }
   if (!record.node.empty()) last_leader = record.node;
   if (led_fence == 0 && !standing && Leads(record) &&
-      record.fence != resigned_fence) {
+      record.fence != over_fence) {
     // The answer to the own election was lost.
     return BecomeLeader(record.fence);
   }
@@ -287,7 +298,9 @@
   last_leader = self_member.name;
   const millis now = context.now.Now();
   const bool silent = before_own.Silent(self_member.name);
-  election won{.fence = fence, .term = before_own.term + 1};
+  election won{.fence = fence,
+               .term = before_own.term + 1,
+               .lease_renewed_at = renewed_at};
   if (before_own.term > 0) {
     won.predecessor_until = sched::term_lease::PredecessorOver(now, silent);
     const millis pause =
@@ -327,7 +340,7 @@
 void membership::Resign(millis host_order_age_ms) {
   const std::uint64_t fence = std::exchange(impl_->led_fence, 0);
   if (fence == 0) return;
-  impl_->resigned_fence = fence;
+  impl_->over_fence = fence;
   const term_record own{impl_->before_own.term + 1, impl_->self_member.name,
                         true, host_order_age_ms};
   store::store_commit commit;
--- a/src/sched/term_lease.h
+++ b/src/sched/term_lease.h
@@ -23,7 +23,8 @@
 /// What a leader may do, by the age of its lease in the store.
 class term_lease {
  public:
-  explicit term_lease(millis now) : renewed_at_(now) {}
+  /// The lease was granted or renewed by a call sent at `renewed_at`.
+  explicit term_lease(millis renewed_at) : renewed_at_(renewed_at) {}
 
   /// The store renewed the lease by a call sent at `at`.
   void Renewed(millis at) { renewed_at_ = std::max(renewed_at_, at); }
--- a/tools/fleet_fake/store_stand_in.cc
+++ b/tools/fleet_fake/store_stand_in.cc
@@ -94,6 +94,11 @@
   }
 }
 
+void store_stand_in::EndLeases() {
+  for (auto& [id, held] : leases_) held.ends_at = 0;
+  ExpireLeases();
+}
+
 void store_stand_in::Handle(const http::server_request& request,
                             http::server::responder respond) {
   ExpireLeases();
@@ -213,10 +218,11 @@
       respond(http::ErrorResponse(410, "gone", "history"));
       return true;
     }
-    json::array events = Events(prefix, after);
+    json::array events = quiet_ ? json::array{} : Events(prefix, after);
     if (events.empty() && now_.Now() < until && !refusing_) return false;
-    respond(http::JsonResponse(200, json::object{{"events", std::move(events)},
-                                                 {"current-rev", revision_}}));
+    respond(http::JsonResponse(
+        200, json::object{{"events", std::move(events)},
+                          {"current-rev", quiet_ ? after : revision_}}));
     return true;
   });
 }
--- a/tools/fleet_fake/store_stand_in.h
+++ b/tools/fleet_fake/store_stand_in.h
@@ -28,6 +28,10 @@
   void SetRefusing(bool refusing) { refusing_ = refusing; }
   /// The next `count` commits are carried out and not answered.
   void LoseCommitAnswers(int count) { lost_answers_ = count; }
+  /// Ends all leases; their keys are removed.
+  void EndLeases();
+  /// While true watches are not told of changes.
+  void SetQuiet(bool quiet) { quiet_ = quiet; }
   /// Forgets the history: watches from before get 410.
   void Compact() { compacted_ = revision_; }
   std::size_t Commits() const { return commits_; }
@@ -77,6 +81,7 @@
   std::size_t commits_ = 0;
   int lost_answers_ = 0;
   bool refusing_ = false;
+  bool quiet_ = false;
 };
 
 }  // namespace radishwing::fleet_fake
