Keep a job's progress record before its first start

Changed: a leader starts nothing of a job before its progress record is kept; placed runs are held until then (scheduler_hold). A successor takes a job without a record for never started. A state that the store tells pushes only jobs without a record to the leader, so that a dropped job never returns.

--- a/bench/schedule_bench.cc
+++ b/bench/schedule_bench.cc
@@ -61,6 +61,13 @@
     subject.AddJob(MakeJob(i, i % kPools), false, 1000, 1000);
   }
   millis now = 1001;
+  const auto keep = [&] {
+    for (const pending_write& write : subject.TakeWrites(100'000)) {
+      subject.Kept(write.job, write.change, 1);
+    }
+  };
+  subject.Plan(now, now);
+  keep();
   std::vector<order> running = subject.Plan(now, now);
   for (const order& start : running) {
     subject.OrderAnswered(start, fleet::order_outcome::kAccepted, now);
@@ -80,6 +87,7 @@
     listing.ended.push_back({++ends[ended.runner], ended.task, ended.run,
                              fleet::run_end::kDone, ""});
     subject.ApplyListing(ended.runner, listing, now, now);
+    keep();
     for (const order& start : subject.Plan(now, now)) {
       subject.OrderAnswered(start, fleet::order_outcome::kAccepted, now);
     }
--- a/src/node/front.cc
+++ b/src/node/front.cc
@@ -256,14 +256,17 @@
           if (item.key == CancelKey(id)) cancelled = true;
         }
         if (!job) return respond(Unknown());
-        self->notifier.Job(id, job->value);
         self->context.store->Get(
             ProgressKey(id),
-            [cancelled, respond](const result<store::store_item>& progress) {
+            [weak, id, cancelled, record = job->value,
+             respond](const result<store::store_item>& progress) {
               if (!Ok(progress)) return respond(Later("store_unreachable"));
               sched::job_phase phase = sched::job_phase::kPending;
               if (Value(progress).revision > 0) {
                 phase = sched::DecodePhase(Value(progress).value);
+              } else if (const auto self = weak.lock()) {
+                // Only a job that was never started may be new to the leader.
+                self->notifier.Job(id, record);
               }
               if (cancelled && phase < sched::job_phase::kSucceeded) {
                 phase = sched::job_phase::kCancelled;
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -216,6 +216,7 @@
       scheduler.Kept(write.job, write.change, Value(outcome).revision);
     }
     AcknowledgeEnds();
+    Kick();
     return KeepProgress();
   }
   for (const sched::pending_write& write : writes) {
--- a/src/node/leader_load.cc
+++ b/src/node/leader_load.cc
@@ -156,13 +156,12 @@
     return;
   }
   if (Value(job).leader_fence > fence) return Lose("a later leader has a job");
-  // A job that was sent to this leader cannot have been started by another.
-  const bool restored =
-      Value(job).leader_fence != fence && Value(job).leader_fence != 0;
-  scheduler.AddJob(std::move(Value(job).record), restored || !jobs_loaded, now,
-                   context.unix_now.Now());
   const auto progress = loaded_progress.find(id);
-  if (progress == loaded_progress.end()) return Kick();
+  // A leader starts nothing of a job before its progress record is kept.
+  const bool restored = progress != loaded_progress.end();
+  scheduler.AddJob(std::move(Value(job).record), restored, now,
+                   context.unix_now.Now());
+  if (!restored) return Kick();
   const auto applied = scheduler.RestoreProgress(
       id, progress->second.value, progress->second.revision, now);
   if (!Ok(applied)) {
--- a/src/sched/run_state.h
+++ b/src/sched/run_state.h
@@ -21,6 +21,9 @@
   /// An order to start it went without an answer, so that it may still come.
   bool unanswered = false;
   bool order_in_flight = false;
+  /// Has its place, but no order was given: the store does not have a record
+  /// of the job yet.
+  bool held = false;
   bool stop_confirmed = false;
   millis ordered_at = 0;
   millis confirmed_at = 0;  ///< Of the start, or of the stop while stopping.
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -198,13 +198,17 @@
   state.kept_change = std::max(state.kept_change, change);
   state.record_revision = revision;
   state.write_in_flight = false;
+  recordable_ = true;
+  recorded_jobs_.push_back(job);
   if (state.kept_change != state.change) ListAsChanged(state);
 }
 
 void scheduler::NotKept(const std::string& job) {
   const auto it = jobs_.find(job);
   if (it == jobs_.end()) return;
+  recordable_ = false;
   it->second->write_in_flight = false;
+  DropHeld(*it->second);
   ListAsChanged(*it->second);
 }
 
@@ -359,6 +363,7 @@
 
 void scheduler::FinishJob(job_state& job, job_phase phase, millis now) {
   if (job.Finished()) return;
+  DropHeld(job);
   job.phase = phase;
   job.finished_at = now;
   MarkChanged(job);
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -131,6 +131,12 @@
     step_state* state = nullptr;
     task_state* task = nullptr;
   };
+  /// A placed run whose start is held back.
+  struct held_run {
+    fleet::task_name task;
+    std::string runner;
+    int run = 0;
+  };
   struct candidate {
     job_state* job = nullptr;
     int category = 0;
@@ -171,6 +177,17 @@
   void ReleaseIfIdle(job_state& job);
   void CountUnlistedUse();
   void CreateRepetitions(job_state& job, millis unix_now);
+  static bool StartRecorded(const job_state& job);
+  /// Gives the starts of placed runs, or holds them back until the job's
+  /// record is kept.
+  void Emit(job_state& job, const std::vector<order>& starts, millis now,
+            std::vector<order>& out);
+  void SendStart(const task_ref& ref, run_state& run, const order& start,
+                 millis now, std::vector<order>& out);
+  static std::vector<held_run> HeldRuns(job_state& job);
+  void DropHeld(job_state& job);
+  /// Gives the starts of jobs whose records were kept since the last plan.
+  void ReleaseHeld(millis now, std::vector<order>& out);
   void PlanRetries(millis now, std::vector<order>& out);
   void PlanStuckStops(millis now);
   void PlanPace(millis now, std::vector<order>& out);
@@ -187,6 +204,7 @@
                              const step_state& state, int repetition,
                              int step_number, const task_state& task,
                              millis now);
+  bool TakesWork(const runner_state& runner, millis now) const;
   bool Usable(const runner_state& runner, const fleet::task_step& step,
               millis now) const;
   bool WantsCopy(const job_state& job, const fleet::task_step& step,
@@ -198,9 +216,10 @@
   bool PoolUnknown(std::string_view pool) const;
   void RequestStop(const fleet::task_name& name, run_state& run,
                    std::string_view reason, millis now);
-  void BeginStart(job_state& job, const fleet::task_name& name, task_ref ref,
-                  runner_state& runner, int run, millis now,
-                  std::vector<order>& out);
+  /// Places a run; the start that belongs to it is added to `starts`.
+  void Place(job_state& job, const fleet::task_name& name, const task_ref& ref,
+             runner_state& runner, int run, millis now,
+             std::vector<order>& starts);
   bool AtWork(const task_state& task) const;
   /// Tasks of the step but `task` that are not at work as far as is known.
   int OthersAway(const step_state& state, const task_state& task) const;
@@ -231,6 +250,9 @@
   /// What runs of an earlier leader that nobody has listed may use.
   std::map<std::string, fleet::resources> unlisted_use_;
   std::vector<order> queued_;
+  std::vector<std::string> recorded_jobs_;  ///< Since the last plan.
+  /// The last write of progress was kept: new jobs can be recorded.
+  bool recordable_ = true;
   std::vector<scheduler_event> events_;
 };
 
--- a/src/sched/scheduler_plan.cc
+++ b/src/sched/scheduler_plan.cc
@@ -40,6 +40,7 @@
     PlanRetries(now, out);
     PlanPace(now, out);
   }
+  ReleaseHeld(now, out);
   PlanStarts(now, out);
   out.insert(out.begin(), queued_.begin(), queued_.end());
   queued_.clear();
@@ -111,6 +112,8 @@
   std::vector<candidate> ranked;
   for (job_state* job : active_) {
     if (job->restored) job->restored = PoolUnknown(job->record.pool);
+    // While the store does not take records, places are for other jobs.
+    if (!recordable_ && !StartRecorded(*job)) continue;
     ranked.push_back(Rank(*job, now));
   }
   std::ranges::sort(ranked, [](const candidate& a, const candidate& b) {
@@ -152,16 +155,18 @@
   const auto s = static_cast<std::size_t>(step_number);
   const fleet::task_step& step = job.record.request.steps[s];
   step_state& state = repetition.steps[s];
+  std::vector<order> starts;
   for (std::size_t i = 0; i < state.tasks.size(); ++i) {
     task_state& task = state.tasks[i];
     if (task.done || now < task.not_before) continue;
     if (!task.runs.empty() && !WantsCopy(job, step, task, now)) continue;
     // A copy may run beside a run that nobody has listed yet.
     if (job.restored && !step.allow_copies) continue;
-    if (!WithinCap(job, step.needs)) return;
+    if (!WithinCap(job, step.needs)) break;
     const auto full = no_room_.find(job.record.pool);
     if (full != no_room_.end() && full->second.FitsIn(RunnerNeeds(step))) {
-      return CountBlocked(job, step, state);
+      CountBlocked(job, step, state);
+      break;
     }
     runner_state* runner = ChooseRunner(job, step, state, repetition_number,
                                         step_number, task, now);
@@ -170,13 +175,15 @@
       if (step.max_per_runner == 0 && step.required_label.empty()) {
         no_room_[job.record.pool] = RunnerNeeds(step);
       }
-      return CountBlocked(job, step, state);
+      CountBlocked(job, step, state);
+      break;
     }
     const fleet::task_name name{job.record.id, repetition_number, step_number,
                                 static_cast<int>(i)};
-    BeginStart(job, name, FindTask(name), *runner,
-               std::max(next_run_base_, task.last_run + 1), now, out);
+    Place(job, name, FindTask(name), *runner,
+          std::max(next_run_base_, task.last_run + 1), now, starts);
   }
+  Emit(job, starts, now, out);
 }
 
 // A second run of a step that allows copies is worth its place when the first
@@ -250,25 +257,20 @@
       CountBlocked(job, step, state);
       return;
     }
-    BeginStart(job, name, FindTask(name), *runner, run, now, placed);
+    Place(job, name, FindTask(name), *runner, run, now, placed);
   }
-  out.insert(out.end(), placed.begin(), placed.end());
+  Emit(job, placed, now, out);
 }
 
-void scheduler::BeginStart(job_state& job, const fleet::task_name& name,
-                           task_ref ref, runner_state& runner, int run,
-                           millis now, std::vector<order>& out) {
+void scheduler::Place(job_state& job, const fleet::task_name& name,
+                      const task_ref& ref, runner_state& runner, int run,
+                      millis now, std::vector<order>& starts) {
   run_state state{.runner = runner.report.id, .run = run};
-  state.order_in_flight = true;
   state.ordered_at = now;
   state.progress_at = now;
   AttachRun(name, ref, std::move(state));
-  job.started = true;
-  job.phase = job_phase::kRunning;
-  out.push_back({order_kind::kStart, runner.report.id, name, run,
-                 job.record.request.spec, ref.task->checkpoint, 100, ""});
-  events_.push_back({event_kind::kTaskStarted, name, run, runner.report.id, "",
-                     now - job.accepted_at});
+  starts.push_back({order_kind::kStart, runner.report.id, name, run,
+                    job.record.request.spec, ref.task->checkpoint, 100, ""});
 }
 
 bool scheduler::WithinCap(const job_state& job,
@@ -288,13 +290,15 @@
       expected_, [&](const auto& entry) { return entry.second == pool; });
 }
 
+bool scheduler::TakesWork(const runner_state& runner, millis now) const {
+  return runner.listed && runner.reachable && !runner.cordoned &&
+         !runner.has_strays && !runner.report.draining &&
+         now >= runner.not_before && recorded_.contains(runner.report.id);
+}
+
 bool scheduler::Usable(const runner_state& runner, const fleet::task_step& step,
                        millis now) const {
-  if (!runner.listed || !runner.reachable || runner.cordoned ||
-      runner.has_strays || runner.report.draining || now < runner.not_before ||
-      !recorded_.contains(runner.report.id)) {
-    return false;
-  }
+  if (!TakesWork(runner, now)) return false;
   if (!step.required_label.empty() &&
       std::ranges::find(runner.report.labels, step.required_label) ==
           runner.report.labels.end()) {
--- a/tests/sched/scheduler_fixture.h
+++ b/tests/sched/scheduler_fixture.h
@@ -53,7 +53,23 @@
     subject.AddJob(std::move(record), restored, now, now);
   }
 
-  std::vector<order> Plan() { return subject.Plan(now, now); }
+  /// Plans, keeps the progress that has to be kept first, and plans again.
+  std::vector<order> Plan() {
+    std::vector<order> orders = subject.Plan(now, now);
+    if (!Keep()) return orders;
+    const std::vector<order> more = subject.Plan(now, now);
+    orders.insert(orders.end(), more.begin(), more.end());
+    return orders;
+  }
+
+  /// The store takes all progress that is to be kept; false if there is none.
+  bool Keep() {
+    const auto writes = subject.TakeWrites(1000);
+    for (const pending_write& write : writes) {
+      subject.Kept(write.job, write.change, ++store_revision);
+    }
+    return !writes.empty();
+  }
 
   /// Plans and accepts every order.
   std::vector<order> PlanAndAccept() {
@@ -79,6 +95,7 @@
   }
 
   millis now = 1000;
+  std::uint64_t store_revision = 100;
   std::set<std::string> recorded;
   scheduler subject{1};
 };
--- /dev/null
+++ b/tests/sched/scheduler_hold_test.cc
@@ -0,0 +1,96 @@
+#include <boost/test/unit_test.hpp>
+
+#include "tests/sched/scheduler_fixture.h"
+
+namespace radishwing::sched {
+namespace {
+
+struct scheduler_hold_fixture : scheduler_fixture {
+  std::vector<order> PlanOnce() { return subject.Plan(now, now); }
+};
+
+BOOST_FIXTURE_TEST_SUITE(scheduler_holds_starts, scheduler_hold_fixture)
+
+// Guards against a successor that takes a started job for a new one and runs
+// its tasks a second time.
+BOOST_AUTO_TEST_CASE(first_start_waits_for_the_record) {
+  AddRunner("r1");
+  AddJob("a", {Step(2)});
+  BOOST_TEST(PlanOnce().empty());
+  BOOST_TEST(PlanOnce().empty());
+  BOOST_REQUIRE(Keep());
+  BOOST_TEST(PlanOnce().size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(held_start_keeps_its_place) {
+  AddRunner("r1", 1000);
+  AddJob("a", {Step(1)});
+  PlanOnce();
+  AddJob("b", {Step(1)});
+  BOOST_TEST(PlanOnce().empty());
+  Keep();
+  const auto orders = PlanOnce();
+  BOOST_REQUIRE_EQUAL(orders.size(), 1u);
+  BOOST_TEST(orders[0].task.job == "a");
+}
+
+BOOST_AUTO_TEST_CASE(later_step_of_a_recorded_job_starts_at_once) {
+  AddRunner("r1");
+  fleet::task_step second = Step(1);
+  second.after = {0};
+  AddJob("a", {Step(1), second});
+  const auto first = PlanAndAccept();
+  BOOST_REQUIRE_EQUAL(first.size(), 1u);
+  List("r1", End(1, first[0].task, first[0].run, fleet::run_end::kDone));
+  BOOST_TEST(PlanOnce().size() == 1u);
+}
+
+// Guards against places that stay taken by jobs that cannot be recorded while
+// the store is away, and against an order after the write's outcome is unknown.
+BOOST_AUTO_TEST_CASE(failed_write_frees_the_place_for_recorded_jobs) {
+  AddRunner("r1", 1000);
+  AddJob("a", {Step(1)});
+  BOOST_TEST(PlanOnce().empty());
+  const auto writes = subject.TakeWrites(10);
+  BOOST_REQUIRE_EQUAL(writes.size(), 1u);
+  subject.NotKept("a");
+  BOOST_TEST(PlanOnce().empty());
+  BOOST_TEST(subject.TaskCount("r1") == 0);
+}
+
+BOOST_AUTO_TEST_CASE(cancelled_job_with_a_held_start_is_not_started) {
+  AddRunner("r1");
+  AddJob("a", {Step(1)});
+  PlanOnce();
+  subject.CancelJob("a", now);
+  Keep();
+  BOOST_TEST(PlanOnce().empty());
+  BOOST_TEST(subject.TaskCount("r1") == 0);
+}
+
+BOOST_AUTO_TEST_CASE(held_start_moves_when_its_runner_drains) {
+  AddRunner("r1");
+  AddJob("a", {Step(1)});
+  PlanOnce();
+  subject.SetCordoned("r1", true);
+  AddRunner("r2");
+  Keep();
+  const auto orders = PlanOnce();
+  BOOST_REQUIRE_EQUAL(orders.size(), 1u);
+  BOOST_TEST(orders[0].runner == "r2");
+}
+
+// Guards against jobs that wait for seconds after a takeover for a runner that
+// cannot be reached, though nobody has started them.
+BOOST_AUTO_TEST_CASE(
+    job_without_a_record_does_not_wait_for_an_unlisted_runner) {
+  AddRunner("r1");
+  subject.ExpectRunner("r2", "pool");
+  AddJob("a", {Step(1)}, false);
+  BOOST_TEST(Plan().size() == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace radishwing::sched
--- a/tests/sched/scheduler_keep_test.cc
+++ b/tests/sched/scheduler_keep_test.cc
@@ -6,12 +6,15 @@
 namespace {
 
 struct scheduler_keep_fixture : scheduler_fixture {
-  /// Runs the only task of `job` to its end.
-  void Finish(const std::string& job) {
-    AddJob(job, {Step(1)});
+  /// Starts one task of each job, then ends them in the order of `jobs`.
+  void Finish(const std::vector<std::string>& jobs) {
+    for (const std::string& job : jobs) AddJob(job, {Step(1)});
     const auto orders = PlanAndAccept();
-    for (const order& start : orders) {
-      List("r1", End(++ends, start.task, start.run, fleet::run_end::kDone));
+    for (const std::string& job : jobs) {
+      for (const order& start : orders) {
+        if (start.task.job != job) continue;
+        List("r1", End(++ends, start.task, start.run, fleet::run_end::kDone));
+      }
     }
   }
   std::vector<std::string> Taken(std::size_t limit) {
@@ -30,8 +33,7 @@
 // final state is told seconds late while many jobs end.
 BOOST_AUTO_TEST_CASE(oldest_change_is_kept_first) {
   AddRunner("r1");
-  Finish("z");
-  Finish("a");
+  Finish({"z", "a"});
   BOOST_TEST(Taken(1) == std::vector<std::string>{"z"});
   BOOST_TEST(Taken(1) == std::vector<std::string>{"a"});
 }
@@ -56,7 +58,7 @@
 
 BOOST_AUTO_TEST_CASE(write_that_failed_is_taken_again) {
   AddRunner("r1");
-  Finish("a");
+  Finish({"a"});
   BOOST_REQUIRE_EQUAL(Taken(5).size(), 1u);
   subject.NotKept("a");
   BOOST_TEST(Taken(5) == std::vector<std::string>{"a"});
