--- a/src/node/host_waves.cc
+++ b/src/node/host_waves.cc
@@ -71,7 +71,8 @@
     scheduler.SetDue({});
     return Tell(wave, true);
   }
-  if (!ListIsOwn()) return;
+  // Which hosts are down by the predecessor's orders is not known before.
+  if (!pause.OverForAll(context.now.Now())) return;
   ChooseDrains(wave, left);
   const auto draining = wave.draining_since;
   for (const auto& [name, since] : draining) {
@@ -91,10 +92,7 @@
   for (const std::string& name : left) {
     const fleet::host_info& host = *FindHost(name);
     due_runners.insert(host.runner);
-    if (host.state != fleet::host_state::kUp || moves.contains(name) ||
-        !Free(host)) {
-      continue;
-    }
+    if (host.state != fleet::host_state::kUp || moves.contains(name)) continue;
     due.push_back({name, host.pool, scheduler.TaskCount(host.runner),
                    scheduler.LastingTaskCount(host.runner)});
   }
--- a/src/node/leader_impl.h
+++ b/src/node/leader_impl.h
@@ -46,8 +46,8 @@
   void OnRunnerEntryGone(const std::string& id);
   void AddLink(const fleet::runner_report& report, millis predecessor_until);
   runner_link_hooks LinkHooks();
-  bool OnListing(const std::string& id, const fleet::runner_listing& listing,
-                 millis sent_at);
+  listing_use OnListing(const std::string& id,
+                        const fleet::runner_listing& listing, millis sent_at);
   bool OnLeaseOver(const std::string& id);
   void DropGoneLinks();
   /// Nothing of `id` runs any more and nothing will.
--- a/src/node/leader_runners.cc
+++ b/src/node/leader_runners.cc
@@ -109,11 +109,11 @@
   return hooks;
 }
 
-bool leader::impl::OnListing(const std::string& id,
-                             const fleet::runner_listing& listing,
-                             millis sent_at) {
+listing_use leader::impl::OnListing(const std::string& id,
+                                    const fleet::runner_listing& listing,
+                                    millis sent_at) {
   // Without the jobs, what is listed could not be told from strange tasks.
-  if (!ready) return false;
+  if (!ready) return listing_use::kNotReady;
   const auto recorded =
       scheduler.ApplyListing(id, listing, sent_at, context.now.Now());
   auto& waiting = unkept[id];
@@ -124,7 +124,7 @@
   Kick();
   const auto link = links.find(id);
   if (link != links.end()) link->second->SetBusy(scheduler.TaskCount(id) > 0);
-  return waiting.empty();
+  return waiting.empty() ? listing_use::kTaken : listing_use::kEndsPending;
 }
 
 bool leader::impl::OnLeaseOver(const std::string& id) {
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -66,6 +66,7 @@
   std::unique_ptr<leader> own_leader;
   std::map<std::int64_t, fleet::wave_request> waves;
   std::size_t relay_turn = 0;
+  bool store_lost = false;  ///< As it was logged last.
 };
 
 result<done> node::impl::MakeStore() {
@@ -78,13 +79,15 @@
                         millis took) {
     context.metrics.CountStoreCall(kind, outcome, took);
     const bool lost = outcome != "ok";
-    if (lost != (context.store_lost_at >= 0)) {
-      context.store_lost_at = lost ? context.now.Now() - took : -1;
-      context.log.Info(
-          "store", std::string(lost ? "store lost" : "store back") + ", call=" +
-                       std::string(kind) + " outcome=" + std::string(outcome) +
-                       " took_ms=" + std::to_string(took));
+    if (kind != "watch" && lost != (context.store_lost_at >= 0)) {
+      context.store_lost_at = lost ? context.now.Now() : -1;
     }
+    if (lost == store_lost) return;
+    store_lost = lost;
+    context.log.Info("store", std::string(lost ? "store lost" : "store back") +
+                                  ", call=" + std::string(kind) +
+                                  " outcome=" + std::string(outcome) +
+                                  " took_ms=" + std::to_string(took));
   };
   auto made =
       platform::store_client::Make(context.io, context.settings.store_address,
--- a/src/node/node_context.h
+++ b/src/node/node_context.h
@@ -32,7 +32,8 @@
   std::shared_ptr<const fleet::fleet_config> config;
   /// The configuration was the newest one at this time; -1: never.
   millis config_current_at = -1;
-  /// Since when direct calls to the store have failed; -1: the last one worked.
+  /// Since when direct calls to the store but watches, which the store may cut,
+  /// have failed; -1: the last one worked.
   millis store_lost_at = -1;
   bool stopping = false;
 
--- a/src/node/runner_link.cc
+++ b/src/node/runner_link.cc
@@ -51,6 +51,7 @@
   millis clock_read_at = 0;
   millis born = 0;
   bool reachable = false;
+  bool used = false;  ///< The last listing was used.
   bool busy = false;
   bool looking = false;
   bool lease_over_told = false;
@@ -105,7 +106,9 @@
   // A look without an answer may still be carried out: extending the lease of
   // a silent runner would keep its tasks from ever being started elsewhere.
   call.lease_until_ms = reachable ? ExtendLease() : 0;
-  call.wait_ms = !reachable ? 0 : busy ? kLookWaitMs : kIdleLookWaitMs;
+  // What runs there is not known before a listing was used.
+  const bool at_once = !reachable || !used;
+  call.wait_ms = at_once ? 0 : busy ? kLookWaitMs : kIdleLookWaitMs;
   const millis sent_at = context.now.Now();
   client->Hold(call, [weak = weak_from_this(),
                       sent_at](const platform::hold_answer& answer) {
@@ -138,9 +141,10 @@
   runner_clock = listing.runner_clock_ms;
   clock_read_at = context.now.Now();
   SetReachable(true);
-  const bool go_on = hooks.listing(report.id, listing, sent_at);
+  const listing_use use = hooks.listing(report.id, listing, sent_at);
   if (stopped) return;
-  if (go_on) {
+  used = use != listing_use::kNotReady;
+  if (use == listing_use::kTaken) {
     Look();
   } else {
     LookLater(kPutOffMs);
--- a/src/node/runner_link.h
+++ b/src/node/runner_link.h
@@ -7,6 +7,7 @@
 
 #include "platform/runner_client.h"
 #include "src/fleet/runner_report.h"
+#include "src/node/listing_use.h"
 #include "src/node/node_context.h"
 #include "src/sched/order.h"
 
@@ -14,10 +15,11 @@
 
 /// What a runner_link tells the leader.
 struct runner_link_hooks {
-  /// A listing that was asked for at `sent_at`. Returns false if the ends in
-  /// it wait to be kept: the next look is then put off until Continue.
-  std::function<bool(const std::string& runner,
-                     const fleet::runner_listing& listing, millis sent_at)>
+  /// A listing that was asked for at `sent_at`. Unless it was taken whole the
+  /// next look is put off until Continue.
+  std::function<listing_use(const std::string& runner,
+                            const fleet::runner_listing& listing,
+                            millis sent_at)>
       listing;
   std::function<void(const std::string& runner, bool reachable)> reachable;
   /// The runner's process is a new one.
