Remove the daemons of the earlier platform; adapt command line and report

Cause: the entry and control daemons forwarded requests to runners, kept their own settings record, membership, tokens, claims and host records.

What their tests guarded is guarded for the node by tests/sched and tests/node: at most one run of a task (scheduler_orders, scheduler_takeover, scheduler_holds_starts), limits of teams (scheduler_orders), budgets (scheduler_evacuate), waves (wave_planner), lost answers and late writes (node_path, scheduler_keeps), leaders that change (node_path, term_record_text, host_pause_between_holders). Request forwarding, its claims and its connection pools have no counterpart: the node forwards nothing.

radishwingctl reads the store (status, pools, teams, waves, jobs, job) and explains one job from log files; radishwing-report reads the node's metrics under the product's names and keeps its windows in the platform's store.

Also: hosts are called for within 500 ms instead of 900 ms.

--- a/src/ctl/app.cc
+++ b/src/ctl/app.cc
@@ -1,108 +1,87 @@
 #include "src/ctl/app.h"
 
 #include <CLI/CLI.hpp>
-#include <sstream>
 
-#include "src/ctl/app_options.h"
-#include "src/ctl/command_tree.h"
-#include "src/ctl/completion.h"
-#include "src/settings/schema_checker.h"
-#include "src/settings/secret_source.h"
-#include "src/settings/text_file.h"
+#include "src/ctl/explain_command.h"
+#include "src/ctl/fleet_commands.h"
+#include "src/ctl/settings_commands.h"
 
 namespace radishwing::ctl {
 namespace {
 
-constexpr const char* kControlVariable = "RADISHWING_CONTROL";
-constexpr const char* kSecretVariable = "RADISHWING_OPERATOR_SECRET";
+using command = std::function<exit_code(const command_context&)>;
 
-result<settings::secret_text> ReadOperatorSecret(const app_options& options,
-                                                 const app_hooks& hooks) {
-  std::optional<std::string> text;
-  if (options.secret_file.empty()) {
-    text = hooks.environment(kSecretVariable);
-  } else {
-    result<std::string> read =
-        settings::ReadTextFile(options.secret_file, settings::kLongestSecret);
-    if (!Ok(read)) return Error(read);
-    text = Value(std::move(read));
-  }
-  if (!text) {
-    return failure{failure_kind::kInvalid,
-                   std::string("no operator secret: set ") + kSecretVariable +
-                       " or give --operator-secret-file"};
-  }
-  text->erase(text->find_last_not_of(" \t\r\n") + 1);
-  return settings::secret_text(std::move(*text));
-}
+struct app_options {
+  std::string store;
+  std::string job;
+  std::vector<std::string> files;
+};
 
-result<std::vector<std::string>> ReadControls(const app_options& options,
-                                              const app_hooks& hooks) {
-  std::vector<std::string> controls = options.controls;
-  if (controls.empty()) {
-    std::istringstream list(
-        hooks.environment(kControlVariable).value_or("127.0.0.1:7500"));
-    for (std::string item; std::getline(list, item, ',');) {
-      controls.push_back(item);
-    }
-  }
-  for (const std::string& control : controls) {
-    if (settings::IsAddress(control)) continue;
-    return failure{failure_kind::kInvalid,
-                   "\"" + control + "\" is no \"ip:port\" of a control"};
+void AddStoreCommand(CLI::App& app, app_options& options, command& selected,
+                     const std::string& name, const std::string& doc,
+                     command run) {
+  CLI::App* added = app.add_subcommand(name, doc);
+  added->add_option("--store", options.store, "Platform's store, ip:port")
+      ->envname("RADISHWING_STORE")
+      ->required();
+  if (name == "job") {
+    added->add_option("id", options.job, "Identifier of the job")->required();
   }
-  return controls;
+  added->callback([&selected, run = std::move(run)] { selected = run; });
 }
 
-std::string AuthorOf(const app_options& options, const app_hooks& hooks) {
-  if (!options.author.empty()) return options.author;
-  return hooks.environment("USER").value_or("unknown");
+void AddStoreCommands(CLI::App& app, app_options& options, command& selected) {
+  AddStoreCommand(app, options, selected, "status", "Leader and nodes",
+                  ShowStatus);
+  AddStoreCommand(app, options, selected, "pools", "Pools and their runners",
+                  ShowPools);
+  AddStoreCommand(app, options, selected, "teams", "Teams and their limits",
+                  ShowTeams);
+  AddStoreCommand(app, options, selected, "waves", "Maintenance waves",
+                  ShowWaves);
+  AddStoreCommand(app, options, selected, "jobs", "Jobs by state", ShowJobs);
+  AddStoreCommand(app, options, selected, "job", "What is kept of one job",
+                  [&options](const command_context& context) {
+                    return ShowJob(context, options.job);
+                  });
 }
 
-command_context MakeContext(const app_options& options,
-                            const app_hooks& hooks) {
-  command_context context;
-  context.out = hooks.out;
-  context.err = hooks.err;
-  context.format =
-      options.output == "json" ? output_format::kJson : output_format::kTable;
-  context.mode = options.dry_run ? run_mode::kDryRun : run_mode::kApply;
-  context.author = AuthorOf(options, hooks);
-  context.make_change_id = hooks.make_change_id;
-  context.sleep = hooks.sleep;
-  context.now = hooks.now;
-  context.confirm_wait_ms = options.wait_seconds * 1000;
-  return context;
-}
-
-exit_code RunCommand(const app_options& options, const app_hooks& hooks,
-                     const selected_command& command) {
-  command_context context = MakeContext(options, hooks);
-  if (command.needs == command_needs::kNothing) return command.run(context);
-  result<std::vector<std::string>> controls = ReadControls(options, hooks);
-  if (!Ok(controls)) return Fail(context, Error(controls));
-  result<settings::secret_text> secret = ReadOperatorSecret(options, hooks);
-  if (!Ok(secret)) return Fail(context, Error(secret));
-  operator_client client(Value(controls), Value(secret), hooks.transport);
-  context.client = &client;
-  return command.run(context);
+void AddFileCommands(CLI::App& app, app_options& options, command& selected) {
+  CLI::App* explain =
+      app.add_subcommand("explain", "Lines of logs that explain one job");
+  explain->add_option("id", options.job, "Identifier of the job")->required();
+  explain->add_option("log", options.files, "Logs of all nodes")->required();
+  explain->callback([&] {
+    selected = [&options](const command_context& context) {
+      return ExplainJob(context, options.job, options.files);
+    };
+  });
+  CLI::App* settings = app.add_subcommand("settings", "The settings tree");
+  settings->require_subcommand(1);
+  CLI::App* check = settings->add_subcommand("check", "Check settings files");
+  check->add_option("file", options.files, "Files to check")->required();
+  check->callback([&] {
+    selected = [&options](const command_context& context) {
+      return CheckSettings(context, options.files);
+    };
+  });
+  settings->add_subcommand("schema", "Reference page of all settings")
+      ->callback([&] { selected = ShowSchema; });
 }
 
 }  // namespace
 
 int RunApp(const std::vector<std::string>& arguments, const app_hooks& hooks) {
-  CLI::App app("Operates a radishwing fleet.", "radishwingctl");
-  app_options options;
-  selected_command command;
-  AddGlobalOptions(app, options);
-  AddCommands(app, options, command);
+  CLI::App app("Shows a radishwing fleet to its operators.", "radishwingctl");
+  app.require_subcommand(1);
   app.footer(
-      "Exit codes: 0 done, 1 differences (settings diff), 2 wrong usage or "
-      "state, 3 findings,\n4 not found, 5 conflict, 6 applied but not "
-      "confirmed by all, 7 outcome unknown,\n8 no control reachable or not "
-      "possible now, 9 denied, 10 unexpected answer.\nEnvironment: "
-      "RADISHWING_CONTROL (ip:port, separated by commas), "
-      "RADISHWING_OPERATOR_SECRET.");
+      "Exit codes: 0 done, 2 wrong usage, 3 findings, 4 not found, 8 store or "
+      "file not\nreadable, 10 unexpected answer. Environment: "
+      "RADISHWING_STORE.");
+  app_options options;
+  command selected;
+  AddStoreCommands(app, options, selected);
+  AddFileCommands(app, options, selected);
   std::vector<std::string> reversed(arguments.rbegin(), arguments.rend());
   try {
     app.parse(reversed);
@@ -110,7 +89,15 @@
     const int code = app.exit(error, *hooks.out, *hooks.err);
     return static_cast<int>(code == 0 ? exit_code::kDone : exit_code::kUsage);
   }
-  return static_cast<int>(RunCommand(options, hooks, command));
+  command_context context;
+  context.out = hooks.out;
+  context.err = hooks.err;
+  if (!options.store.empty()) {
+    auto opened = hooks.open_store(options.store);
+    if (!Ok(opened)) return static_cast<int>(Fail(context, Error(opened)));
+    context.store = std::move(Value(opened));
+  }
+  return static_cast<int>(selected(context));
 }
 
 }  // namespace radishwing::ctl
--- a/src/ctl/app.h
+++ b/src/ctl/app.h
@@ -1,25 +1,23 @@
 #pragma once
 
+#include <functional>
+#include <ostream>
 #include <string>
 #include <vector>
 
-#include "src/ctl/command_context.h"
-#include "src/settings/process_settings.h"
+#include "src/ctl/store_reader.h"
 
 namespace radishwing::ctl {
 
-/// What the command line tool takes from its surroundings.
+/// What a run of radishwingctl works with; tests replace it.
 struct app_hooks {
   std::ostream* out = nullptr;
   std::ostream* err = nullptr;
-  settings::environment environment;
-  operator_transport transport;
-  std::function<std::string()> make_change_id;
-  std::function<void(millis)> sleep;
-  clock now = clock::Monotonic();
+  std::function<result<store_reader>(const std::string& address)> open_store;
 };
 
-/// Runs one command line, without the program's name. Returns the exit code.
+/// Runs one command; `arguments` without the program's name. Returns the exit
+/// code of the process.
 int RunApp(const std::vector<std::string>& arguments, const app_hooks& hooks);
 
 }  // namespace radishwing::ctl
--- a/src/ctl/exit_code.cc
+++ b/src/ctl/exit_code.cc
@@ -5,22 +5,15 @@
 exit_code ExitCodeOf(failure_kind kind) {
   switch (kind) {
     case failure_kind::kInvalid:
-      return exit_code::kUsage;
+      return exit_code::kFindings;
     case failure_kind::kNotFound:
       return exit_code::kNotFound;
-    case failure_kind::kConflict:
-      return exit_code::kConflict;
-    case failure_kind::kDenied:
-      return exit_code::kDenied;
+    case failure_kind::kTimeout:
     case failure_kind::kUnavailable:
-    case failure_kind::kFull:
       return exit_code::kUnavailable;
-    case failure_kind::kTimeout:
-      return exit_code::kUnknown;
-    case failure_kind::kInternal:
+    default:
       return exit_code::kInternal;
   }
-  return exit_code::kInternal;
 }
 
 }  // namespace radishwing::ctl
--- /dev/null
+++ b/src/ctl/fleet_commands.cc
@@ -0,0 +1,204 @@
+#include "src/ctl/fleet_commands.h"
+
+#include <boost/json.hpp>
+#include <map>
+
+#include "platform/config_codec.h"
+#include "platform/names.h"
+#include "platform/runner_codec.h"
+#include "src/ctl/text_table.h"
+#include "src/node/job_record_codec.h"
+#include "src/node/member_table.h"
+#include "src/node/record_keys.h"
+#include "src/node/term_record.h"
+#include "src/sched/progress_codec.h"
+
+namespace radishwing::ctl {
+namespace json = boost::json;
+namespace {
+
+result<fleet::fleet_config> ReadConfig(const command_context& context) {
+  auto item = context.store.get(std::string(platform::kConfigKey));
+  if (!Ok(item)) return Error(item);
+  if (Value(item).revision == 0) {
+    return failure{failure_kind::kNotFound, "there is no configuration yet"};
+  }
+  return platform::DecodeConfig(Value(item).value);
+}
+
+json::object Amounts(const fleet::resources& amount) {
+  return {{"cpu_millis", amount.cpu_millis},
+          {"memory_mb", amount.memory_mb},
+          {"accelerators", amount.accelerators}};
+}
+
+}  // namespace
+
+exit_code ShowStatus(const command_context& context) {
+  auto items = context.store.list(std::string(node::kMemberPrefix));
+  if (!Ok(items)) return Fail(context, Error(items));
+  auto term = context.store.get(node::TermKey());
+  if (!Ok(term)) return Fail(context, Error(term));
+  node::member_table members;
+  members.Reset(Value(items));
+  const node::leader_record& leader = members.Leader();
+  PrintMembers(
+      *context.out,
+      json::object{{"leader", leader.node.empty() ? "none" : leader.node},
+                   {"address", leader.address},
+                   {"fence", leader.fence},
+                   {"term", node::DecodeTerm(Value(term).value).term}});
+  json::array rows;
+  for (const node::member& member : members.Members()) {
+    rows.push_back(json::object{{"node", member.name},
+                                {"address", member.address},
+                                {"cpu_millis", member.cpu_millis}});
+  }
+  static constexpr table_column kColumns[] = {
+      {"NODE", "node"}, {"ADDRESS", "address"}, {"CPU_MILLIS", "cpu_millis"}};
+  PrintTable(*context.out, rows, kColumns);
+  return exit_code::kDone;
+}
+
+exit_code ShowPools(const command_context& context) {
+  auto config = ReadConfig(context);
+  if (!Ok(config)) return Fail(context, Error(config));
+  auto items = context.store.list(std::string(platform::kRunnerPrefix));
+  if (!Ok(items)) return Fail(context, Error(items));
+  struct counts {
+    int runners = 0;
+    int draining = 0;
+    fleet::resources room;
+  };
+  std::map<std::string, counts> pools;
+  int unusable = 0;
+  for (const store::store_item& item : Value(items)) {
+    const auto runner = platform::DecodeRunner(
+        item.key.substr(platform::kRunnerPrefix.size()), item.value);
+    if (!runner) {
+      ++unusable;
+      continue;
+    }
+    counts& pool = pools[runner->pool];
+    ++pool.runners;
+    if (runner->draining) ++pool.draining;
+    pool.room += runner->capacity;
+  }
+  json::array rows;
+  for (const fleet::pool_config& pool : Value(config).pools) {
+    const counts& counted = pools[pool.name];
+    rows.push_back(json::object{{"pool", pool.name},
+                                {"standby", pool.standby},
+                                {"runners", counted.runners},
+                                {"draining", counted.draining},
+                                {"room", Amounts(counted.room)}});
+  }
+  static constexpr table_column kColumns[] = {{"POOL", "pool"},
+                                              {"STANDBY", "standby"},
+                                              {"RUNNERS", "runners"},
+                                              {"DRAINING", "draining"},
+                                              {"ROOM", "room"}};
+  PrintTable(*context.out, rows, kColumns);
+  if (unusable > 0) {
+    *context.err << "radishwingctl: " << unusable
+                 << " runner entries cannot be read\n";
+  }
+  return exit_code::kDone;
+}
+
+exit_code ShowTeams(const command_context& context) {
+  auto config = ReadConfig(context);
+  if (!Ok(config)) return Fail(context, Error(config));
+  json::array rows;
+  for (const fleet::team_config& team : Value(config).teams) {
+    rows.push_back(json::object{{"team", team.name},
+                                {"weight", team.weight},
+                                {"keys", team.keys.size()},
+                                {"cap", Amounts(team.cap)}});
+  }
+  static constexpr table_column kColumns[] = {
+      {"TEAM", "team"}, {"WEIGHT", "weight"}, {"KEYS", "keys"}, {"CAP", "cap"}};
+  PrintTable(*context.out, rows, kColumns);
+  return exit_code::kDone;
+}
+
+exit_code ShowWaves(const command_context& context) {
+  auto items = context.store.list(std::string(platform::kWavePrefix));
+  if (!Ok(items)) return Fail(context, Error(items));
+  json::array rows;
+  for (const store::store_item& item : Value(items)) {
+    const auto wave = platform::DecodeWave(item.value);
+    if (!Ok(wave)) return Fail(context, Error(wave));
+    auto begun = context.store.get(node::WaveKey(Value(wave).number));
+    if (!Ok(begun)) return Fail(context, Error(begun));
+    boost::system::error_code error;
+    const json::value hosts = json::parse(Value(begun).value, error);
+    rows.push_back(json::object{
+        {"wave", Value(wave).number},
+        {"hosts", Value(wave).hosts.size()},
+        {"begun", !error && hosts.is_array() ? hosts.get_array().size() : 0},
+        {"max_down", Value(wave).max_down},
+        {"duration_ms", Value(wave).duration_ms}});
+  }
+  static constexpr table_column kColumns[] = {{"WAVE", "wave"},
+                                              {"HOSTS", "hosts"},
+                                              {"BEGUN", "begun"},
+                                              {"MAX_DOWN", "max_down"},
+                                              {"DURATION_MS", "duration_ms"}};
+  PrintTable(*context.out, rows, kColumns);
+  return exit_code::kDone;
+}
+
+exit_code ShowJobs(const command_context& context) {
+  auto jobs = context.store.list(std::string(node::kJobPrefix));
+  if (!Ok(jobs)) return Fail(context, Error(jobs));
+  auto progress = context.store.list(std::string(node::kProgressPrefix));
+  if (!Ok(progress)) return Fail(context, Error(progress));
+  std::map<std::string, int> states;
+  int accepted = 0;
+  for (const store::store_item& item : Value(jobs)) {
+    if (!item.key.ends_with(node::kCancelSuffix)) ++accepted;
+  }
+  for (const store::store_item& item : Value(progress)) {
+    ++states[std::string(sched::JobPhaseName(sched::DecodePhase(item.value)))];
+  }
+  const int recorded = static_cast<int>(Value(progress).size());
+  states["pending"] += accepted - std::min(accepted, recorded);
+  json::object shown;
+  for (const auto& [state, count] : states) shown[state] = count;
+  PrintMembers(*context.out, shown);
+  return exit_code::kDone;
+}
+
+exit_code ShowJob(const command_context& context, const std::string& id) {
+  auto item = context.store.get(node::JobKey(id));
+  if (!Ok(item)) return Fail(context, Error(item));
+  if (Value(item).revision == 0) {
+    return Fail(context, {failure_kind::kNotFound, "no job " + id});
+  }
+  auto job = node::DecodeJobRecord(id, Value(item).value);
+  if (!Ok(job)) return Fail(context, Error(job));
+  auto cancel = context.store.get(node::CancelKey(id));
+  if (!Ok(cancel)) return Fail(context, Error(cancel));
+  auto progress = context.store.get(node::ProgressKey(id));
+  if (!Ok(progress)) return Fail(context, Error(progress));
+  const fleet::job_record& record = Value(job).record;
+  json::object shown{{"job", id},
+                     {"queue", record.queue},
+                     {"pool", record.pool},
+                     {"team", record.team},
+                     {"steps", record.request.steps.size()},
+                     {"accepted_unix_ms", record.accepted_unix_ms},
+                     {"cancelled", Value(cancel).revision > 0}};
+  if (Value(progress).revision == 0) {
+    shown["state"] = "pending";
+  } else {
+    shown["state"] =
+        sched::JobPhaseName(sched::DecodePhase(Value(progress).value));
+    shown["progress"] = Value(progress).value;
+  }
+  PrintMembers(*context.out, shown);
+  return exit_code::kDone;
+}
+
+}  // namespace radishwing::ctl
--- a/src/node/front.cc
+++ b/src/node/front.cc
@@ -206,14 +206,22 @@
   record.target_ms = queue.target_ms;
   record.accepted_unix_ms = context.unix_now.Now();
   record.body = body;
-  intake.Submit(std::move(record), [respond = std::move(respond)](
+  intake.Submit(std::move(record), [weak = weak_from_this(), queue = queue.name,
+                                    team, respond = std::move(respond)](
                                        intake_outcome outcome) {
+    const auto count = [&](std::string_view what) {
+      if (const auto self = weak.lock()) {
+        self->context.metrics.CountOutcome(queue, team, what);
+      }
+    };
     switch (outcome) {
       case intake_outcome::kAccepted:
         return respond(http::JsonResponse(200, boost::json::object{}));
       case intake_outcome::kRefused:
+        count("refused");
         return respond(Later("store_unreachable"));
       case intake_outcome::kUnknown:
+        count("unknown");
         return respond(http::ErrorResponse(504, "outcome_unknown",
                                            "the job may be stored"));
     }
--- a/src/node/host_moves.cc
+++ b/src/node/host_moves.cc
@@ -83,6 +83,9 @@
       empty += host.available && host.empty ? 1 : 0;
       arriving += host.arriving ? 1 : 0;
     }
+    context.metrics.SetPoolHosts(pool, "active", count - empty - arriving);
+    context.metrics.SetPoolHosts(pool, "empty", empty);
+    context.metrics.SetPoolHosts(pool, "maintenance", arriving);
     context.log.Info(
         "pools",
         "pool load, pool=" + pool + " hosts=" + std::to_string(count) +
@@ -120,6 +123,7 @@
                                 " pool=" + moves[name].to +
                                 " outcome=" + fleet::OrderOutcomeName(outcome));
   if (outcome == fleet::order_outcome::kAccepted) {
+    context.metrics.CountMove(moves[name].to);
     ending[moves[name].runner] = {name, context.now.Now()};
     return;
   }
--- a/src/node/host_waves.cc
+++ b/src/node/host_waves.cc
@@ -17,10 +17,6 @@
 // Batch tasks get this long to end by themselves before they are stopped.
 constexpr millis kPatienceMs = 3500;
 
-std::string WaveKey(std::int64_t wave) {
-  return "rw/w/" + std::to_string(wave);
-}
-
 }  // namespace
 
 void host_keeper::impl::LoadWave(std::int64_t number) {
@@ -67,6 +63,14 @@
     all_begun = false;
     if (!wave.draining_since.contains(name)) left.push_back(name);
   }
+  const std::string number = std::to_string(wave.request.number);
+  context.metrics.SetWaveHosts(number, "waiting",
+                               static_cast<int>(left.size()));
+  context.metrics.SetWaveHosts(
+      number, "in_progress",
+      static_cast<int>(wave.draining_since.size() + wave.down_since.size()));
+  context.metrics.SetWaveHosts(number, "done",
+                               static_cast<int>(wave.begun.size()));
   if (all_begun) {
     scheduler.SetDue({});
     return Tell(wave, true);
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -159,6 +159,7 @@
         break;
       case sched::event_kind::kJobFinished:
         context.metrics.CountJobEnd(event.detail, event.took_ms);
+        CountOutcome(event);
         context.log.Info(
             "jobs", "job finished, job=" + event.task.job +
                         " queue=" + event.runner + " state=" + event.detail +
@@ -168,6 +169,20 @@
   }
 }
 
+// A cancelled job and one that never ends by itself have no outcome.
+void leader::impl::CountOutcome(const sched::scheduler_event& event) {
+  const sched::job_state* job = scheduler.FindJob(event.task.job);
+  if (!job || job->long_running || job->phase == sched::job_phase::kCancelled) {
+    return;
+  }
+  const bool failed = job->phase == sched::job_phase::kFailed;
+  const bool good = event.took_ms <= job->ObjectiveMs();
+  context.metrics.CountOutcome(job->record.queue, job->record.team,
+                               failed ? "failed"
+                               : good ? "good"
+                                      : "late");
+}
+
 void leader::impl::AcknowledgeEnds() {
   for (auto& [id, ends] : unkept) {
     std::uint64_t number = 0;
--- a/src/node/leader_impl.h
+++ b/src/node/leader_impl.h
@@ -63,6 +63,7 @@
   void Tick();
   void SetGauges();
   void LogEvents();
+  void CountOutcome(const sched::scheduler_event& event);
   void AcknowledgeEnds();
   void KeepProgress();
   void OnKept(const std::vector<sched::pending_write>& writes,
--- a/src/node/node_context.h
+++ b/src/node/node_context.h
@@ -25,7 +25,7 @@
   clock now = clock::WithSuspend();
   clock unix_now = clock::Wall();
   event_log log{clock::WithSuspend()};
-  node_metrics metrics;
+  node_metrics metrics{settings.name, unix_now.Now()};
   std::unique_ptr<platform::store_client> store;
   member_table members;
   /// Null until the first version was read.
--- a/src/node/node_metrics.cc
+++ b/src/node/node_metrics.cc
@@ -29,7 +29,7 @@
 
 }  // namespace
 
-node_metrics::node_metrics()
+node_metrics::node_metrics(std::string_view node, millis started)
     : requests_(Counters(registry_, "radishwing_node_requests_total",
                          "Calls of callers by kind and status")),
       request_seconds_(Histograms(registry_, "radishwing_node_request_seconds",
@@ -57,6 +57,18 @@
           Histograms(registry_, "radishwing_node_takeover_seconds",
                      "Time from leadership to the first scheduling")
               .Add({}, kSeconds)),
+      outcomes_(Counters(registry_, "radishwing_requests_total",
+                         "Submissions and jobs by queue, team and outcome")),
+      moves_(Counters(registry_, "radishwing_host_moves_total",
+                      "Moves of hosts into a pool that were ordered")),
+      pool_hosts_(prometheus::BuildGauge()
+                      .Name("radishwing_pool_hosts")
+                      .Help("Hosts by pool and state, from the leader")
+                      .Register(registry_)),
+      wave_hosts_(prometheus::BuildGauge()
+                      .Name("radishwing_wave_hosts")
+                      .Help("Hosts by wave and progress, from the leader")
+                      .Register(registry_)),
       leading_(Single(registry_, "radishwing_node_leading",
                       "1 while this node leads the shard")),
       config_version_(Single(registry_, "radishwing_node_config_version",
@@ -69,7 +81,14 @@
                    .Help("Runners by whether they answer")
                    .Register(registry_)),
       unknown_starts_(Single(registry_, "radishwing_node_unknown_starts",
-                             "Starts that nobody has answered")) {}
+                             "Starts that nobody has answered")) {
+  prometheus::BuildGauge()
+      .Name("radishwing_process_start_seconds")
+      .Help("Unix time of the process's start")
+      .Register(registry_)
+      .Add({{"program", "radishwing-node"}, {"host", std::string(node)}})
+      .Set(InSeconds(started));
+}
 
 void node_metrics::CountRequest(std::string_view call, unsigned status,
                                 millis took) {
@@ -101,6 +120,31 @@
   job_seconds_.Observe(InSeconds(age));
 }
 
+void node_metrics::CountOutcome(std::string_view queue, std::string_view team,
+                                std::string_view outcome) {
+  outcomes_
+      .Add({{"service", std::string(queue)},
+            {"team", team.empty() ? "-" : std::string(team)},
+            {"outcome", std::string(outcome)}})
+      .Increment();
+}
+
+void node_metrics::CountMove(std::string_view pool) {
+  moves_.Add({{"pool", std::string(pool)}}).Increment();
+}
+
+void node_metrics::SetPoolHosts(std::string_view pool, std::string_view state,
+                                int hosts) {
+  pool_hosts_.Add({{"pool", std::string(pool)}, {"state", std::string(state)}})
+      .Set(hosts);
+}
+
+void node_metrics::SetWaveHosts(std::string_view wave, std::string_view state,
+                                int hosts) {
+  wave_hosts_.Add({{"wave", std::string(wave)}, {"state", std::string(state)}})
+      .Set(hosts);
+}
+
 void node_metrics::CountOrder(std::string_view kind, std::string_view outcome) {
   orders_.Add({{"kind", std::string(kind)}, {"outcome", std::string(outcome)}})
       .Increment();
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -16,7 +16,8 @@
 /// Metrics of one node, in the Prometheus text format.
 class node_metrics {
  public:
-  node_metrics();
+  /// `node`: its name; `started`: Unix time of the process's start.
+  node_metrics(std::string_view node, millis started);
 
   /// A call of a caller: what it asked for and the status it got.
   void CountRequest(std::string_view call, unsigned status, millis took);
@@ -25,6 +26,12 @@
   void CountTaskStart(millis job_age);
   void CountTaskEnd(std::string_view how);
   void CountJobEnd(std::string_view state, millis age);
+  /// A submission or a job of `queue` by what became of it, once each.
+  void CountOutcome(std::string_view queue, std::string_view team,
+                    std::string_view outcome);
+  void CountMove(std::string_view pool);
+  void SetPoolHosts(std::string_view pool, std::string_view state, int hosts);
+  void SetWaveHosts(std::string_view wave, std::string_view state, int hosts);
   void CountOrder(std::string_view kind, std::string_view outcome);
   void CountTakeover(millis took);
   void SetLeading(bool leading);
@@ -47,6 +54,10 @@
   prometheus::Histogram& job_seconds_;
   prometheus::Family<prometheus::Counter>& orders_;
   prometheus::Histogram& takeover_seconds_;
+  prometheus::Family<prometheus::Counter>& outcomes_;
+  prometheus::Family<prometheus::Counter>& moves_;
+  prometheus::Family<prometheus::Gauge>& pool_hosts_;
+  prometheus::Family<prometheus::Gauge>& wave_hosts_;
   prometheus::Gauge& leading_;
   prometheus::Gauge& config_version_;
   prometheus::Gauge& config_age_seconds_;
--- a/src/node/record_keys.h
+++ b/src/node/record_keys.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -23,6 +24,10 @@
 inline std::string ShardKey() { return "rw/n/shard/" + std::to_string(kShard); }
 inline std::string TermKey() { return "rw/term/" + std::to_string(kShard); }
 inline std::string RunnerSetKey() { return "rw/r/" + std::to_string(kShard); }
+/// Hosts of a wave that have begun maintenance.
+inline std::string WaveKey(std::int64_t wave) {
+  return "rw/w/" + std::to_string(wave);
+}
 inline std::string JobKey(std::string_view id) {
   return std::string(kJobPrefix) + std::string(id);
 }
--- a/src/report/app.cc
+++ b/src/report/app.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <fstream>
 #include <thread>
+#include <utility>
 
 #include "src/report/collector.h"
 #include "src/report/html_page.h"
@@ -46,11 +47,10 @@
 
 void AddOptions(CLI::App& app, report_options& options) {
   app.add_option("--settings", options.settings_file,
-                 "File with the fleet's settings; "
-                 "`radishwingctl settings get` prints them")
+                 "File with the fleet's settings tree")
       ->required();
   app.add_option("--daemon", options.daemons,
-                 "Metrics port of an entry or control, \"ip:port\"; repeat")
+                 "Metrics address of a node, \"ip:port\"; repeat")
       ->required();
   app.add_option("--platform", options.platform,
                  "Platform, \"ip:port\": keeps the windows in its store");
@@ -115,9 +115,15 @@
   } catch (const CLI::ParseError& error) {
     return app.exit(error, out, err) == 0 ? kDone : kUsage;
   }
-  const record_store store = options.platform.empty()
-                                 ? MakeMemoryStore()
-                                 : MakePlatformStore(options.platform);
+  record_store store = MakeMemoryStore();
+  if (!options.platform.empty()) {
+    auto opened = MakePlatformStore(options.platform);
+    if (!Ok(opened)) {
+      err << "radishwing-report: " << Error(opened).message << '\n';
+      return kUsage;
+    }
+    store = std::move(Value(opened));
+  }
   int code = kDone;
   for (std::int64_t run = 0;; ++run) {
     code = RunOnce(options, store, out, err);
--- a/src/report/fleet_counters.h
+++ b/src/report/fleet_counters.h
@@ -14,8 +14,8 @@
 inline constexpr const char* kFleetRecord = "fleet";
 
 /// Outcomes in radishwing_requests_total that count against the objective.
-inline constexpr const char* kBadOutcomes[] = {"late", "refused", "unknown",
-                                               "truncated", "cut_off"};
+inline constexpr const char* kBadOutcomes[] = {
+    "late", "refused", "unknown", "truncated", "cut_off", "failed"};
 
 /// Counters of all scrapes by record: `service-<service>` or kFleetRecord.
 /// Series of a service are `<team>/<outcome>`; those of the fleet are
--- a/src/report/html_page.cc
+++ b/src/report/html_page.cc
@@ -44,7 +44,8 @@
 
 std::string ConsumptionBar(const burn_window& window) {
   static constexpr const char* kColours[] = {"#d9a400", "#c0392b", "#7d3c98",
-                                             "#2e6da4", "#555555"};
+                                             "#2e6da4", "#555555", "#8c564b"};
+  static_assert(std::size(kColours) == std::size(kBadOutcomes));
   std::vector<bar_part> parts;
   for (std::size_t i = 0; i < window.by_outcome.size(); ++i) {
     const double part = window.bad == 0
--- a/src/report/record_store.cc
+++ b/src/report/record_store.cc
@@ -1,72 +1,75 @@
 #include "src/report/record_store.h"
 
+#include <boost/asio/io_context.hpp>
 #include <map>
 #include <memory>
+#include <optional>
+#include <utility>
 
-#include "src/base/json_fields.h"
-#include "src/http/target.h"
-#include "src/report/http_fetch.h"
+#include "platform/store_client.h"
 
 namespace radishwing::report {
 namespace {
 
-using boost::beast::http::verb;
+std::string KeyOf(const std::string& name) { return "rw/burn/" + name; }
 
-std::string KeyTarget(const std::string& name) {
-  return "/v1/kv/" + http::EscapePath("burn/" + name);
-}
-
-failure StatusFailure(const std::string& name, unsigned status) {
-  return {failure_kind::kUnavailable, "store: record " + name +
-                                          " answered with status " +
-                                          std::to_string(status)};
-}
+/// The store, called one call after the other.
+struct connection {
+  boost::asio::io_context io;
+  std::unique_ptr<platform::store_client> client;
 
-result<stored_record> ReadRecord(const std::string& address,
-                                 const std::string& name) {
-  http::client_request request;
-  request.target = KeyTarget(name);
-  request.repeatable = true;
-  auto response = Fetch(address, std::move(request));
-  if (!Ok(response)) return Error(response);
-  if (Value(response).status == 404) return stored_record{};
-  if (Value(response).status != 200) {
-    return StatusFailure(name, Value(response).status);
+  template <typename T>
+  result<T> Wait(std::optional<result<T>>& answer) {
+    io.restart();
+    while (!answer && io.run_one() > 0) {
+    }
+    if (answer) return std::move(*answer);
+    return failure{failure_kind::kUnavailable, "the store gave no answer"};
   }
-  auto fields = json_fields::Parse("store answer", Value(response).body);
-  if (!Ok(fields)) return Error(fields);
-  stored_record record{Value(fields).Text("value"),
-                       Value(fields).Unsigned("version")};
-  if (!Value(fields).Valid()) return Value(fields).Failure();
-  return record;
+};
+
+result<stored_record> ReadRecord(connection& link, const std::string& name) {
+  std::optional<result<store::store_item>> answer;
+  link.client->Get(KeyOf(name), [&](result<store::store_item> item) {
+    answer = std::move(item);
+  });
+  auto item = link.Wait(answer);
+  if (!Ok(item)) return Error(item);
+  return stored_record{Value(item).value, Value(item).revision};
 }
 
-result<done> WriteRecord(const std::string& address, const std::string& name,
+result<done> WriteRecord(connection& link, const std::string& name,
                          const std::string& text, std::uint64_t version) {
-  http::client_request request;
-  request.method = verb::put;
-  request.target = KeyTarget(name) + "?expect=" + std::to_string(version);
-  request.body = text;
-  auto response = Fetch(address, std::move(request));
-  if (!Ok(response)) return Error(response);
-  if (Value(response).status == 200) return done();
-  if (Value(response).status == 409) {
-    return failure{failure_kind::kConflict,
-                   "store: record " + name + " was changed meanwhile"};
-  }
-  return StatusFailure(name, Value(response).status);
+  store::store_commit commit;
+  commit.expected = {{KeyOf(name), version}};
+  commit.writes = {{KeyOf(name), text, 0}};
+  std::optional<result<store::commit_outcome>> answer;
+  link.client->Commit(commit, [&](result<store::commit_outcome> outcome) {
+    answer = std::move(outcome);
+  });
+  auto outcome = link.Wait(answer);
+  if (!Ok(outcome)) return Error(outcome);
+  if (Value(outcome).committed) return done();
+  return failure{failure_kind::kConflict,
+                 "store: record " + name + " was changed meanwhile"};
 }
 
 }  // namespace
 
-record_store MakePlatformStore(const std::string& address) {
+result<record_store> MakePlatformStore(const std::string& address) {
+  auto link = std::make_shared<connection>();
+  auto made = platform::store_client::Make(
+      link->io, address, nullptr,
+      [](std::string_view, std::string_view, millis) {});
+  if (!Ok(made)) return Error(made);
+  link->client = std::move(Value(made));
   record_store store;
-  store.read = [address](const std::string& name) {
-    return ReadRecord(address, name);
+  store.read = [link](const std::string& name) {
+    return ReadRecord(*link, name);
   };
-  store.write = [address](const std::string& name, const std::string& text,
-                          std::uint64_t version) {
-    return WriteRecord(address, name, text, version);
+  store.write = [link](const std::string& name, const std::string& text,
+                       std::uint64_t version) {
+    return WriteRecord(*link, name, text, version);
   };
   return store;
 }
--- a/src/report/record_store.h
+++ b/src/report/record_store.h
@@ -24,9 +24,9 @@
       write;
 };
 
-/// Keeps records under the keys `burn/<name>` of the platform's key-value
-/// store at "ip:port".
-record_store MakePlatformStore(const std::string& address);
+/// Keeps records under the keys `rw/burn/<name>` of the platform's store at
+/// "ip:port".
+result<record_store> MakePlatformStore(const std::string& address);
 
 /// Keeps records in the memory of this process.
 record_store MakeMemoryStore();
--- a/src/report/text_page.h
+++ b/src/report/text_page.h
@@ -21,6 +21,8 @@
 /// The daemons' words for bad outcomes as people read them, by position in
 /// kBadOutcomes.
 inline constexpr const char* kOutcomeTitles[] = {
-    "late", "refused", "unknown", "cut off midway", "data centre cut off"};
+    "late",  "refused", "unknown", "cut off midway", "data centre cut off",
+    "failed"};
+static_assert(std::size(kOutcomeTitles) == std::size(kBadOutcomes));
 
 }  // namespace radishwing::report
--- a/src/sched/job_state.h
+++ b/src/sched/job_state.h
@@ -59,6 +59,11 @@
   bool write_in_flight = false;
 
   bool Finished() const { return phase >= job_phase::kSucceeded; }
+  /// Time from acceptance in which the job should end, by its estimates.
+  millis ObjectiveMs() const {
+    return static_cast<millis>(record.stretch * static_cast<double>(chain_ms)) +
+           record.target_ms;
+  }
 };
 
 }  // namespace radishwing::sched
--- a/src/sched/pool_planner.cc
+++ b/src/sched/pool_planner.cc
@@ -7,7 +7,7 @@
 
 // Hosts are called for so that the work that found no runner is done within
 // this time: about the slack of a short job before its objective.
-constexpr double kHorizonMs = 900;
+constexpr double kHorizonMs = 500;
 // An empty host of a pool without waiting work may go to one with waiting work
 // after this, as the next step of a job may be about to need it.
 constexpr millis kLendAfterMs = 400;
--- a/src/settings/schema_page.cc
+++ b/src/settings/schema_page.cc
@@ -5,7 +5,6 @@
 
 #include "src/settings/fleet_schema.h"
 #include "src/settings/preset.h"
-#include "src/settings/process_settings.h"
 #include "src/settings/source_tree.h"
 
 namespace radishwing::settings {
@@ -29,14 +28,6 @@
 every finding with its line and column.
 )";
 
-constexpr std::string_view kProcessIntroduction = R"(
-## Settings of a process
-
-One file per process, given by `--settings <file>`; `--check` only checks it.
-A secret comes from a file or from the environment, never from both, and is
-never printed.
-)";
-
 // `teams.*.keys[]` becomes `teams.<name>.keys[]`.
 std::string BranchTitle(std::string_view branch) {
   std::string title;
@@ -107,11 +98,6 @@
     AppendTable(page, FleetSchema(), branch);
   }
   AppendPresets(page);
-  page += kProcessIntroduction;
-  page += "\n### `radishwing-entry`\n";
-  AppendTable(page, ProcessSchema(daemon_kind::kEntry), "");
-  page += "\n### `radishwing-control`\n";
-  AppendTable(page, ProcessSchema(daemon_kind::kControl), "");
   return page;
 }
 
