--- a/src/fleet/fleet_config.h
+++ b/src/fleet/fleet_config.h
@@ -21,7 +21,8 @@
   double stretch = 1.0;
   millis target_ms = 0;
   bool is_public = false;  ///< No key is needed.
-  bool needs_advice = false;
+  /// Starts need a ticket of the advice service, valid this long; 0: none.
+  millis ticket_valid_ms = 0;
 };
 
 /// A group of runners.
--- a/src/fleet/job_record.h
+++ b/src/fleet/job_record.h
@@ -18,6 +18,8 @@
   int attempts = 1;      ///< Failed runs of one task that end the job.
   double stretch = 1.0;  ///< Objective per unit of the longest chain.
   millis target_ms = 0;  ///< Added to the objective.
+  /// Starts need a ticket of the advice service, valid this long; 0: none.
+  millis ticket_valid_ms = 0;
   millis accepted_unix_ms = 0;
   std::string body;  ///< The request as it was received.
   job_request request;
--- a/src/node/front.cc
+++ b/src/node/front.cc
@@ -204,6 +204,7 @@
   record.attempts = queue.attempts;
   record.stretch = queue.stretch;
   record.target_ms = queue.target_ms;
+  record.ticket_valid_ms = queue.ticket_valid_ms;
   record.accepted_unix_ms = context.unix_now.Now();
   record.body = body;
   intake.Submit(std::move(record), [weak = weak_from_this(), queue = queue.name,
--- a/src/node/job_record_codec.cc
+++ b/src/node/job_record_codec.cc
@@ -18,6 +18,7 @@
       {"attempts", record.attempts},
       {"stretch_permille", static_cast<std::int64_t>(record.stretch * 1000)},
       {"target_ms", record.target_ms},
+      {"ticket_valid_ms", record.ticket_valid_ms},
       {"accepted", record.accepted_unix_ms},
       {"leader", leader_fence},
       {"body", record.body}});
@@ -38,6 +39,7 @@
   record.stretch =
       static_cast<double>(fields.Signed("stretch_permille")) / 1000;
   record.target_ms = fields.Signed("target_ms");
+  record.ticket_valid_ms = fields.Signed("ticket_valid_ms");
   record.accepted_unix_ms = fields.Signed("accepted");
   job.leader_fence = fields.Unsigned("leader");
   record.body = fields.Text("body");
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -67,6 +67,7 @@
   const auto orders = scheduler.Plan(began, context.unix_now.Now());
   pacer.Took(context.now.Now() - began);
   for (const sched::order& order : orders) Give(order);
+  AskAdvice();
   LogEvents();
   KeepProgress();
 }
--- a/src/node/leader_impl.h
+++ b/src/node/leader_impl.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "platform/advice_client.h"
 #include "src/node/host_keeper.h"
 #include "src/node/leader.h"
 #include "src/node/runner_link.h"
@@ -60,6 +61,11 @@
   void Kick();
   void Plan();
   void Give(const sched::order& order);
+  /// Asks the advice service, one question at a time.
+  void AskAdvice();
+  void OnAdvice(const sched::advice_request& asked,
+                const result<std::vector<fleet::runner_ticket>>& allowed,
+                millis sent_at);
   void Tick();
   void SetGauges();
   void LogEvents();
@@ -92,6 +98,9 @@
   std::unique_ptr<store_watch> job_watch;
   std::map<std::string, store::store_item> loaded_progress;  ///< By job.
   std::unique_ptr<host_keeper> hosts;
+  std::unique_ptr<platform::advice_client> advice;
+  millis ask_advice_at = 0;  ///< Not before this, after a failure.
+  bool advice_in_flight = false;
   sched::plan_pacer pacer;
   boost::asio::steady_timer plan_timer;
   boost::asio::steady_timer tick_timer;
--- a/src/node/runner_link.cc
+++ b/src/node/runner_link.cc
@@ -240,6 +240,7 @@
       call.run = order.run;
       call.spec = order.spec;
       call.checkpoint = order.checkpoint;
+      call.ticket = order.ticket;
       call.lease_until_ms = impl_->ExtendLease();
       call.fence = impl_->fence;
       impl_->client->Start(call, std::move(answered));
--- a/src/sched/order.h
+++ b/src/sched/order.h
@@ -18,6 +18,7 @@
   std::string checkpoint;        ///< Of a start.
   int percent = 100;             ///< Of a pace.
   std::string_view reason = "";  ///< Why a stop was ordered, for logs.
+  std::string ticket = {};       ///< Of a start that needs one.
 };
 
 }  // namespace radishwing::sched
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -158,6 +158,7 @@
     GiveUpRun(name, ref, *run, "runner_gone", now);
   }
   runners_.erase(id);
+  tickets_.DropRunner(id);
   pools_stale_ = true;
 }
 
@@ -166,6 +167,7 @@
   const auto it = runners_.find(id);
   if (it == runners_.end()) return;
   it->second.last_end = 0;
+  tickets_.DropRunner(id);
   it->second.listed = false;
   const std::set<fleet::task_name> tasks = it->second.tasks;
   for (const fleet::task_name& name : tasks) {
@@ -370,6 +372,7 @@
 void scheduler::FinishJob(job_state& job, job_phase phase, millis now) {
   if (job.Finished()) return;
   DropHeld(job);
+  tickets_.DropJob(job.record.id);
   job.phase = phase;
   job.finished_at = now;
   MarkChanged(job);
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -16,12 +16,14 @@
 #include "src/fleet/order_outcome.h"
 #include "src/fleet/runner_listing.h"
 #include "src/fleet/runner_report.h"
+#include "src/sched/advice_request.h"
 #include "src/sched/job_state.h"
 #include "src/sched/order.h"
 #include "src/sched/pool_demand.h"
 #include "src/sched/run_time_model.h"
 #include "src/sched/runner_state.h"
 #include "src/sched/scheduler_event.h"
+#include "src/sched/ticket_book.h"
 
 namespace radishwing::sched {
 
@@ -105,6 +107,13 @@
   std::size_t UnknownStarts() const;
   /// Orders to give now.
   std::vector<order> Plan(millis now, millis unix_now);
+  /// Questions to the advice service that the last plan needs answered, the
+  /// most urgent first.
+  std::vector<advice_request> TakeAdviceRequests();
+  /// The answer to a question that was sent at `sent_at`.
+  void AdviceGiven(const advice_request& request,
+                   const std::vector<fleet::runner_ticket>& allowed,
+                   millis sent_at);
   /// Asks for a stop of what runs on `id` as far as budgets allow it.
   /// Returns true if nothing runs there any more.
   bool Evacuate(const std::string& id, bool stop_batch, millis now);
@@ -184,6 +193,10 @@
   void ReleaseIfIdle(job_state& job);
   void CountUnlistedUse();
   void CreateRepetitions(job_state& job, millis unix_now);
+  static std::string StepName(const job_state& job, int repetition,
+                              int step_number);
+  void AskAdvice(const job_state& job, const fleet::task_step& step,
+                 const std::string& step_name, millis now);
   static bool StartRecorded(const job_state& job);
   /// Gives the starts of placed runs, or holds them back until the job's
   /// record is kept.
@@ -224,8 +237,11 @@
   bool MayRunUnlisted(const job_state& job) const;
   void RequestStop(const fleet::task_name& name, run_state& run,
                    std::string_view reason, millis now);
+  /// The order that starts a placed run.
+  order MakeStart(const fleet::task_name& name, const task_ref& ref,
+                  const std::string& runner, int run, millis now) const;
   /// Places a run; the start that belongs to it is added to `starts`.
-  void Place(job_state& job, const fleet::task_name& name, const task_ref& ref,
+  void Place(const fleet::task_name& name, const task_ref& ref,
              runner_state& runner, int run, millis now,
              std::vector<order>& starts);
   bool AtWork(const task_state& task) const;
@@ -260,6 +276,8 @@
   /// What runs of an earlier leader that nobody has listed may use.
   std::map<std::string, fleet::resources> unlisted_use_;
   std::vector<order> queued_;
+  ticket_book tickets_;
+  std::vector<advice_request> advice_wanted_;
   std::vector<std::string> recorded_jobs_;  ///< Since the last plan.
   /// The last write of progress was kept: new jobs can be recorded.
   bool recordable_ = true;
--- a/src/sched/scheduler_hold.cc
+++ b/src/sched/scheduler_hold.cc
@@ -90,9 +90,7 @@
     }
     for (const held_run& run : held) {
       const task_ref ref = FindTask(run.task);
-      const order start{
-          order_kind::kStart,           run.runner,           run.task, run.run,
-          ref.job->record.request.spec, ref.task->checkpoint, 100,      ""};
+      const order start = MakeStart(run.task, ref, run.runner, run.run, now);
       SendStart(ref, *FindRun(*ref.task, run.runner, run.run), start, now, out);
     }
   }
--- a/src/sched/scheduler_listing.cc
+++ b/src/sched/scheduler_listing.cc
@@ -277,6 +277,11 @@
         return;
       }
       break;
+    case order_outcome::kBadTicket:
+      tickets_.Forget(
+          StepName(*ref.job, order.task.repetition, order.task.step),
+          order.runner);
+      break;
     case order_outcome::kInvalid:
       ref.task->not_before = now + 10 * kRefusalPauseMs;
       break;
--- a/src/sched/scheduler_plan.cc
+++ b/src/sched/scheduler_plan.cc
@@ -111,6 +111,7 @@
   IndexPools();
   no_room_.clear();
   blocked_.clear();
+  advice_wanted_.clear();
   std::vector<candidate> ranked;
   for (job_state* job : active_) {
     if (job->restored) job->restored = MayRunUnlisted(*job);
@@ -174,7 +175,10 @@
                                         step_number, task, now);
     if (!runner) {
       // Runs are only added within a plan, so more will not fit either.
-      if (step.max_per_runner == 0 && step.required_label.empty()) {
+      if (job.record.ticket_valid_ms > 0) {
+        AskAdvice(job, step, StepName(job, repetition_number, step_number),
+                  now);
+      } else if (step.max_per_runner == 0 && step.required_label.empty()) {
         no_room_[job.record.pool] = RunnerNeeds(step);
       }
       CountBlocked(job, step, state);
@@ -182,7 +186,7 @@
     }
     const fleet::task_name name{job.record.id, repetition_number, step_number,
                                 static_cast<int>(i)};
-    Place(job, name, FindTask(name), *runner,
+    Place(name, FindTask(name), *runner,
           std::max(next_run_base_, task.last_run + 1), now, starts);
   }
   Emit(job, starts, now, out);
@@ -251,6 +255,10 @@
     const fleet::task_name name{job.record.id, repetition_number, step_number,
                                 static_cast<int>(i)};
     if (!runner) {
+      if (job.record.ticket_valid_ms > 0) {
+        AskAdvice(job, step, StepName(job, repetition_number, step_number),
+                  now);
+      }
       for (const order& undo : placed) {
         const task_ref member = FindTask(undo.task);
         member.task->last_run = run - 1;
@@ -259,20 +267,33 @@
       CountBlocked(job, step, state);
       return;
     }
-    Place(job, name, FindTask(name), *runner, run, now, placed);
+    Place(name, FindTask(name), *runner, run, now, placed);
   }
   Emit(job, placed, now, out);
 }
 
-void scheduler::Place(job_state& job, const fleet::task_name& name,
-                      const task_ref& ref, runner_state& runner, int run,
-                      millis now, std::vector<order>& starts) {
+void scheduler::Place(const fleet::task_name& name, const task_ref& ref,
+                      runner_state& runner, int run, millis now,
+                      std::vector<order>& starts) {
   run_state state{.runner = runner.report.id, .run = run};
   state.ordered_at = now;
   state.progress_at = now;
   AttachRun(name, ref, std::move(state));
-  starts.push_back({order_kind::kStart, runner.report.id, name, run,
-                    job.record.request.spec, ref.task->checkpoint, 100, ""});
+  starts.push_back(MakeStart(name, ref, runner.report.id, run, now));
+}
+
+order scheduler::MakeStart(const fleet::task_name& name, const task_ref& ref,
+                           const std::string& runner, int run,
+                           millis now) const {
+  order start{
+      order_kind::kStart,   runner, name, run, ref.job->record.request.spec,
+      ref.task->checkpoint, 100,    ""};
+  if (ref.job->record.ticket_valid_ms > 0) {
+    const std::string* ticket = tickets_.Find(
+        StepName(*ref.job, name.repetition, name.step), runner, now);
+    if (ticket) start.ticket = *ticket;
+  }
+  return start;
 }
 
 bool scheduler::WithinCap(const job_state& job,
@@ -318,6 +339,9 @@
                                       millis now) {
   runner_state* best = nullptr;
   double best_score = 0;
+  const std::string step_name = job.record.ticket_valid_ms > 0
+                                    ? StepName(job, repetition, step_number)
+                                    : std::string();
   std::string gang_rack;
   if (step.same_rack) {
     for (const task_state& other : state.tasks) {
@@ -330,6 +354,7 @@
     runner_state& runner = *candidate;
     const std::string& id = runner.report.id;
     if (!Usable(runner, step, now)) continue;
+    if (!step_name.empty() && !tickets_.Find(step_name, id, now)) continue;
     if (std::ranges::find(task.runs, id, &run_state::runner) !=
         task.runs.end()) {
       continue;
--- a/src/sched/scheduler_runs.cc
+++ b/src/sched/scheduler_runs.cc
@@ -35,9 +35,10 @@
         // A start extends the lease there, so a silent runner gets none.
         if (start && !runner.reachable) continue;
         run.order_in_flight = true;
-        out.push_back({stop ? order_kind::kStop : order_kind::kStart, id, name,
-                       run.run, start ? ref.job->record.request.spec : "",
-                       start ? ref.task->checkpoint : "", 100, "retry"});
+        order again = MakeStart(name, ref, id, run.run, now);
+        if (stop) again = {order_kind::kStop, id, name, run.run, "", "", 100};
+        again.reason = "retry";
+        out.push_back(std::move(again));
       }
     }
   }
--- /dev/null
+++ b/tests/sched/scheduler_advice_test.cc
@@ -0,0 +1,93 @@
+#include <boost/test/unit_test.hpp>
+
+#include "tests/sched/scheduler_fixture.h"
+
+namespace radishwing::sched {
+namespace {
+
+struct scheduler_advice_fixture : scheduler_fixture {
+  scheduler_advice_fixture() {
+    AddRunner("r1");
+    AddRunner("r2");
+    fleet::job_record record;
+    record.id = "a";
+    record.queue = "queue";
+    record.pool = "pool";
+    record.attempts = 2;
+    record.stretch = 2;
+    record.ticket_valid_ms = 5000;
+    record.request.steps = {Step(1)};
+    subject.AddJob(std::move(record), false, now, now);
+  }
+
+  /// Asks for what the plan wants and allows `runner` only.
+  void Allow(const std::string& runner) {
+    Plan();
+    const auto wanted = subject.TakeAdviceRequests();
+    BOOST_REQUIRE_EQUAL(wanted.size(), 1u);
+    subject.AdviceGiven(wanted[0], {{runner, "ticket"}}, now);
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(scheduler_asks_advice, scheduler_advice_fixture)
+
+// Guards against a start that every runner refuses for want of a ticket.
+BOOST_AUTO_TEST_CASE(step_starts_with_a_ticket_on_an_allowed_runner) {
+  BOOST_TEST(Plan().empty());
+  Allow("r2");
+  const auto orders = Plan();
+  BOOST_REQUIRE_EQUAL(orders.size(), 1u);
+  BOOST_TEST(orders[0].runner == "r2");
+  BOOST_TEST(orders[0].ticket == "ticket");
+}
+
+BOOST_AUTO_TEST_CASE(question_names_the_step_and_its_runners) {
+  Plan();
+  const auto wanted = subject.TakeAdviceRequests();
+  BOOST_REQUIRE_EQUAL(wanted.size(), 1u);
+  BOOST_TEST(wanted[0].step == "a.0.0");
+  BOOST_TEST(wanted[0].runners.size() == 2u);
+}
+
+// Guards against asking for ever about runners that the policy forbids.
+BOOST_AUTO_TEST_CASE(refused_runners_are_not_asked_again) {
+  Plan();
+  subject.AdviceGiven(subject.TakeAdviceRequests().at(0), {}, now);
+  Plan();
+  BOOST_TEST(subject.TakeAdviceRequests().empty());
+  AddRunner("r3");
+  Plan();
+  const auto wanted = subject.TakeAdviceRequests();
+  BOOST_REQUIRE_EQUAL(wanted.size(), 1u);
+  BOOST_TEST(wanted[0].runners == std::vector<std::string>{"r3"});
+}
+
+BOOST_AUTO_TEST_CASE(ticket_that_has_expired_is_asked_for_again) {
+  Allow("r2");
+  now += 5000;
+  BOOST_TEST(Plan().empty());
+  BOOST_REQUIRE_EQUAL(subject.TakeAdviceRequests().size(), 1u);
+}
+
+// Guards against a ticket of an earlier life of the runner.
+BOOST_AUTO_TEST_CASE(ticket_ends_with_the_life_of_the_runner) {
+  Allow("r2");
+  subject.RunnerReborn("r2", now);
+  List("r2", {});
+  BOOST_TEST(Plan().empty());
+}
+
+BOOST_AUTO_TEST_CASE(refused_ticket_is_forgotten) {
+  Allow("r2");
+  const auto orders = Plan();
+  BOOST_REQUIRE_EQUAL(orders.size(), 1u);
+  subject.OrderAnswered(orders[0], fleet::order_outcome::kBadTicket, now);
+  now += 1000;
+  BOOST_TEST(Plan().empty());
+  BOOST_TEST(subject.TakeAdviceRequests().size() == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace radishwing::sched
