--- a/src/node/leader_notifier.cc
+++ b/src/node/leader_notifier.cc
@@ -46,18 +46,20 @@
   const std::string path = told.cancel ? "/peer/cancel?id=" : "/peer/job?id=";
   const std::string body = told.record;
   const std::string target = path + told.id;
-  peers.Call(address, target, body, kPushMs,
-             [weak = weak_from_this(),
-              told = std::move(told)](const result<std::string>& answer) {
-               const auto self = weak.lock();
-               if (!self || Ok(answer)) return;
-               self->context.log.Warning(
-                   "front", std::string(told.cancel ? "cancel" : "job") +
-                                " not pushed, job=" + told.id + " tries_left=" +
-                                std::to_string(told.tries_left) +
-                                " error=" + Error(answer).message);
-               self->PushAgain(told);
-             });
+  peers.Call(
+      address, target, body, kPushMs,
+      [weak = weak_from_this(),
+       told = std::move(told)](const result<std::string>& answer) {
+        const auto self = weak.lock();
+        if (!self || Ok(answer)) return;
+        self->context.log.Warning(
+            "front",
+            std::string(told.cancel ? "cancel not pushed" : "job not pushed") +
+                ", job=" + told.id +
+                " tries_left=" + std::to_string(told.tries_left) +
+                " error=" + Error(answer).message);
+        self->PushAgain(told);
+      });
 }
 
 void leader_notifier::impl::PushAgain(message told) {
--- a/src/node/membership.cc
+++ b/src/node/membership.cc
@@ -13,7 +13,7 @@
 namespace radishwing::node {
 namespace {
 
-constexpr millis kRenewMs = 700;
+constexpr millis kRenewMs = 450;
 constexpr millis kRetryMs = 200;
 constexpr millis kWatchMs = 1000;
 // Nodes stand one after the other, so that they seldom collide.
--- a/src/sched/term_lease.h
+++ b/src/sched/term_lease.h
@@ -8,7 +8,7 @@
 
 /// Length of a node's lease in the store. A dead leader's key goes after it;
 /// the store allows 1,000 ms at least.
-inline constexpr millis kNodeLeaseMs = 2500;
+inline constexpr millis kNodeLeaseMs = 1600;
 /// A leader that cannot renew goes on for this long after its lease may have
 /// run out: nobody can take over while the store is away for all.
 inline constexpr millis kLeaderGraceMs = 6000;
