Add a seeded fault soak of real node processes

tools/soak SEED... runs three nodes against stand-ins that misbehave and sends signals to the nodes; it fails if an accepted job is lost or a task is run twice.

--- a/tools/demo_fleet.cc
+++ b/tools/demo_fleet.cc
@@ -42,6 +42,7 @@
   int workers = 12;
   millis length_ms = 20000;
   std::uint64_t seed = 1;
+  bool faults = false;
 };
 
 struct tally {
@@ -75,6 +76,49 @@
       json::object{{"spec", "demo"}, {"steps", json::array{step, second}}});
 }
 
+/// Makes the stand-ins misbehave for spans of time, by a seed.
+class fault_source {
+ public:
+  fault_source(
+      fleet_fake::store_stand_in& store,
+      std::vector<std::unique_ptr<fleet_fake::worker_stand_in>>& workers,
+      std::uint64_t seed)
+      : store_(store), workers_(workers), random_(seed) {}
+
+  /// Called every few ms; begins and ends spans.
+  void Step(millis now) {
+    if (now < next_) return;
+    next_ = now + 300 + static_cast<millis>(random_() % 1200);
+    store_.SetRefusing(false);
+    store_.SetQuiet(false);
+    for (auto& worker : workers_) worker->SetSilent(false);
+    fleet_fake::worker_stand_in& worker =
+        *workers_[random_() % workers_.size()];
+    const auto kind = random_() % 8;
+    std::cout << "fault " << kind << " for " << next_ - now << " ms\n";
+    if (kind == 0) store_.SetRefusing(true);
+    if (kind == 1) store_.LoseCommitAnswers(3);
+    if (kind == 2) store_.Compact();
+    if (kind == 3) store_.SetQuiet(true);
+    if (kind == 4) store_.EndLeases();
+    if (kind == 5) worker.SetSilent(true);
+    if (kind == 6) worker.LoseStartAnswers(3);
+  }
+
+  /// Ends all spans.
+  void Stop() {
+    store_.SetRefusing(false);
+    store_.SetQuiet(false);
+    for (auto& worker : workers_) worker->SetSilent(false);
+  }
+
+ private:
+  fleet_fake::store_stand_in& store_;
+  std::vector<std::unique_ptr<fleet_fake::worker_stand_in>>& workers_;
+  std::mt19937_64 random_;
+  millis next_ = 0;
+};
+
 class callers {
  public:
   callers(boost::asio::io_context& io, const demo_options& options)
@@ -87,15 +131,17 @@
     }
   }
 
-  void Run() {
+  void Run(fault_source* faults) {
     const millis until = now_.Now() + options_.length_ms;
     for (std::uint64_t next = 1; now_.Now() < until; ++next) {
+      if (faults) faults->Step(now_.Now());
       char id[17];
       std::snprintf(id, sizeof(id), "%016llx",
                     static_cast<unsigned long long>(next));
       Submit(id, kTries);
       Wait(kSendEveryMs);
     }
+    if (faults) faults->Stop();
     const millis last = now_.Now() + kFinishMs;
     while (now_.Now() < last && !(open_.empty() && submitting_ == 0)) {
       for (const auto& [id, done] : std::map(open_)) Ask(id);
@@ -179,7 +225,8 @@
       ->required();
   app.add_option("--workers", options.workers, "Runners");
   app.add_option("--length-ms", options.length_ms, "Time of traffic");
-  app.add_option("--seed", options.seed, "Seed of the callers' choices");
+  app.add_option("--seed", options.seed, "Seed of callers and faults");
+  app.add_flag("--faults", options.faults, "Makes store and runners misbehave");
   CLI11_PARSE(app, argc, argv);
   boost::asio::io_context io;
   fleet_fake::store_stand_in store(io);
@@ -192,7 +239,8 @@
   store.Put("op/config", Config());
   std::cout << "store " << store.Address() << std::endl;
   callers load(io, options);
-  load.Run();
+  fault_source faults(store, workers, options.seed);
+  load.Run(options.faults ? &faults : nullptr);
   const tally& counts = load.Counts();
   std::cout << "demo: " << counts.answered << " answered, " << counts.refused
             << " refused, " << counts.unknown << " unknown, " << load.Lost()
--- /dev/null
+++ b/tools/lib/nodes.sh
@@ -0,0 +1,39 @@
+# Functions to run nodes against the stand-ins on this machine. Sourced by
+# tools/demo and tools/soak.
+
+dir=$(mktemp -d)
+# Loopback addresses of this run; two runs at the same time do not collide.
+net=127.$((64 + $$ % 128)).0
+declare -A pids
+stop_all() {
+  for name in "${!pids[@]}"; do kill -KILL "${pids[$name]}" 2>/dev/null || true; done
+  wait 2>/dev/null || true
+  if [ -n "${KEEP_LOGS:-}" ]; then echo "logs in $dir"; else rm -rf "$dir"; fi
+}
+trap stop_all EXIT
+
+start_node() { # number
+  cat >"$dir/n$1.json" <<SETTINGS
+{"node": "n$1", "ip": "$net.$1", "zone": "z$1", "port-range": [7000, 7015],
+ "bind": {"front": "$net.$1:8340", "readiness": "$net.$1:8343"},
+ "limits": {"cpu-share": 1, "cores": 1},
+ "platform": {"address": "$store"}, "cloud": {"address": "$net.9:1"}}
+SETTINGS
+  RADISHWING_NODE_FILE="$dir/n$1.json" build/radishwing-node >>"$dir/n$1.log" 2>&1 &
+  pids[n$1]=$!
+  disown
+}
+
+# Starts the stand-ins with three callers' addresses; sets `store` and `fleet`.
+start_fleet() { # arguments of radishwing-demo-fleet...
+  build/radishwing-demo-fleet --front "$net.1:8340" --front "$net.2:8340" \
+    --front "$net.3:8340" "$@" >"$dir/fleet.log" 2>&1 &
+  fleet=$!
+  pids[fleet]=$fleet
+  until grep -q '^store ' "$dir/fleet.log"; do sleep 0.05; done
+  store=$(sed -n 's/^store //p' "$dir/fleet.log")
+}
+
+wait_end() { # name
+  while kill -0 "${pids[$1]}" 2>/dev/null; do sleep 0.05; done
+}
