--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -38,6 +38,9 @@
 
   result<done> Start();
   result<done> MakeStore();
+  result<done> ListenAll();
+  http::server_response Metrics();
+  std::string PeerAddress() const;  ///< For messages between nodes.
   result<std::unique_ptr<http::server>> Listen(const std::string& address,
                                                http::server::handler handler);
   void WatchOperator();
@@ -105,19 +108,26 @@
   return http::server::Make(context.io, options, std::move(handler));
 }
 
-result<done> node::impl::Start() {
-  auto store = MakeStore();
-  if (!Ok(store)) return store;
-  const auto local = [this] { return own_leader.get(); };
-  callers = std::make_unique<front>(context, peers, local);
-  service = std::make_unique<peer_service>(context, local);
+http::server_response node::impl::Metrics() {
+  if (own_leader) own_leader->SetGauges();
+  context.metrics.SetConfigAge(context.now.Now() - context.config_current_at);
+  http::server_response response;
+  response.content_type = "text/plain; version=0.0.4";
+  response.body = context.metrics.Serialize();
+  return response;
+}
+
+std::string node::impl::PeerAddress() const {
+  return context.settings.ip + ":" +
+         std::to_string(context.settings.first_port);
+}
+
+result<done> node::impl::ListenAll() {
   struct listener {
     std::string address;
     http::server::handler handler;
     std::unique_ptr<http::server>* server;
   };
-  const std::string peer_address =
-      context.settings.ip + ":" + std::to_string(context.settings.first_port);
   const listener listeners[] = {
       {context.settings.front_address,
        [this](const http::server_request& request, auto respond) {
@@ -129,20 +139,14 @@
          respond(Readiness());
        },
        &readiness_server},
-      {peer_address,
+      {PeerAddress(),
        [this](const http::server_request& request, auto respond) {
          service->Handle(request, std::move(respond));
        },
        &peer_server},
       {context.settings.metrics_address,
        [this](const http::server_request&, const auto& respond) {
-         if (own_leader) own_leader->SetGauges();
-         context.metrics.SetConfigAge(context.now.Now() -
-                                      context.config_current_at);
-         http::server_response response;
-         response.content_type = "text/plain; version=0.0.4";
-         response.body = context.metrics.Serialize();
-         respond(std::move(response));
+         respond(Metrics());
        },
        &metrics_server}};
   for (const listener& entry : listeners) {
@@ -150,12 +154,23 @@
     if (!Ok(made)) return Error(made);
     *entry.server = std::move(Value(made));
   }
+  return done{};
+}
+
+result<done> node::impl::Start() {
+  auto store = MakeStore();
+  if (!Ok(store)) return store;
+  const auto local = [this] { return own_leader.get(); };
+  callers = std::make_unique<front>(context, peers, local);
+  service = std::make_unique<peer_service>(context, local);
+  auto listening = ListenAll();
+  if (!Ok(listening)) return listening;
   WatchOperator();
   JoinMembers();
   context.log.Always(
       "node", "started, node=" + context.settings.name +
                   " data_centre=" + context.settings.data_centre + " front=" +
-                  context.settings.front_address + " peer=" + peer_address);
+                  context.settings.front_address + " peer=" + PeerAddress());
   return done{};
 }
 
@@ -230,10 +245,8 @@
     GiveUpLeadership();
   };
   hooks.deposed = [this] { EndLeadership(); };
-  member = std::make_unique<membership>(
-      context,
-      context.settings.ip + ":" + std::to_string(context.settings.first_port),
-      std::move(hooks));
+  member =
+      std::make_unique<membership>(context, PeerAddress(), std::move(hooks));
 }
 
 void node::impl::Lead(const election& won) {
--- a/src/programs/node.cc
+++ b/src/programs/node.cc
@@ -26,35 +26,9 @@
   return platform::DecodeNodeSettings(path, text.str());
 }
 
-}  // namespace
-
-// Runs one node until SIGTERM. With --check, reports what is wrong with the
-// settings file and exits with 1 if anything is.
-int main(int argc, char** argv) {
-  const bool check = argc > 1 && std::string_view(argv[1]) == "--check";
-  const char* variable = std::getenv(platform::kSettingsVariable);
-  const std::string path = argc > (check ? 2 : 1) ? argv[check ? 2 : 1]
-                           : variable             ? variable
-                                                  : "";
-  if (path.empty()) {
-    std::cerr << "no settings file: set " << platform::kSettingsVariable
-              << " or name one\n";
-    return 2;
-  }
-  const auto decoded = ReadSettings(path);
-  for (const finding& problem : decoded.findings) {
-    std::cerr << FormatFinding(problem) << '\n';
-  }
-  if (check || !decoded.findings.empty()) {
-    return decoded.findings.empty() ? 0 : 1;
-  }
-  signal(SIGPIPE, SIG_IGN);
-  // A reader of the log that does not read must not stop the node.
-  static line_output log_lines(STDOUT_FILENO);
-  std::cout.rdbuf(&log_lines);
-  ConfigureLogs("radishwing-node", log_level::kInfo);
+int RunNode(const std::string& path, const fleet::node_settings& settings) {
   boost::asio::io_context io(1);
-  auto made = node::node::Make(io, decoded.settings, [&io] { io.stop(); });
+  auto made = node::node::Make(io, settings, [&io] { io.stop(); });
   if (!Ok(made)) {
     LogError("node", "cannot start, error=" + Error(made).message);
     return 1;
@@ -82,3 +56,33 @@
   LogInfo("node", "exited");
   return 0;
 }
+
+}  // namespace
+
+// Runs one node until SIGTERM. With --check, reports what is wrong with the
+// settings file and exits with 1 if anything is.
+int main(int argc, char** argv) {
+  const bool check = argc > 1 && std::string_view(argv[1]) == "--check";
+  const char* variable = std::getenv(platform::kSettingsVariable);
+  const std::string path = argc > (check ? 2 : 1) ? argv[check ? 2 : 1]
+                           : variable             ? variable
+                                                  : "";
+  if (path.empty()) {
+    std::cerr << "no settings file: set " << platform::kSettingsVariable
+              << " or name one\n";
+    return 2;
+  }
+  const auto decoded = ReadSettings(path);
+  for (const finding& problem : decoded.findings) {
+    std::cerr << FormatFinding(problem) << '\n';
+  }
+  if (check || !decoded.findings.empty()) {
+    return decoded.findings.empty() ? 0 : 1;
+  }
+  signal(SIGPIPE, SIG_IGN);
+  // A reader of the log that does not read must not stop the node.
+  static line_output log_lines(STDOUT_FILENO);
+  std::cout.rdbuf(&log_lines);
+  ConfigureLogs("radishwing-node", log_level::kInfo);
+  return RunNode(path, decoded.settings);
+}
--- a/src/sched/pool_planner.cc
+++ b/src/sched/pool_planner.cc
@@ -45,16 +45,12 @@
   return blocked_at_ >= 0 && now - blocked_at_ >= kStandbyAfterMs;
 }
 
-std::vector<host_move> pool_planner::Plan(
-    millis now, std::span<const pool_host> hosts,
+// Pools with work that found no runner, the neediest first.
+std::vector<pool_planner::need> pool_planner::FindNeeds(
+    std::span<const pool_host> hosts,
     const std::map<std::string, pool_demand>& demand) {
-  TrackIdle(now, hosts);
-  struct need {
-    std::string pool;
-    double shortage = 0;  ///< Thousandths of a core.
-  };
   std::vector<need> needs;
-  std::map<std::string, std::int64_t> free_cpu;
+  free_cpu_.clear();
   for (const auto& [pool, asked] : demand) {
     std::int64_t arriving = 0;
     std::int64_t host_cpu = 0;
@@ -62,7 +58,7 @@
       host_cpu = std::max(host_cpu, host.cpu_millis);
       if (host.pool == pool && host.arriving) arriving += host.cpu_millis;
     }
-    free_cpu[pool] = asked.room_cpu_millis - asked.used_cpu_millis + arriving;
+    free_cpu_[pool] = asked.room_cpu_millis - asked.used_cpu_millis + arriving;
     double shortage = asked.blocked_core_ms / kHorizonMs * 1000;
     if (asked.blocked_lasting > 0) {
       // Free room elsewhere in the pool does not help a task that may not
@@ -75,7 +71,15 @@
   std::ranges::sort(needs, [](const need& a, const need& b) {
     return a.shortage > b.shortage;
   });
-  std::map<std::string, std::int64_t> spare_cpu = free_cpu;
+  return needs;
+}
+
+// Hosts that may leave their pool, those that are running already first: they
+// cost the same in another one.
+std::vector<const pool_host*> pool_planner::FindSources(
+    millis now, std::span<const pool_host> hosts,
+    std::span<const need> needs) const {
+  std::map<std::string, std::int64_t> spare_cpu = free_cpu_;
   std::vector<const pool_host*> sources;
   for (const pool_host& host : hosts) {
     if (!host.available || host.arriving) continue;
@@ -93,10 +97,17 @@
     }
     sources.push_back(&host);
   }
-  // Hosts that are running already come first: they cost the same there.
-  std::stable_partition(
-      sources.begin(), sources.end(),
-      [&](const pool_host* host) { return host->pool != standby_; });
+  std::ranges::stable_partition(
+      sources, [&](const pool_host* host) { return host->pool != standby_; });
+  return sources;
+}
+
+std::vector<host_move> pool_planner::Plan(
+    millis now, std::span<const pool_host> hosts,
+    const std::map<std::string, pool_demand>& demand) {
+  TrackIdle(now, hosts);
+  std::vector<need> needs = FindNeeds(hosts, demand);
+  const auto sources = FindSources(now, hosts, needs);
   std::vector<host_move> moves;
   auto next = sources.begin();
   for (need& wanted : needs) {
@@ -104,14 +115,14 @@
       const pool_host& host = **next++;
       moves.push_back({host.name, wanted.pool});
       wanted.shortage -= static_cast<double>(host.cpu_millis);
-      free_cpu[host.pool] -= host.cpu_millis;
+      free_cpu_[host.pool] -= host.cpu_millis;
     }
   }
   if (standby_.empty() || !Calm(now, demand)) return moves;
   for (; next != sources.end(); ++next) {
     const pool_host& host = **next;
     if (host.pool == standby_ || IdleFor(now, host) < kStandbyAfterMs) continue;
-    std::int64_t& left = free_cpu[host.pool];
+    std::int64_t& left = free_cpu_[host.pool];
     if (left - host.cpu_millis < kReserveMillis) continue;
     left -= host.cpu_millis;
     moves.push_back({host.name, standby_});
--- a/src/sched/pool_planner.h
+++ b/src/sched/pool_planner.h
@@ -39,12 +39,24 @@
                               const std::map<std::string, pool_demand>& demand);
 
  private:
+  struct need {
+    std::string pool;
+    double shortage = 0;  ///< Thousandths of a core.
+  };
+
+  std::vector<need> FindNeeds(std::span<const pool_host> hosts,
+                              const std::map<std::string, pool_demand>& demand);
+  std::vector<const pool_host*> FindSources(millis now,
+                                            std::span<const pool_host> hosts,
+                                            std::span<const need> needs) const;
   void TrackIdle(millis now, std::span<const pool_host> hosts);
   millis IdleFor(millis now, const pool_host& host) const;
   bool Calm(millis now, const std::map<std::string, pool_demand>& demand);
 
   std::string standby_;
   std::map<std::string, millis> empty_since_;
+  /// Of each pool, as of this plan; thousandths of a core.
+  std::map<std::string, std::int64_t> free_cpu_;
   millis blocked_at_ = -1;  ///< When work last waited in any pool; -1: never.
 };
 
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -163,6 +163,15 @@
   void EnsureRepetition(const fleet::task_name& name);
   void ApplyEnd(const std::string& runner, const fleet::listed_end& end,
                 millis now, std::vector<recorded_end>& out);
+  void LearnFromEnd(const task_ref& ref, const fleet::listed_end& end,
+                    const std::string& runner, millis now);
+  void CountEnd(const task_ref& ref, const fleet::listed_end& end);
+  static void StopAnswered(run_state& run, fleet::order_outcome outcome,
+                           millis now);
+  void StartAnswered(const order& order, const task_ref& ref, run_state& run,
+                     fleet::order_outcome outcome, millis now);
+  /// Gives a runner no start for a moment after it has refused one.
+  void PauseRunner(const std::string& id, millis now);
   void EndRun(task_ref& ref, const fleet::task_name& name,
               const fleet::listed_end& end, const std::string& runner,
               millis now);
@@ -195,6 +204,8 @@
   void CreateRepetitions(job_state& job, millis unix_now);
   static std::string StepName(const job_state& job, int repetition,
                               int step_number);
+  void NoRunnerFound(const job_state& job, const fleet::task_step& step,
+                     const std::string& step_name, millis now);
   void AskAdvice(const job_state& job, const fleet::task_step& step,
                  const std::string& step_name, millis now);
   static bool StartRecorded(const job_state& job);
--- a/src/sched/scheduler_listing.cc
+++ b/src/sched/scheduler_listing.cc
@@ -76,24 +76,18 @@
   out.push_back({end.number, job.record.id, job.change});
 }
 
-void scheduler::EndRun(task_ref& ref, const fleet::task_name& name,
-                       const fleet::listed_end& end, const std::string& runner,
-                       millis now) {
-  task_state& task = *ref.task;
+// What the end says about the runner and about run times.
+void scheduler::LearnFromEnd(const task_ref& ref, const fleet::listed_end& end,
+                             const std::string& runner, millis now) {
   millis took = 0;
   bool was_paced = false;
-  for (const run_state& run : task.runs) {
+  for (const run_state& run : ref.task->runs) {
     if (run.runner != runner || run.run != end.run) continue;
     if (run.confirmed_at > 0) took = now - run.confirmed_at;
     was_paced = run.pace < 100 || run.confirmed_at == 0;
   }
-  events_.push_back({event_kind::kTaskEnded, name, end.run, runner,
+  events_.push_back({event_kind::kTaskEnded, end.task, end.run, runner,
                      std::string(EndName(end.how)), took});
-  task.last_run = std::max(task.last_run, end.run);
-  if (!end.checkpoint.empty() && end.checkpoint != task.checkpoint) {
-    task.checkpoint = end.checkpoint;
-    MarkChanged(*ref.job);
-  }
   runner_state& host = runners_[runner];
   if (end.how == fleet::run_end::kDone) {
     host.failures_in_row = 0;
@@ -102,42 +96,57 @@
     }
   } else if (end.how == fleet::run_end::kFailed) {
     ++host.failures_in_row;
-    task.failed_on = runner;
+    ref.task->failed_on = runner;
   }
-  const bool finished_before = ref.job->Finished();
-  if (!finished_before && end.how == fleet::run_end::kDone && !task.done &&
-      !ref.step->long_running) {
+}
+
+// Steps that last have neither a good end nor a number of attempts.
+void scheduler::CountEnd(const task_ref& ref, const fleet::listed_end& end) {
+  task_state& task = *ref.task;
+  if (ref.job->Finished() || ref.step->long_running) return;
+  if (end.how == fleet::run_end::kDone && !task.done) {
     task.done = true;
     ++ref.state->done_count;
-    MarkChanged(*ref.job);
     if (ref.step->gang) {
       for (task_state& member : ref.state->tasks) member.done = true;
       ref.state->done_count = static_cast<int>(ref.state->tasks.size());
     }
+    MarkChanged(*ref.job);
   }
-  if (!finished_before && end.how == fleet::run_end::kFailed &&
-      !ref.step->long_running &&
+  if (end.how == fleet::run_end::kFailed &&
       std::ranges::find(task.failed_runs, end.run) == task.failed_runs.end()) {
     task.failed_runs.push_back(end.run);
     MarkChanged(*ref.job);
   }
-  const bool exhausted =
-      !task.done &&
-      static_cast<int>(task.failed_runs.size()) >= ref.job->record.attempts;
+}
+
+void scheduler::EndRun(task_ref& ref, const fleet::task_name& name,
+                       const fleet::listed_end& end, const std::string& runner,
+                       millis now) {
+  task_state& task = *ref.task;
+  const bool finished_before = ref.job->Finished();
+  const bool good = end.how == fleet::run_end::kDone;
+  LearnFromEnd(ref, end, runner, now);
+  task.last_run = std::max(task.last_run, end.run);
+  if (!end.checkpoint.empty() && end.checkpoint != task.checkpoint) {
+    task.checkpoint = end.checkpoint;
+    MarkChanged(*ref.job);
+  }
+  CountEnd(ref, end);
   if (task.done) {
     for (run_state& copy : task.runs) {
       if (copy.run != end.run) RequestStop(name, copy, "copy_done", now);
     }
   }
-  const bool may_fail = exhausted && !ref.step->long_running;
-  if (!finished_before && end.how == fleet::run_end::kDone) {
-    UpdateChain(*ref.job);
-  }
+  const bool exhausted =
+      !task.done && !ref.step->long_running &&
+      static_cast<int>(task.failed_runs.size()) >= ref.job->record.attempts;
+  if (!finished_before && good) UpdateChain(*ref.job);
   DetachRun(name, ref, runner, end.run);
   if (finished_before) return;  // The job's tasks may have been released.
-  if (may_fail) {
+  if (exhausted) {
     FinishJob(*ref.job, job_phase::kFailed, now);
-  } else if (end.how == fleet::run_end::kDone) {
+  } else if (good) {
     FinishStepOrJob(ref, now);
   }
 }
@@ -230,37 +239,44 @@
 
 void scheduler::OrderAnswered(const order& order, fleet::order_outcome outcome,
                               millis now) {
-  using fleet::order_outcome;
   if (order.kind == order_kind::kPace) return;
   const task_ref ref = FindTask(order.task);
   if (!ref.task) return;
   const auto it = FindRun(*ref.task, order.runner, order.run);
   if (it == ref.task->runs.end()) return;
-  run_state& run = *it;
   if (order.kind == order_kind::kStop) {
-    run.order_in_flight = false;
-    run.retry_at = now + kRefusalPauseMs;
-    if (outcome == order_outcome::kAccepted ||
-        outcome == order_outcome::kOldRun) {
-      run.stop_confirmed = true;
-      run.confirmed_at = now;
-    }
-    return;
+    StopAnswered(*it, outcome, now);
+  } else if (it->phase == run_phase::kStopping) {
+    if (outcome == fleet::order_outcome::kUnknown) it->unanswered = true;
+  } else {
+    StartAnswered(order, ref, *it, outcome, now);
   }
-  if (run.phase == run_phase::kStopping) {
-    if (outcome == order_outcome::kUnknown) run.unanswered = true;
+}
+
+void scheduler::StopAnswered(run_state& run, fleet::order_outcome outcome,
+                             millis now) {
+  run.order_in_flight = false;
+  run.retry_at = now + kRefusalPauseMs;
+  if (outcome != fleet::order_outcome::kAccepted &&
+      outcome != fleet::order_outcome::kOldRun) {
     return;
   }
+  run.stop_confirmed = true;
+  run.confirmed_at = now;
+}
+
+void scheduler::StartAnswered(const order& order, const task_ref& ref,
+                              run_state& run, fleet::order_outcome outcome,
+                              millis now) {
+  using fleet::order_outcome;
   run.order_in_flight = false;
-  const auto host = runners_.find(order.runner);
   switch (outcome) {
     case order_outcome::kAccepted:
     case order_outcome::kOldRun:  // The listing tells how it ended.
-      if (run.phase == run_phase::kStarting) {
-        run.phase = run_phase::kRunning;
-        run.confirmed_at = now;
-        run.progress_at = now;
-      }
+      if (run.phase != run_phase::kStarting) return;
+      run.phase = run_phase::kRunning;
+      run.confirmed_at = now;
+      run.progress_at = now;
       return;
     case order_outcome::kUnknown:
       run.unanswered = true;
@@ -269,30 +285,35 @@
     case order_outcome::kNotSent:
     case order_outcome::kUnhealthy:
     case order_outcome::kNoRoom:
-      if (host != runners_.end()) {
-        host->second.not_before = now + kRefusalPauseMs;
-      }
-      if (run.unanswered) {
-        run.retry_at = now + kRefusalPauseMs;
-        return;
-      }
+      PauseRunner(order.runner, now);
+      run.retry_at = now + kRefusalPauseMs;
+      if (run.unanswered) return;
       break;
     case order_outcome::kBadTicket:
       tickets_.Forget(
           StepName(*ref.job, order.task.repetition, order.task.step),
           order.runner);
+      // The earlier order, with the ticket still valid, may yet be carried out.
+      if (run.unanswered) {
+        return RequestStop(order.task, run, "bad_ticket", now);
+      }
       break;
     case order_outcome::kInvalid:
       ref.task->not_before = now + 10 * kRefusalPauseMs;
       break;
     default:
-      if (host != runners_.end()) {
-        host->second.not_before = now + kRefusalPauseMs;
-      }
+      PauseRunner(order.runner, now);
       break;
   }
   if (run.phase != run_phase::kStarting) return;  // Listed meanwhile.
   GiveUpRun(order.task, ref, run, fleet::OrderOutcomeName(outcome), now);
 }
 
+void scheduler::PauseRunner(const std::string& id, millis now) {
+  const auto runner = runners_.find(id);
+  if (runner != runners_.end()) {
+    runner->second.not_before = now + kRefusalPauseMs;
+  }
+}
+
 }  // namespace radishwing::sched
--- a/src/sched/scheduler_plan.cc
+++ b/src/sched/scheduler_plan.cc
@@ -174,13 +174,8 @@
     runner_state* runner = ChooseRunner(job, step, state, repetition_number,
                                         step_number, task, now);
     if (!runner) {
-      // Runs are only added within a plan, so more will not fit either.
-      if (job.record.ticket_valid_ms > 0) {
-        AskAdvice(job, step, StepName(job, repetition_number, step_number),
-                  now);
-      } else if (step.max_per_runner == 0 && step.required_label.empty()) {
-        no_room_[job.record.pool] = RunnerNeeds(step);
-      }
+      NoRunnerFound(job, step, StepName(job, repetition_number, step_number),
+                    now);
       CountBlocked(job, step, state);
       break;
     }
@@ -192,6 +187,17 @@
   Emit(job, starts, now, out);
 }
 
+// Runs are only added within a plan, so more of the step will not fit either.
+void scheduler::NoRunnerFound(const job_state& job,
+                              const fleet::task_step& step,
+                              const std::string& step_name, millis now) {
+  if (job.record.ticket_valid_ms > 0) {
+    AskAdvice(job, step, step_name, now);
+  } else if (step.max_per_runner == 0 && step.required_label.empty()) {
+    no_room_[job.record.pool] = RunnerNeeds(step);
+  }
+}
+
 // A second run of a step that allows copies is worth its place when the first
 // one is silent or takes much longer than its like.
 bool scheduler::WantsCopy(const job_state& job, const fleet::task_step& step,
--- /dev/null
+++ b/tests/sched/scheduler_rules_test.cc
@@ -0,0 +1,101 @@
+#include <boost/test/unit_test.hpp>
+
+#include "tests/sched/scheduler_fixture.h"
+
+namespace radishwing::sched {
+namespace {
+
+struct scheduler_rules_fixture : scheduler_fixture {
+  static fleet::runner_listing Running(const order& start, double load) {
+    fleet::runner_listing listing;
+    listing.running.push_back({start.task, start.run, "", 100, load});
+    return listing;
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(scheduler_rules, scheduler_rules_fixture)
+
+// Guards against work for a runner that is about to leave (DRAIN).
+BOOST_AUTO_TEST_CASE(draining_runner_gets_no_work) {
+  AddRunner("r1");
+  fleet::runner_report report = subject.FindRunner("r1")->report;
+  report.draining = true;
+  subject.AddRunner(report);
+  AddJob("a", {Step(1)});
+  BOOST_TEST(Plan().empty());
+}
+
+// Guards against a serving task that stays over its target because of the
+// tasks that fill beside it (HARM).
+BOOST_AUTO_TEST_CASE(filling_task_is_paced_down_while_its_neighbour_is_slow) {
+  AddRunner("r1");
+  fleet::task_step serving = Step(1);
+  serving.long_running = true;
+  serving.target_tail_ms = 100;
+  fleet::task_step filling = Step(1);
+  filling.fills = true;
+  AddJob("a", {serving});
+  AddJob("b", {filling});
+  const auto orders = PlanAndAccept();
+  BOOST_REQUIRE_EQUAL(orders.size(), 2u);
+  const order& server = orders[0].task.job == "a" ? orders[0] : orders[1];
+  const order& filler = orders[0].task.job == "a" ? orders[1] : orders[0];
+  fleet::runner_listing listing = Running(server, 120);
+  listing.running.push_back({filler.task, filler.run, "", 10, 900});
+  now += 100;
+  List("r1", listing);
+  const auto slower = Plan();
+  BOOST_REQUIRE_EQUAL(slower.size(), 1u);
+  BOOST_TEST((slower[0].kind == order_kind::kPace));
+  BOOST_TEST(slower[0].percent == 0);
+  listing.running[0].load = 20;
+  now += 100;
+  List("r1", listing);
+  const auto faster = Plan();
+  BOOST_REQUIRE_EQUAL(faster.size(), 1u);
+  BOOST_TEST(faster[0].percent == 100);
+}
+
+// Guards against a repetition that starts before its time (ORDER).
+BOOST_AUTO_TEST_CASE(repetition_starts_at_its_time) {
+  AddRunner("r1");
+  fleet::job_record record;
+  record.id = "a";
+  record.queue = "queue";
+  record.pool = "pool";
+  record.request.steps = {Step(1)};
+  record.request.repetitions = 2;
+  record.request.first_due_ms = now + 500;
+  record.request.interval_ms = 1000;
+  subject.AddJob(std::move(record), false, now, now);
+  BOOST_TEST(Plan().empty());
+  now += 500;
+  const auto first = PlanAndAccept();
+  BOOST_REQUIRE_EQUAL(first.size(), 1u);
+  List("r1", End(1, first[0].task, first[0].run, fleet::run_end::kDone));
+  BOOST_TEST((subject.FindJob("a")->phase == job_phase::kRunning));
+  now += 1000;
+  const auto second = PlanAndAccept();
+  BOOST_REQUIRE_EQUAL(second.size(), 1u);
+  BOOST_TEST(second[0].task.repetition == 1);
+}
+
+// Guards against tasks of a step that share a runner beyond their limit, or
+// that run without the label they need (ROUTE).
+BOOST_AUTO_TEST_CASE(limit_per_runner_and_label_are_kept) {
+  AddRunner("r1");
+  AddRunner("r2");
+  fleet::task_step spread = Step(3);
+  spread.max_per_runner = 1;
+  AddJob("a", {spread});
+  BOOST_TEST(PlanAndAccept().size() == 2u);
+  fleet::task_step labelled = Step(1);
+  labelled.required_label = "big";
+  AddJob("b", {labelled});
+  BOOST_TEST(Plan().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace radishwing::sched
