--- a/src/programs/node.cc
+++ b/src/programs/node.cc
@@ -62,6 +62,9 @@
 // Runs one node until SIGTERM. With --check, reports what is wrong with the
 // settings file and exits with 1 if anything is.
 int main(int argc, char** argv) {
+  // Until the handlers are installed a change of the settings file would end
+  // the process (tools/soak, seed 16).
+  signal(SIGHUP, SIG_IGN);
   const bool check = argc > 1 && std::string_view(argv[1]) == "--check";
   const char* variable = std::getenv(platform::kSettingsVariable);
   const std::string path = argc > (check ? 2 : 1) ? argv[check ? 2 : 1]
--- a/tools/lib/nodes.sh
+++ b/tools/lib/nodes.sh
@@ -2,8 +2,8 @@
 # tools/demo and tools/soak.
 
 dir=$(mktemp -d)
-# Loopback addresses of this run; two runs at the same time do not collide.
-net=127.$((64 + $$ % 128)).0
+# Loopback addresses of this run, of which no other run may have the same.
+: "${net:=127.$((64 + $$ % 128)).$((RANDOM % 250))}"
 declare -A pids
 stop_all() {
   for name in "${!pids[@]}"; do kill -KILL "${pids[$name]}" 2>/dev/null || true; done
@@ -11,6 +11,7 @@
   if [ -n "${KEEP_LOGS:-}" ]; then echo "logs in $dir"; else rm -rf "$dir"; fi
 }
 trap stop_all EXIT
+trap "exit 1" INT TERM
 
 start_node() { # number
   cat >"$dir/n$1.json" <<SETTINGS
@@ -22,6 +23,8 @@
   RADISHWING_NODE_FILE="$dir/n$1.json" build/radishwing-node >>"$dir/n$1.log" 2>&1 &
   pids[n$1]=$!
   disown
+  # The loader runs before the program can handle signals.
+  sleep 0.1
 }
 
 # Starts the stand-ins with three callers' addresses; sets `store` and `fleet`.
