--- a/src/sched/pool_planner.cc
+++ b/src/sched/pool_planner.cc
@@ -97,8 +97,10 @@
     }
     sources.push_back(&host);
   }
-  std::ranges::stable_partition(
-      sources, [&](const pool_host* host) { return host->pool != standby_; });
+  // std::ranges::stable_partition is not understood by clang-tidy 14.
+  std::stable_partition(
+      sources.begin(), sources.end(),
+      [&](const pool_host* host) { return host->pool != standby_; });
   return sources;
 }
 
