End the nodes of a soak at its end

Cause: the table of processes was local to the function that sourced tools/lib/nodes.sh, so that the trap at the end ended nothing and each soak left three nodes.

--- a/tools/lib/nodes.sh
+++ b/tools/lib/nodes.sh
@@ -4,7 +4,8 @@
 dir=$(mktemp -d)
 # Loopback addresses of this run, of which no other run may have the same.
 : "${net:=127.$((64 + $$ % 128)).$((RANDOM % 250))}"
-declare -A pids
+# Global also when sourced in a function: the trap at the end needs it.
+declare -gA pids
 stop_all() {
   for name in "${!pids[@]}"; do kill -KILL "${pids[$name]}" 2>/dev/null || true; done
   wait 2>/dev/null || true
