Bound orders to hosts by the leader's lease

Cause: a leader without a renewal goes on for kLeaderGraceMs, also with orders to hosts. An order could also wait for a connection, or in a socket behind a network partition, until after the lease had ended.

Change: hosts are ordered only while an order that gets no response ends before the lease does (term_lease::MayOrderHosts). The HTTP client asks for the permission again right before the first byte, resets the connection of an abandoned request, and the host client's connections have a limit for unacknowledged bytes. Completed maintenance and moves are taken from the newest list of hosts that has arrived, not from the time of a request that is still unanswered.

Ruled out: a longer pause of the successor, which would delay moves after every takeover and still not bound an order in a socket.

--- a/src/http/client_impl.cc
+++ b/src/http/client_impl.cc
@@ -1,5 +1,6 @@
 #include "src/http/client_impl.h"
 
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -30,6 +31,18 @@
   return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+void SetUnacknowledgedTimeout(boost::asio::ip::tcp::socket& socket,
+                              const boost::asio::ip::tcp::endpoint& endpoint,
+                              millis timeout_ms) {
+  if (timeout_ms == 0) return;
+  boost::system::error_code error;
+  socket.open(endpoint.protocol(), error);
+  if (error) return;  // Connecting reports the error.
+  const int value = static_cast<int>(timeout_ms);
+  static_cast<void>(::setsockopt(socket.native_handle(), IPPROTO_TCP,
+                                 TCP_USER_TIMEOUT, &value, sizeof(value)));
+}
+
 }  // namespace
 
 void client::impl::Enqueue(const exchange_ptr& exchange) {
@@ -50,7 +63,7 @@
   for (const auto& exchange : queued_exchanges) exchange->timer.cancel();
   for (const auto& exchange : active_exchanges) {
     exchange->timer.cancel();
-    CloseConnection(exchange->connection);
+    ResetConnection(exchange->connection);
   }
   queued_exchanges.clear();
   active_exchanges.clear();
@@ -100,6 +113,8 @@
   auto connection = std::make_shared<client_connection>(io);
   exchange->connection = connection;
   ++open_connections;
+  SetUnacknowledgedTimeout(connection->socket, endpoint,
+                           options.unacknowledged_timeout_ms);
   connection->socket.async_connect(
       endpoint, [self = shared_from_this(), exchange,
                  connection](boost::system::error_code error) {
@@ -118,7 +133,24 @@
       });
 }
 
+bool client::impl::MayStillSend(const client_exchange& exchange) {
+  return steady_clock::now() < exchange.deadline &&
+         (!exchange.request.still_permitted ||
+          exchange.request.still_permitted());
+}
+
 void client::impl::WriteRequest(const exchange_ptr& exchange) {
+  if (!MayStillSend(*exchange)) {
+    // Posted, because completing the exchange starts the next queued one, which
+    // may end in the same way.
+    boost::asio::post(io, [self = shared_from_this(), exchange] {
+      if (!self->stopped && exchange->completion) {
+        self->RetryOrFail(exchange, failure_kind::kUnavailable,
+                          "the request may not be sent any more");
+      }
+    });
+    return;
+  }
   exchange->may_have_sent = true;
   exchange->parser.emplace();
   exchange->parser->body_limit(options.max_body_bytes);
@@ -222,7 +254,7 @@
 void client::impl::RetryOrFail(const exchange_ptr& exchange, failure_kind kind,
                                const std::string& error_message) {
   connection_ptr connection = std::exchange(exchange->connection, nullptr);
-  CloseConnection(connection);
+  ResetConnection(connection);
   const bool may_retry = exchange->request.idempotent &&
                          kind == failure_kind::kTimeout &&
                          exchange->attempts_started < kMaxAttempts &&
@@ -261,6 +293,14 @@
   connection->socket.close(ignored);
 }
 
+void client::impl::ResetConnection(const connection_ptr& connection) {
+  if (!connection || connection->closed) return;
+  boost::system::error_code ignored;
+  connection->socket.set_option(boost::asio::socket_base::linger(true, 0),
+                                ignored);
+  CloseConnection(connection);
+}
+
 void client::impl::CloseIdleConnections() {
   for (const auto& connection : idle_connections) CloseConnection(connection);
   idle_connections.clear();
--- a/src/http/client_impl.h
+++ b/src/http/client_impl.h
@@ -59,6 +59,13 @@
   /// exchanges.
   void Complete(const exchange_ptr& exchange, result<client_response> outcome);
   void CloseConnection(const connection_ptr& connection);
+  /// Closes a connection whose request is abandoned. Resets it, so that bytes
+  /// which the server has not received yet are discarded and cannot be executed
+  /// later.
+  void ResetConnection(const connection_ptr& connection);
+  /// Returns false if the time limit of a request is over or its sender may not
+  /// send it any more.
+  static bool MayStillSend(const client_exchange& exchange);
   void CloseIdleConnections();
 
   boost::asio::io_context& io;
--- a/src/http/client_options.h
+++ b/src/http/client_options.h
@@ -24,6 +24,10 @@
   /// request. The client closes connections that exceed this limit only when a
   /// request needs a connection.
   millis max_idle_ms = 20000;
+  /// TCP resets a connection whose sent bytes stay unacknowledged for this
+  /// long, so that a network partition cannot hold a request back and deliver
+  /// it later; 0: the system's default.
+  millis unacknowledged_timeout_ms = 0;
   /// A larger response body fails the request with kInternal.
   std::uint64_t max_body_bytes = 64ull << 20;
 };
--- a/src/http/client_request.h
+++ b/src/http/client_request.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/beast/http/verb.hpp>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,11 @@
   /// connection establishment. When it expires, the client closes the
   /// connection.
   millis attempt_timeout_ms = 1000;
+  /// Called right before an attempt sends its first byte; null: always
+  /// permitted. If it returns false, the request ends without that attempt. A
+  /// request that waited in the queue, or whose process was paused, is thus not
+  /// sent after the sender's permission has ended.
+  std::function<bool()> still_permitted;
 };
 
 }  // namespace radishwing::http
--- a/src/node/host_controller.cc
+++ b/src/node/host_controller.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "src/node/host_controller_impl.h"
+#include "src/sched/term_lease.h"
 
 namespace radishwing::node {
 namespace {
@@ -22,7 +23,8 @@
   if (list_in_flight || now - list_requested_at < kHostListIntervalMs) return;
   if (!host_service_client) {
     auto made = platform::host_client::Make(
-        context.io, context.settings.host_api_address, context.settings.name);
+        context.io, {context.settings.host_api_address, context.settings.name,
+                     sched::kHostOrderTimeoutMs, hooks.may_order_hosts});
     if (!Ok(made)) return;
     host_service_client = std::move(Value(made));
   }
@@ -72,6 +74,7 @@
   RequestHostList();
   if (listed_hosts.empty()) return;
   RemoveEndedMoves();
+  if (!hooks.may_order_hosts()) return;
   for (auto& [number, wave] : waves) {
     if (wave.started_hosts_loaded && !wave.reported_finished)
       ContinueWave(wave);
--- a/src/node/host_controller.h
+++ b/src/node/host_controller.h
@@ -13,9 +13,10 @@
 
 namespace radishwing::node {
 
-/// Maximum time that an order to a host is in transit. It is added to the pause
-/// that the platform requires between orders of two lease holders to the same
-/// host.
+/// Time within which the host service has carried out an order that reached it.
+/// It is added to the pause that the platform requires between orders of two
+/// lease holders to the same host. An order that has not reached the service
+/// ends with the term, see term_lease::MayOrderHosts().
 inline constexpr millis kMaxOrderInFlightMs = 300;
 
 /// Callbacks that report which runners have ended and which ones exist.
@@ -27,6 +28,8 @@
   /// `asked_at`.
   std::function<void(const std::set<std::string>& runners, millis asked_at)>
       hosts_listed;
+  /// Returns true if this node may send orders to hosts.
+  std::function<bool()> may_order_hosts;
 };
 
 /// Controls the hosts during one term of a leader: carries out maintenance
--- a/src/node/host_moves.cc
+++ b/src/node/host_moves.cc
@@ -176,7 +176,7 @@
     if (!host) return true;
     const bool arrived =
         host->pool == move.new_pool && host->state == fleet::host_state::kUp &&
-        list_requested_at > move.ordered_at + context.settings.move_ms;
+        listed_hosts_as_of > move.ordered_at + context.settings.move_ms;
     if (arrived) {
       const sched::runner_state* runner = scheduler.FindRunner(host->runner);
       return move.new_pool == standby_pool || (runner && runner->listed) ||
--- a/src/node/host_waves.cc
+++ b/src/node/host_waves.cc
@@ -53,7 +53,7 @@
     const fleet::host_info* host = FindHost(entry.first);
     const bool up_again =
         host && host->state == fleet::host_state::kUp &&
-        list_requested_at > entry.second + context.settings.maintenance_ms;
+        listed_hosts_as_of > entry.second + context.settings.maintenance_ms;
     return !host || up_again;
   });
   std::vector<std::string> remaining;
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -352,6 +352,10 @@
                                            millis asked_at) {
     raw->DropReplacedRunners(runners, asked_at);
   };
+  hooks.may_order_hosts = [raw = impl_.get()] {
+    return raw->MaySendOrders() &&
+           raw->lease.MayOrderHosts(raw->context.now.Now());
+  };
   impl_->hosts = std::make_unique<host_controller>(
       context, won, impl_->scheduler, std::move(hooks));
   impl_->StartTakeover();
--- a/src/sched/term_lease.h
+++ b/src/sched/term_lease.h
@@ -13,6 +13,12 @@
 /// after the lease may have expired. During a store outage that affects all
 /// nodes, no other node can take over.
 inline constexpr millis kLeaderGraceMs = 6000;
+/// Time after which an order to a host that got no response is abandoned: its
+/// connection is reset, so that the order is not carried out later.
+inline constexpr millis kHostOrderTimeoutMs = 700;
+/// Margin in the end of the permission to order hosts, for the delay between
+/// the check of the permission and the write to the socket.
+inline constexpr millis kHostOrderMarginMs = 150;
 /// Duration of the leader's lease on a runner. Each poll and each start order
 /// renews the lease. The duration is longer than a takeover and shorter than
 /// the longest lease that runners grant.
@@ -42,6 +48,15 @@
     return now - renewed_at_ < kNodeLeaseMs + kLeaderGraceMs;
   }
 
+  /// Returns true if an order to a host that is sent now ends before another
+  /// node can be the leader, also if it gets no response. The platform may
+  /// carry out orders to hosts without a check of the fencing token, so unlike
+  /// other orders, these must not outlast the lease.
+  bool MayOrderHosts(millis now) const {
+    return now - renewed_at_ + kHostOrderTimeoutMs + kHostOrderMarginMs <=
+           kNodeLeaseMs;
+  }
+
   /// Returns true if no other node can be the leader. If the result is false, a
   /// successor may be renewing the leases on runners that this leader cannot
   /// reach, so this leader must not treat such a lease as expired.
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -1,6 +1,8 @@
 #include "src/http/client.h"
 
 #define BOOST_TEST_DYN_LINK
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "src/http/target.h"
@@ -95,6 +97,62 @@
   BOOST_TEST(completion_order == expected, boost::test_tools::per_element());
 }
 
+// Guards against an order that waits for a connection, or in a paused process,
+// and is sent after the sender's permission has ended.
+BOOST_FIXTURE_TEST_CASE(http_client_queued_request_without_permission_is_unsent,
+                        http_fixture) {
+  test_client_options.max_connections = 1;
+  std::vector<server::responder> pending_responders;
+  handler = [&](server_request, server::responder respond) {
+    pending_responders.push_back(std::move(respond));
+  };
+  StartServer();
+  bool permitted = true;
+  std::vector<result<client_response>> outcomes;
+  for (int i = 0; i < 2; ++i) {
+    test_client->Send(
+        {.method = verb::post, .still_permitted = [&] { return permitted; }},
+        [&](result<client_response> r) { outcomes.push_back(std::move(r)); });
+  }
+  RunUntil([&] { return pending_responders.size() == 1; });
+  permitted = false;
+  pending_responders[0]({});
+  RunUntil([&] { return outcomes.size() == 2 || handled_requests == 2; });
+  BOOST_TEST(handled_requests == 1);
+  BOOST_REQUIRE(outcomes.size() == 2);
+  BOOST_TEST(Ok(outcomes[0]));
+  BOOST_TEST((Error(outcomes[1]).kind == failure_kind::kUnavailable));
+}
+
+// Guards against a request that a network partition holds back in the sender's
+// socket and delivers after the sender has given it up. A reset discards it.
+BOOST_FIXTURE_TEST_CASE(http_client_abandoned_request_resets_its_connection,
+                        http_fixture) {
+  using boost::asio::ip::tcp;
+  tcp::acceptor acceptor(io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  tcp::socket accepted(io);
+  std::array<char, 4096> received;
+  boost::system::error_code end_of_connection;
+  std::function<void(boost::system::error_code, std::size_t)> on_read =
+      [&](boost::system::error_code error, std::size_t) {
+        end_of_connection = error;
+        if (!error) {
+          accepted.async_read_some(boost::asio::buffer(received), on_read);
+        }
+      };
+  acceptor.async_accept(accepted, [&](boost::system::error_code) {
+    accepted.async_read_some(boost::asio::buffer(received), on_read);
+  });
+  test_client_options.address =
+      "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  test_client = Value(client::Make(io, test_client_options));
+  const auto outcome =
+      SendRequest({.method = verb::post, .total_timeout_ms = 30});
+  BOOST_TEST((Error(outcome).kind == failure_kind::kTimeout));
+  RunUntil([&] { return end_of_connection.failed(); });
+  BOOST_TEST(end_of_connection == boost::asio::error::connection_reset);
+}
+
 // Guards against a key with special characters that the server decodes as a
 // different key.
 BOOST_AUTO_TEST_CASE(http_target_escapes_round_trip) {
--- a/tests/sched/term_lease_test.cc
+++ b/tests/sched/term_lease_test.cc
@@ -39,6 +39,15 @@
   BOOST_TEST(term_lease::PredecessorLeaseEnd(elected, false) > last_lease);
 }
 
+// A platform that does not check fencing tokens carries out every order that it
+// receives. The last order to a host must end before a successor can send one.
+BOOST_AUTO_TEST_CASE(order_to_a_host_ends_before_the_lease) {
+  millis last_order = kStart;
+  while (subject.MayOrderHosts(last_order + 1)) ++last_order;
+  BOOST_TEST(last_order > kStart);
+  BOOST_TEST(subject.IsExclusive(last_order + kHostOrderTimeoutMs));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tools/demo_fleet.cc
+++ b/tools/demo_fleet.cc
@@ -29,7 +29,7 @@
 namespace json = boost::json;
 
 constexpr millis kTaskDurationMs = 200;
-constexpr millis kSubmitIntervalMs = 40;
+
 constexpr millis kPollIntervalMs = 100;
 constexpr millis kRequestTimeoutMs = 3000;
 // Accepted jobs count as lost if they have not succeeded within this time after
@@ -42,6 +42,7 @@
   std::vector<std::string> client_api_addresses;
   int runner_count = 12;
   millis duration_ms = 20000;
+  millis submit_interval_ms = 40;  ///< Time between two submitted jobs.
   std::uint64_t seed = 1;
   bool inject_faults = false;  ///< True to use a fault_injector.
 };
@@ -151,7 +152,7 @@
       std::snprintf(id, sizeof(id), "%016llx",
                     static_cast<unsigned long long>(next));
       Submit(id, kMaxSubmitAttempts);
-      RunIoFor(kSubmitIntervalMs);
+      RunIoFor(options_.submit_interval_ms);
     }
     if (faults) faults->ClearFaults();
     const millis deadline = clock_.Now() + kCompletionTimeoutMs;
@@ -254,6 +255,8 @@
   app.add_option("--workers", options.runner_count, "Runners to simulate");
   app.add_option("--length-ms", options.duration_ms,
                  "Duration of the load in ms");
+  app.add_option("--submit-interval-ms", options.submit_interval_ms,
+                 "Time between two submitted jobs in ms");
   app.add_option("--seed", options.seed,
                  "Seed for the load generator and the faults");
   app.add_flag("--faults", options.inject_faults,
