--- a/src/http/client_exchange.h
+++ b/src/http/client_exchange.h
@@ -39,8 +39,11 @@
   client::completion completion;
   /// Time by which the complete response must have arrived.
   std::chrono::steady_clock::time_point deadline;
-  /// Expires at the time limit of the current step, see client::impl::ArmTimer.
+  /// Time limit of the current step, see client::impl::ArmTimer.
+  std::chrono::steady_clock::time_point step_deadline;
+  /// Expires at `step_deadline` or earlier.
   boost::asio::steady_timer timer;
+  bool timer_armed = false;  ///< A wait for `timer` is pending.
   /// Null while the request is queued.
   std::shared_ptr<client_connection> connection;
   /// Number of attempts so far, including the current one.
--- a/src/http/client_impl.cc
+++ b/src/http/client_impl.cc
@@ -220,19 +220,29 @@
   } else if (active_exchanges.contains(exchange) && !exchange->connection) {
     expiry = std::min(expiry, now + milliseconds(options.connect_timeout_ms));
   }
+  exchange->step_deadline = expiry;
+  // Setting a timer again costs more than an early wake-up, and most steps end
+  // long before their time limit.
+  if (exchange->timer_armed && exchange->timer.expiry() <= expiry) return;
   exchange->timer.expires_at(expiry);
+  AwaitTimer(exchange);
+}
+
+void client::impl::AwaitTimer(const exchange_ptr& exchange) {
+  exchange->timer_armed = true;
   exchange->timer.async_wait(
       [self = shared_from_this(), exchange](boost::system::error_code error) {
-        if (!error && !self->stopped) self->EndTimedOutWait(exchange);
+        if (error || self->stopped || !exchange->completion) return;
+        exchange->timer_armed = false;
+        if (steady_clock::now() >= exchange->step_deadline) {
+          return self->EndTimedOutWait(exchange);
+        }
+        exchange->timer.expires_at(exchange->step_deadline);
+        self->AwaitTimer(exchange);
       });
 }
 
 void client::impl::EndTimedOutWait(const exchange_ptr& exchange) {
-  // This handler may have been queued before the timer was armed again or the
-  // exchange completed.
-  if (!exchange->completion || steady_clock::now() < exchange->timer.expiry()) {
-    return;
-  }
   if (exchange->connection) {
     // Connections opened at the same time tend to stop responding together, so
     // the client does not reuse the idle connections either.
--- a/src/http/client_impl.h
+++ b/src/http/client_impl.h
@@ -44,10 +44,12 @@
   /// Keeps the connection for reuse or closes it, then completes the exchange
   /// with the parsed response.
   void CompleteWithResponse(const exchange_ptr& exchange);
-  /// Sets the timer to the time limit of the current step: queueing, connecting
-  /// or awaiting the response.
+  /// Sets the time limit of the current step: queueing, connecting or awaiting
+  /// the response. Leaves the timer as it is if it expires before that time.
   void ArmTimer(const exchange_ptr& exchange);
-  /// Called when the timer expires. Ends the current attempt or, if the
+  /// Waits until the timer's expiry, then for the rest of the current step.
+  void AwaitTimer(const exchange_ptr& exchange);
+  /// Called at the time limit of a step. Ends the current attempt or, if the
   /// exchange is queued, completes it with a failure.
   void EndTimedOutWait(const exchange_ptr& exchange);
   /// Closes the connection of a failed attempt, then queues the exchange again
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -12,6 +12,9 @@
 namespace radishwing::node {
 namespace {
 
+// Age up to which a count of the pending jobs is reused. Callers accept a count
+// that is 2,000 ms old.
+constexpr millis kPendingCountMaxAgeMs = 200;
 // Interval of the periodic checks, which include a scheduling pass for due
 // retries, stuck tasks and due repetitions.
 constexpr millis kTickIntervalMs = 100;
@@ -198,21 +201,26 @@
 
 void leader::impl::AcknowledgeSavedRunEnds() {
   for (auto& [id, ends] : pending_acks) {
-    std::uint64_t last_saved_end = 0;
-    while (!ends.empty() &&
-           (ends.front().job.empty() ||
-            scheduler.IsPersisted(ends.front().job,
-                                  ends.front().progress_version))) {
-      last_saved_end = ends.front().end_number;
-      ends.pop_front();
-    }
-    const auto link = links.find(id);
-    if (last_saved_end == 0 || link == links.end()) continue;
-    link->second->Acknowledge(last_saved_end);
-    if (ends.empty()) link->second->ResumePolling();
+    if (!ends.empty()) AcknowledgeSavedRunEnds(id, ends);
   }
 }
 
+void leader::impl::AcknowledgeSavedRunEnds(const std::string& runner,
+                                           std::deque<pending_ack>& ends) {
+  std::uint64_t last_saved_end = 0;
+  while (!ends.empty() &&
+         (ends.front().job.empty() ||
+          scheduler.IsPersisted(ends.front().job,
+                                ends.front().progress_version))) {
+    last_saved_end = ends.front().end_number;
+    ends.pop_front();
+  }
+  const auto link = links.find(runner);
+  if (last_saved_end == 0 || link == links.end()) return;
+  link->second->Acknowledge(last_saved_end);
+  if (ends.empty()) link->second->ResumePolling();
+}
+
 void leader::impl::SaveProgress() {
   if (save_pending || saves_in_flight >= kMaxSavesInFlight || ended) return;
   save_pending = true;
@@ -410,7 +418,14 @@
 }
 
 std::size_t leader::PendingCount(std::string_view queue) const {
-  return impl_->scheduler.PendingJobCount(queue);
+  const millis now = impl_->context.now.Now();
+  if (impl_->pending_counted_at < 0 ||
+      now - impl_->pending_counted_at >= kPendingCountMaxAgeMs) {
+    impl_->pending_counted_at = now;
+    impl_->pending_counts = impl_->scheduler.PendingJobCounts();
+  }
+  const auto it = impl_->pending_counts.find(std::string(queue));
+  return it == impl_->pending_counts.end() ? 0 : it->second;
 }
 
 void leader::SetGauges() { impl_->SetGauges(); }
--- a/src/node/leader_impl.h
+++ b/src/node/leader_impl.h
@@ -120,9 +120,12 @@
   /// Counts a finished job by its outcome in the metrics. Ignores cancelled and
   /// long-running jobs, which have no outcome.
   void CountJobOutcome(const sched::scheduler_event& event);
-  /// For each runner, acknowledges the run ends in the order of their numbers.
-  /// Stops at the first run end that is missing from the stored job progress.
+  /// For each runner, acknowledges the run ends that are stored.
   void AcknowledgeSavedRunEnds();
+  /// Acknowledges the run ends of a runner in the order of their numbers. Stops
+  /// at the first run end that is missing from the stored job progress.
+  void AcknowledgeSavedRunEnds(const std::string& runner,
+                               std::deque<pending_ack>& ends);
   /// Writes the progress of changed jobs to the store after a short delay.
   void SaveProgress();
   /// Handles the store's response to a commit of `writes`, the progress of some
@@ -179,7 +182,10 @@
   /// request; 0: no request has failed.
   millis advice_retry_at = 0;
   bool advice_in_flight = false;
-  sched::plan_pacer pacer;  ///< Determines the delay before each pass.
+  /// Result of scheduler::PendingJobCounts() at `pending_counted_at`.
+  std::map<std::string, std::size_t> pending_counts;
+  millis pending_counted_at = -1;  ///< -1: not counted yet.
+  sched::plan_pacer pacer;         ///< Determines the delay before each pass.
   boost::asio::steady_timer pass_timer;
   boost::asio::steady_timer tick_timer;
   boost::asio::steady_timer retry_timer;  ///< Used by RetryLater().
--- a/src/node/leader_runners.cc
+++ b/src/node/leader_runners.cc
@@ -126,7 +126,7 @@
   for (const sched::recorded_end& end : run_ends) {
     acks.push_back({end.end_number, end.job, end.progress_version});
   }
-  AcknowledgeSavedRunEnds();
+  AcknowledgeSavedRunEnds(id, acks);
   SchedulePass();
   const auto link = links.find(id);
   if (link != links.end()) link->second->SetBusy(scheduler.TaskCount(id) > 0);
--- a/src/sched/runner_state.h
+++ b/src/sched/runner_state.h
@@ -20,6 +20,8 @@
   /// This incarnation of the runner has listed its runs to this leader.
   bool listed = false;
   bool reachable = false;  ///< The runner answered the most recent poll.
+  /// The runner is certainly in the runner set in the store.
+  bool recorded = false;
   /// The runner gets no new tasks because of maintenance or a move of its host.
   bool cordoned = false;
   /// Start time of this incarnation of the runner, on this process's clock.
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -99,12 +99,12 @@
   return it == jobs_.end() ? nullptr : it->second.get();
 }
 
-std::size_t scheduler::PendingJobCount(std::string_view queue) const {
-  return static_cast<std::size_t>(
-      std::ranges::count_if(jobs_, [&](const auto& entry) {
-        const job_state& job = *entry.second;
-        return job.record.queue == queue && !job.started && !job.IsFinished();
-      }));
+std::map<std::string, std::size_t> scheduler::PendingJobCounts() const {
+  std::map<std::string, std::size_t> counts;
+  for (const job_state* job : active_jobs_) {
+    if (!job->started && !job->IsFinished()) ++counts[job->record.queue];
+  }
+  return counts;
 }
 
 std::vector<std::string> scheduler::DropFinishedJobs(millis now,
@@ -125,10 +125,19 @@
 }
 
 void scheduler::AddRunner(const fleet::runner_report& report) {
-  runners_[report.id].report = report;
+  runner_state& runner = runners_[report.id];
+  runner.report = report;
+  runner.recorded = recorded_runners_.contains(report.id);
   pools_stale_ = true;
 }
 
+void scheduler::SetRecordedRunners(std::set<std::string> runners) {
+  recorded_runners_ = std::move(runners);
+  for (auto& [id, runner] : runners_) {
+    runner.recorded = recorded_runners_.contains(id);
+  }
+}
+
 void scheduler::AddUnlistedRunner(const std::string& id,
                                   const std::string& pool,
                                   const std::string& data_centre) {
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -73,8 +73,9 @@
   void CancelJob(const std::string& id, millis now);
   /// Returns the job with the given id, or null if it is not known.
   const job_state* FindJob(const std::string& id) const;
-  /// Returns the number of jobs of `queue` of which no task has started.
-  std::size_t PendingJobCount(std::string_view queue) const;
+  /// Returns the number of jobs of which no task has started, by queue. Queues
+  /// without such a job are missing.
+  std::map<std::string, std::size_t> PendingJobCounts() const;
   std::size_t JobCount() const { return jobs_.size(); }
   /// Drops each job that finished more than `retention_ms` ago, if the job has
   /// no runs left and its final state is persisted. Returns the ids of the
@@ -95,9 +96,7 @@
   /// Sets the ids of the runners that are certainly in the runner set in the
   /// store. Other runners get no tasks, because the next leader polls only the
   /// runners in that set.
-  void SetRecordedRunners(std::set<std::string> runners) {
-    recorded_runners_ = std::move(runners);
-  }
+  void SetRecordedRunners(std::set<std::string> runners);
   /// Removes a runner on which nothing runs or can start any more.
   void RemoveRunner(const std::string& id, millis now);
   /// Resets the state of a runner that has restarted and drops its runs. If the
@@ -257,8 +256,9 @@
   /// Queues a write of the job's progress, unless one is queued or in flight.
   void QueueWrite(job_state& job);
   static void UpdateCriticalPath(job_state& job);
-  /// Rebuilds `pools_` if a runner was added or removed.
-  void IndexPools();
+  /// Rebuilds `pools_` if a runner was added or removed, and
+  /// `schedulable_runners_`.
+  void IndexRunners(millis now);
   /// Frees the steps and repetitions of a finished job that has no runs left.
   void ReleaseFinishedJob(job_state& job);
   /// Recomputes the resources that unlisted runs of an earlier leader may use
@@ -294,10 +294,16 @@
   /// Issues the deferred start orders of jobs whose progress record was written
   /// since the previous pass.
   void IssueDeferredStarts(millis now, std::vector<order>& out);
-  /// Repeats unconfirmed start and stop orders.
-  void PlanRetries(millis now, std::vector<order>& out);
-  /// Queues stop orders for runs without progress.
-  void PlanStuckStops(millis now);
+  /// Repeats unconfirmed start and stop orders, and queues stop orders for runs
+  /// without progress.
+  void CheckRuns(millis now, std::vector<order>& out);
+  /// Repeats the start or stop order of a run if it is unconfirmed and due.
+  void RetryOrder(const fleet::task_name& name, const task_ref& ref,
+                  run_state& run, const runner_state& runner, millis now,
+                  std::vector<order>& out) const;
+  /// Queues a stop order for a run without progress.
+  void StopIfStuck(const fleet::task_name& name, const task_ref& ref,
+                   run_state& run, runner_state& runner, millis now);
   /// Slows best-effort tasks down while a latency-sensitive task on the same
   /// runner is near its target.
   void PlanPace(millis now, std::vector<order>& out);
@@ -319,10 +325,10 @@
                              millis now);
   /// Returns true if the runner accepts new tasks.
   bool IsSchedulable(const runner_state& runner, millis now) const;
-  /// Returns true if the runner accepts new tasks and has the label and the
-  /// free capacity that a task of the step needs.
-  bool CanPlaceStep(const runner_state& runner, const fleet::task_step& step,
-                    millis now) const;
+  /// Returns true if the runner has the label and the free capacity that a task
+  /// of the step needs.
+  bool CanPlaceStep(const runner_state& runner,
+                    const fleet::task_step& step) const;
   /// Returns true if a task that has a run should get a speculative copy.
   bool NeedsCopy(const job_state& job, const fleet::task_step& step,
                  const task_state& task, millis now) const;
@@ -379,6 +385,8 @@
   /// Runners by pool name; stale until IndexPools() if `pools_stale_` is true.
   std::map<std::string, std::vector<runner_state*>> pools_;
   bool pools_stale_ = true;  ///< True if `pools_` has to be rebuilt.
+  /// By pool name, the runners that accept new tasks in this pass.
+  std::map<std::string, std::vector<runner_state*>> schedulable_runners_;
   /// By pool name, the most recent task needs for which this pass found no
   /// runner.
   std::map<std::string, fleet::resources> unplaceable_needs_;
--- a/src/sched/scheduler_advice.cc
+++ b/src/sched/scheduler_advice.cc
@@ -30,9 +30,9 @@
                               const fleet::task_step& step,
                               const std::string& step_name, millis now) {
   std::vector<const runner_state*> unknown;
-  for (const runner_state* runner : pools_[job.record.pool]) {
+  for (const runner_state* runner : schedulable_runners_[job.record.pool]) {
     const std::string& id = runner->report.id;
-    if (CanPlaceStep(*runner, step, now) && !tickets_.IsDenied(step_name, id) &&
+    if (CanPlaceStep(*runner, step) && !tickets_.IsDenied(step_name, id) &&
         !tickets_.Find(step_name, id, now)) {
       unknown.push_back(runner);
     }
--- a/src/sched/scheduler_listing.cc
+++ b/src/sched/scheduler_listing.cc
@@ -222,9 +222,8 @@
 void scheduler::DropMissingRuns(const std::string& id,
                                 const fleet::runner_listing& listing,
                                 millis sent_at, millis now) {
-  const runner_state& runner = runners_[id];
-  const std::set<fleet::task_name> tasks = runner.tasks;
-  for (const fleet::task_name& name : tasks) {
+  std::vector<fleet::task_name> missing;
+  for (const fleet::task_name& name : runners_[id].tasks) {
     const task_ref ref = FindTask(name);
     if (!ref.task) continue;
     const auto it = std::ranges::find(ref.task->runs, id, &run_state::runner);
@@ -239,7 +238,11 @@
         std::ranges::any_of(listing.running, [&](const fleet::listed_run& run) {
           return run.task == name && run.run == it->run;
         });
-    if (present) continue;
+    if (!present) missing.push_back(name);
+  }
+  for (const fleet::task_name& name : missing) {
+    const task_ref ref = FindTask(name);
+    const auto it = std::ranges::find(ref.task->runs, id, &run_state::runner);
     AbandonRun(name, ref, *it, "not_listed", now);
   }
 }
--- a/src/sched/scheduler_plan.cc
+++ b/src/sched/scheduler_plan.cc
@@ -43,8 +43,7 @@
   if (now - last_housekeeping_at_ >= kHousekeepingIntervalMs) {
     last_housekeeping_at_ = now;
     for (job_state* job : active_jobs_) CreateRepetitions(*job, unix_now);
-    PlanStuckStops(now);
-    PlanRetries(now, out);
+    CheckRuns(now, out);
     PlanPace(now, out);
   }
   IssueDeferredStarts(now, out);
@@ -54,12 +53,20 @@
   return out;
 }
 
-void scheduler::IndexPools() {
-  if (!pools_stale_) return;
-  pools_stale_ = false;
-  pools_.clear();
-  for (auto& [id, runner] : runners_) {
-    pools_[runner.report.pool].push_back(&runner);
+void scheduler::IndexRunners(millis now) {
+  if (pools_stale_) {
+    pools_stale_ = false;
+    pools_.clear();
+    for (auto& [id, runner] : runners_) {
+      pools_[runner.report.pool].push_back(&runner);
+    }
+  }
+  schedulable_runners_.clear();
+  for (const auto& [pool, runners] : pools_) {
+    for (runner_state* runner : runners) {
+      if (IsSchedulable(*runner, now))
+        schedulable_runners_[pool].push_back(runner);
+    }
   }
 }
 
@@ -117,7 +124,7 @@
   unlisted_sites_.clear();
   for (const auto& [id, site] : unlisted_runners_) unlisted_sites_.insert(site);
   UpdateUnlistedUsage();
-  IndexPools();
+  IndexRunners(now);
   unplaceable_needs_.clear();
   blocked_demand_.clear();
   advice_requests_.clear();
@@ -343,13 +350,11 @@
 bool scheduler::IsSchedulable(const runner_state& runner, millis now) const {
   return runner.listed && runner.reachable && !runner.cordoned &&
          !runner.has_unknown_runs && !runner.report.draining &&
-         now >= runner.not_before &&
-         recorded_runners_.contains(runner.report.id);
+         now >= runner.not_before && runner.recorded;
 }
 
 bool scheduler::CanPlaceStep(const runner_state& runner,
-                             const fleet::task_step& step, millis now) const {
-  if (!IsSchedulable(runner, now)) return false;
+                             const fleet::task_step& step) const {
   if (!step.required_label.empty() &&
       std::ranges::find(runner.report.labels, step.required_label) ==
           runner.report.labels.end()) {
@@ -376,10 +381,10 @@
       if (gang_runner) gang_rack = gang_runner->report.rack;
     }
   }
-  for (runner_state* candidate : pools_[job.record.pool]) {
+  for (runner_state* candidate : schedulable_runners_[job.record.pool]) {
     runner_state& runner = *candidate;
     const std::string& id = runner.report.id;
-    if (!CanPlaceStep(runner, step, now)) continue;
+    if (!CanPlaceStep(runner, step)) continue;
     if (!step_name.empty() && !tickets_.Find(step_name, id, now)) continue;
     if (std::ranges::find(task.runs, id, &run_state::runner) !=
         task.runs.end()) {
--- a/src/sched/scheduler_runs.cc
+++ b/src/sched/scheduler_runs.cc
@@ -23,54 +23,49 @@
 
 }  // namespace
 
-void scheduler::PlanRetries(millis now, std::vector<order>& out) {
+void scheduler::CheckRuns(millis now, std::vector<order>& out) {
   for (auto& [id, runner] : runners_) {
     for (const fleet::task_name& name : runner.tasks) {
       const task_ref ref = FindTask(name);
       if (!ref.task) continue;
       for (run_state& run : ref.task->runs) {
-        if (run.runner != id || run.order_in_flight || now < run.retry_at) {
-          continue;
-        }
-        const bool stop =
-            run.phase == run_phase::kStopping && !run.stop_confirmed;
-        const bool start =
-            run.phase == run_phase::kStarting && run.start_unanswered;
-        if (!stop && !start) continue;
-        // Do not repeat a start order to an unreachable runner: the order would
-        // extend the leader's lease on the runner, which has to expire before
-        // the task can start on another runner.
-        if (start && !runner.reachable) continue;
-        run.order_in_flight = true;
-        order retry = MakeStartOrder(name, ref, id, run.run, now);
-        if (stop) retry = {order_kind::kStop, id, name, run.run, "", "", 100};
-        retry.reason = "retry";
-        out.push_back(std::move(retry));
+        if (run.runner != id) continue;
+        StopIfStuck(name, ref, run, runner, now);
+        RetryOrder(name, ref, run, runner, now, out);
       }
     }
   }
 }
 
-void scheduler::PlanStuckStops(millis now) {
-  for (auto& [id, runner] : runners_) {
-    if (!runner.reachable) continue;
-    for (const fleet::task_name& name : runner.tasks) {
-      const task_ref ref = FindTask(name);
-      if (!ref.task || ref.step->gang) continue;
-      for (run_state& run : ref.task->runs) {
-        if (run.runner != id || run.phase != run_phase::kRunning) continue;
-        const bool complete = run.progress_percent >= 100;
-        if (complete || run.pace_percent < 100 ||
-            now - run.progress_at < kStuckTimeoutMs) {
-          continue;
-        }
-        runner.consecutive_failures =
-            std::max(runner.consecutive_failures, kSuspectFailureThreshold);
-        ref.task->last_failed_runner = id;
-        RequestStop(name, run, "stuck", now);
-      }
-    }
+void scheduler::RetryOrder(const fleet::task_name& name, const task_ref& ref,
+                           run_state& run, const runner_state& runner,
+                           millis now, std::vector<order>& out) const {
+  if (run.order_in_flight || now < run.retry_at) return;
+  const bool stop = run.phase == run_phase::kStopping && !run.stop_confirmed;
+  const bool start = run.phase == run_phase::kStarting && run.start_unanswered;
+  if (!stop && !start) return;
+  // Do not repeat a start order to an unreachable runner: the order would
+  // extend the leader's lease on the runner, which has to expire before the
+  // task can start on another runner.
+  if (start && !runner.reachable) return;
+  run.order_in_flight = true;
+  order retry = MakeStartOrder(name, ref, run.runner, run.run, now);
+  if (stop) retry = {order_kind::kStop, run.runner, name, run.run, "", "", 100};
+  retry.reason = "retry";
+  out.push_back(std::move(retry));
+}
+
+void scheduler::StopIfStuck(const fleet::task_name& name, const task_ref& ref,
+                            run_state& run, runner_state& runner, millis now) {
+  if (!runner.reachable || ref.step->gang) return;
+  if (run.phase != run_phase::kRunning || run.progress_percent >= 100 ||
+      run.pace_percent < 100 || now - run.progress_at < kStuckTimeoutMs) {
+    return;
   }
+  runner.consecutive_failures =
+      std::max(runner.consecutive_failures, kSuspectFailureThreshold);
+  ref.task->last_failed_runner = run.runner;
+  RequestStop(name, run, "stuck", now);
 }
 
 bool scheduler::HasTaskOfKind(const runner_state& runner,
--- a/tests/ctl/app_test.cc
+++ b/tests/ctl/app_test.cc
@@ -1,6 +1,9 @@
 #include "src/ctl/app.h"
 
+#include <unistd.h>
+
 #include <boost/test/unit_test.hpp>
+#include <filesystem>
 #include <fstream>
 #include <map>
 #include <sstream>
@@ -15,6 +18,14 @@
 
 constexpr const char* kJobId = "00000000000000a1";
 
+/// Returns the path of a file in the system's folder for temporary files. The
+/// process id keeps concurrent runs of the tests apart.
+std::string TemporaryFile(const std::string& name) {
+  return (std::filesystem::temp_directory_path() /
+          (std::to_string(::getpid()) + "-" + name))
+      .string();
+}
+
 /// Runs radishwingctl commands on a store that is held in memory.
 struct app_fixture {
   app_fixture() {
@@ -121,7 +132,7 @@
 // The output of `explain` must include the events of the job's runner after the
 // start of the task. It must not include events of other runners.
 BOOST_AUTO_TEST_CASE(explain_merges_lines_of_job_runner_and_leader) {
-  const std::string log = "explain_test.log";
+  const std::string log = TemporaryFile("explain_test.log");
   std::ofstream(log)
       << "2026-12-04 10:00:00,000 INFO n1 runner: runner lost, runner=w0 x=1\n"
       << "2026-12-04 10:00:01,000 INFO n1 sched: task started, task=" << kJobId
@@ -138,14 +149,16 @@
   BOOST_TEST(!OutputContains("x=3"));
   BOOST_TEST(Run({"explain", "00000000000000ff", log}) ==
              static_cast<int>(exit_code::kNotFound));
+  std::filesystem::remove(log);
 }
 
 BOOST_AUTO_TEST_CASE(settings_check_reports_location) {
-  const std::string file = "settings_test.json";
+  const std::string file = TemporaryFile("settings_test.json");
   std::ofstream(file) << "{\"fleet\": {\"name\": 5}}\n";
   BOOST_TEST(Run({"settings", "check", file}) ==
              static_cast<int>(exit_code::kFindings));
   BOOST_TEST(err.str().find("settings_test.json:1:") != std::string::npos);
+  std::filesystem::remove(file);
 }
 
 BOOST_AUTO_TEST_CASE(unknown_command_is_usage_error) {
