Contain malformed messages and unexpected errors

Cause: an exception in any handler ended the process, and one accepted job could end every leader in turn: repetitions of 2,000,000,000 that are all due were created at once, counts wrapped to int, and numbers beyond int64 were converted, which is undefined.

Change: the event loop goes on after a handler that throws; a node that leads gives its term up, as its state is suspect.

--- a/src/node/node_server.cc
+++ b/src/node/node_server.cc
@@ -132,6 +132,7 @@
 }
 
 std::string node_server::impl::PeerAddress() const {
+  if (peer_server) return peer_server->Address();
   return context.settings.ip + ":" +
          std::to_string(context.settings.first_port);
 }
@@ -345,6 +346,18 @@
   return std::unique_ptr<node_server>(new node_server(std::move(state)));
 }
 
+std::string node_server::ClientApiAddress() const {
+  return impl_->client_api_server->Address();
+}
+
+void node_server::RecoverFromError(std::string_view error) {
+  impl_->context.log.InfoUnlimited(
+      "node", "unexpected error, leading=" +
+                  std::string(impl_->local_leader ? "1" : "0") +
+                  " error=" + std::string(error));
+  if (impl_->local_leader) impl_->EndLeadershipAndResign();
+}
+
 void node_server::Reload(const fleet::node_settings& settings) {
   fleet::node_settings& applied = impl_->context.settings;
   applied.shutdown_grace_ms = settings.shutdown_grace_ms;
--- a/src/node/node_server.h
+++ b/src/node/node_server.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "src/base/result.h"
 #include "src/fleet/node_settings.h"
@@ -23,6 +24,13 @@
       std::function<void()> stopped);
   ~node_server();
 
+  /// Returns the address at which the node serves clients. If the settings ask
+  /// for port 0, it contains the port that the system chose.
+  std::string ClientApiAddress() const;
+  /// Ends the node's leadership, if it has one, after an unexpected error: the
+  /// leader's state may be inconsistent, and the next leader loads it anew from
+  /// the store. Everything else goes on.
+  void RecoverFromError(std::string_view error);
   /// Applies the time limits in `settings`, but no other changes.
   void Reload(const fleet::node_settings& settings);
   /// Starts a shutdown and returns: the node hands over its leadership, serves
--- a/src/programs/node.cc
+++ b/src/programs/node.cc
@@ -13,6 +13,7 @@
 #include "platform/node_settings_codec.h"
 #include "src/base/line_streambuf.h"
 #include "src/base/log.h"
+#include "src/node/contained_run.h"
 #include "src/node/node_server.h"
 
 namespace {
@@ -54,7 +55,8 @@
         signals.async_wait(on_signal);
       };
   signals.async_wait(on_signal);
-  io.run();
+  node::RunContained(
+      io, [&](std::string_view error) { node->RecoverFromError(error); });
   LogInfo("node", "exited");
   return 0;
 }
--- a/tests/node/node_fixture.cc
+++ b/tests/node/node_fixture.cc
@@ -1,6 +1,5 @@
 #include "tests/node/node_fixture.h"
 
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 #include <chrono>
@@ -15,14 +14,11 @@
 constexpr std::chrono::seconds kHangTimeout{60};
 constexpr millis kTaskMs = 60;
 
-int FreePort() {
-  boost::asio::io_context io;
-  boost::asio::ip::tcp::acceptor acceptor(
-      io, {boost::asio::ip::make_address("127.0.0.1"), 0});
-  return acceptor.local_endpoint().port();
-}
-
-std::string Local(int port) { return "127.0.0.1:" + std::to_string(port); }
+// An address with port 0: the system chooses a free port when the node binds
+// it.
+constexpr const char* kAnyPort = "127.0.0.1:0";
+// No server listens on this port.
+constexpr const char* kClosedAddress = "127.0.0.1:1";
 
 }  // namespace
 
@@ -65,17 +61,16 @@
   settings.name = name;
   settings.ip = "127.0.0.1";
   settings.data_centre = "z";
-  settings.client_api_address = Local(FreePort());
-  settings.readiness_address = Local(FreePort());
-  settings.first_port = FreePort();
-  settings.metrics_address = Local(FreePort());
+  settings.client_api_address = kAnyPort;
+  settings.readiness_address = kAnyPort;
+  settings.metrics_address = kAnyPort;
   settings.store_address =
       store_address.empty() ? store.Address() : store_address;
-  settings.host_api_address = Local(FreePort());  // No server listens there.
+  settings.host_api_address = kClosedAddress;
   auto made = node_server::Make(io, settings, [] {});
   if (!Ok(made)) throw std::runtime_error(Error(made).message);
   nodes[name] = std::move(Value(made));
-  return settings.client_api_address;
+  return nodes[name]->ClientApiAddress();
 }
 
 std::string node_fixture::LeaderName() const {
--- a/tests/node/node_test.cc
+++ b/tests/node/node_test.cc
@@ -127,6 +127,60 @@
   BOOST_TEST(recorder.tasks.size() == 40u);
 }
 
+// Guards against starting the work of a runner again, or giving it up, when the
+// runner was only silent for less than its lease.
+BOOST_AUTO_TEST_CASE(tasks_of_briefly_silent_runner_are_not_run_again) {
+  const std::string client_api_address = AddNode("n1");
+  BOOST_REQUIRE(CallUntil(client_api_address, verb::get, "/q/", 200));
+  BOOST_REQUIRE(CallUntil(client_api_address, verb::post, JobPath(kFirstJobId),
+                          200, JobBody(20)));
+  BOOST_REQUIRE(RunUntil([&] { return runners[0]->ActiveRunCount() > 0; }));
+  runners[0]->SetUnresponsive(true);
+  // The leader has noticed the silence when another runner has new work.
+  BOOST_REQUIRE(RunUntil([&] { return runners[1]->ActiveRunCount() == 0; }));
+  runners[0]->SetUnresponsive(false);
+  BOOST_TEST(WaitForState(client_api_address, kFirstJobId, "succeeded"));
+  BOOST_TEST(recorder.tasks.size() == 40u);
+  BOOST_TEST(recorder.DuplicatedTaskCount() == 0);
+}
+
+// Guards against using withdrawn keys again after a restart: a node that cannot
+// read the configuration must not fall back to anything that it knew before.
+BOOST_AUTO_TEST_CASE(restarted_node_does_not_accept_a_withdrawn_key) {
+  const std::string first_address = AddNode("n1");
+  BOOST_REQUIRE(CallUntil(first_address, verb::get, "/q/", 200));
+  PutConfig({"k2"});
+  KillNode("n1");
+  store.SetUnavailable(true);
+  const std::string address = AddNode("n1");
+  BOOST_TEST(Call(address, verb::get, "/q/") == 503u);
+  BOOST_TEST(!retry_after.empty());
+  store.SetUnavailable(false);
+  BOOST_TEST(CallUntil(address, verb::get, "/q/", 401));
+  BOOST_TEST(Call(address, verb::get, "/q/", "", "k2") == 200u);
+}
+
+// Guards against using a server again that has left while there was no leader:
+// the runner set in the store still names it.
+BOOST_AUTO_TEST_CASE(restarted_leader_starts_nothing_on_a_runner_that_left) {
+  const std::string first_address = AddNode("n1");
+  BOOST_REQUIRE(CallUntil(first_address, verb::get, "/q/", 200));
+  BOOST_REQUIRE(RunUntil(
+      [&] { return store.Value("rw/r/0").find("w2") != std::string::npos; }));
+  KillNode("n1");
+  store.Remove("servers/w0");
+  const std::string address = AddNode("n1");
+  BOOST_REQUIRE(
+      CallUntil(address, verb::post, JobPath(kFirstJobId), 200, JobBody(12)));
+  std::size_t runs_on_absent_runner = 0;
+  BOOST_TEST(RunUntil([&] {
+    runs_on_absent_runner += runners[0]->ActiveRunCount();
+    return store.Value(std::string("rw/p/") + kFirstJobId).find("succeeded") !=
+           std::string::npos;
+  }));
+  BOOST_TEST(runs_on_absent_runner == 0u);
+}
+
 // A leader that reaches the store only through peers polls runners and commits
 // late. Such a leader must not keep its role for seconds if other nodes reach
 // the store directly. In a trial, a leader was in this state from 1 s to 13 s.
--- a/tools/fleet_fake/fake_store.cc
+++ b/tools/fleet_fake/fake_store.cc
@@ -66,6 +66,11 @@
   WriteItem(key, value, 0);
 }
 
+void fake_store::Remove(const std::string& key) {
+  ++revision_;
+  DeleteKey(key);
+}
+
 std::string fake_store::Value(const std::string& key) const {
   const auto it = items_.find(key);
   return it == items_.end() ? std::string() : it->second.value;
--- a/tools/fleet_fake/fake_store.h
+++ b/tools/fleet_fake/fake_store.h
@@ -31,6 +31,8 @@
   }
   /// Writes a key directly, as an operator or a runner would.
   void Put(const std::string& key, const std::string& value);
+  /// Removes a key directly.
+  void Remove(const std::string& key);
   /// Returns the value of `key`, or an empty string if it does not exist.
   std::string Value(const std::string& key) const;
   /// While true, every request fails with 503 without taking effect.
