--- a/tests/node/host_controller_test.cc
+++ b/tests/node/host_controller_test.cc
@@ -10,13 +10,15 @@
 #include <vector>
 
 #include "src/http/server.h"
+#include "src/node/record_keys.h"
+#include "tools/fleet_fake/fake_store.h"
 
 namespace radishwing::node {
 namespace {
 
-/// A host controller, a fake host service with four hosts in standby, and a
-/// scheduler whose only pool has waiting tasks and no runner. The controller
-/// reads the time of `time`.
+/// A host controller, a fake host service with four hosts in standby, a fake
+/// store, and a scheduler whose only pool has no runner. The controller reads
+/// the time of `time`.
 struct host_controller_fixture {
   host_controller_fixture() {
     http::server_options options;
@@ -24,6 +26,7 @@
     service = Value(http::server::Make(
         io, options, [this](const http::server_request& request, auto respond) {
           if (request.target.path == "/machines") {
+            if (hold_lists) return held_lists.push_back(std::move(respond));
             return respond(http::MakeJsonResponse(200, HostList()));
           }
           orders.push_back(std::move(respond));
@@ -37,13 +40,27 @@
     config->pools = {{"pool", false, false}, {"off", false, true}};
     context->config = config;
     scheduler.SetConfig(*config);
-    AddWaitingJob();
     host_controller_hooks hooks;
     hooks.runner_ended = [](const std::string&) {};
     hooks.hosts_listed = [this](const auto&, millis) { ++lists; };
     hooks.may_order_hosts = [this] { return permitted; };
-    subject = std::make_unique<host_controller>(*context, election{.term = 1},
-                                                scheduler, std::move(hooks));
+    context->store = Value(platform::store_client::Make(
+        io, store.Address(), [](auto, const auto&) {},
+        [](auto, auto, auto) {}));
+    election won{.term = 1};
+    store.Put(ShardKey(), "n1");
+    won.fencing_token = StoredRevision(ShardKey());
+    subject = std::make_unique<host_controller>(*context, won, scheduler,
+                                                std::move(hooks));
+  }
+
+  std::uint64_t StoredRevision(const std::string& key) {
+    std::uint64_t revision = 0;
+    context->store->Get(key, [&](const result<store::store_item>& item) {
+      revision = Value(item).revision;
+    });
+    RunUntil([&] { return revision != 0; });
+    return revision;
   }
 
   static boost::json::object HostList() {
@@ -57,6 +74,7 @@
     return {{"machines", hosts}};
   }
 
+  /// Adds a job whose waiting tasks request all hosts for its pool.
   void AddWaitingJob() {
     fleet::job_record record;
     record.id = "00000000000000a1";
@@ -104,8 +122,11 @@
   std::unique_ptr<http::server> service;
   std::unique_ptr<node_context> context;
   sched::scheduler scheduler{1};
-  bool permitted = true;  ///< Result of the may_order_hosts hook.
-  int lists = 0;          ///< Number of lists of the hosts received.
+  bool permitted = true;    ///< Result of the may_order_hosts hook.
+  int lists = 0;            ///< Number of lists of the hosts received.
+  bool hold_lists = false;  ///< The service does not answer requests for lists.
+  std::vector<http::server::responder> held_lists;
+  fleet_fake::fake_store store{io};
   /// Responders of the orders that the service has received.
   std::vector<http::server::responder> orders;
   std::unique_ptr<host_controller> subject;
@@ -116,6 +137,7 @@
 // Guards against a leader that cannot renew its lease and orders hosts while
 // its successor does so, on a platform that does not check fencing tokens.
 BOOST_AUTO_TEST_CASE(host_is_not_ordered_without_permission) {
+  AddWaitingJob();
   permitted = false;
   for (int i = 0; i < 4; ++i) Tick();
   BOOST_TEST(orders.empty());
@@ -127,6 +149,7 @@
 // Guards against an order that waits for a connection to the host service while
 // the permission ends. The service has all connections of the client in use.
 BOOST_AUTO_TEST_CASE(order_waiting_for_a_connection_ends_with_the_permission) {
+  AddWaitingJob();
   Tick();
   Tick();
   RunUntil([&] { return orders.size() == kConnections; });
@@ -140,6 +163,32 @@
   BOOST_TEST(orders.empty());
 }
 
+// Guards against taking a host down because a list of the hosts was requested,
+// but has not arrived, since another host of the wave went down.
+BOOST_AUTO_TEST_CASE(wave_keeps_its_limit_while_a_list_is_unanswered) {
+  subject->AddWave({.number = 1,
+                    .hosts = {"h1", "h2"},
+                    .time_limit_ms = 20000,
+                    .max_down = 1});
+  while (orders.empty()) Tick();
+  orders[0](http::MakeJsonResponse(200, boost::json::object{}));
+  Tick();
+  orders.clear();
+  hold_lists = true;
+  time.Advance(context->settings.maintenance_ms + kListIntervalMs);
+  subject->Tick();  // Requests the list that the service holds.
+  RunUntil([&] { return !held_lists.empty(); });
+  subject->Tick();
+  // A round trip to the service: an order sent by now would have arrived.
+  hold_lists = false;
+  held_lists[0](http::MakeJsonResponse(200, HostList()));
+  const int lists_before = lists;
+  RunUntil([&] { return lists > lists_before; });
+  BOOST_TEST(orders.empty());
+  Tick();
+  RunUntil([&] { return orders.size() == 1; });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
