--- a/tests/node/host_controller_test.cc
+++ b/tests/node/host_controller_test.cc
@@ -1,16 +1,14 @@
 #include "src/node/host_controller.h"
 
-#include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
-#include <chrono>
 #include <memory>
-#include <stdexcept>
 #include <string>
 #include <vector>
 
 #include "src/http/server.h"
 #include "src/node/record_keys.h"
+#include "tests/http/http_fixture.h"
 #include "tools/fleet_fake/fake_store.h"
 
 namespace radishwing::node {
@@ -19,7 +17,7 @@
 /// A host controller, a fake host service with four hosts in standby, a fake
 /// store, and a scheduler whose only pool has no runner. The controller reads
 /// the time of `time`.
-struct host_controller_fixture {
+struct host_controller_fixture : http::http_fixture {
   host_controller_fixture() {
     http::server_options options;
     options.address = "127.0.0.1:0";
@@ -98,26 +96,10 @@
     RunUntil([&] { return lists > lists_before; });
   }
 
-  /// Runs the event loop until `ready` returns true. Throws after 20 s; only a
-  /// hanging test takes that long.
-  template <typename Ready>
-  void RunUntil(Ready ready) {
-    const auto end =
-        std::chrono::steady_clock::now() + std::chrono::seconds(20);
-    while (!ready()) {
-      if (std::chrono::steady_clock::now() > end) {
-        throw std::runtime_error("the expected condition did not become true");
-      }
-      io.restart();
-      io.run_one_for(std::chrono::milliseconds(50));
-    }
-  }
-
   static constexpr millis kListIntervalMs = 500;
   /// Number of connections that the controller opens to the host service.
   static constexpr std::size_t kConnections = 3;
 
-  boost::asio::io_context io{1};
   manual_clock time{100000};
   std::unique_ptr<http::server> service;
   std::unique_ptr<node_context> context;
