Count traffic by other side and log how far a failed call got

Two hypotheses for the incident could not be told apart: that responses of the store are larger than what arrives within the time limit of a call, and that the leader's own orders fill its link. The node now counts HTTP bytes by other side, logs them every 5 s, and reports with each failed store call how many bytes of the response had arrived, and with each failed read of a takeover what was read and since when. The HTTP client reads a response in parts for that.

--- a/src/http/client_exchange.h
+++ b/src/http/client_exchange.h
@@ -50,6 +50,8 @@
   int attempts_started = 0;
   /// True if any attempt may have sent a part of the request.
   bool may_have_sent = false;
+  /// Bytes of the response to the current attempt that have arrived.
+  std::size_t received_bytes = 0;
   boost::beast::http::request<boost::beast::http::string_body> request_message;
   /// Parses the response to the current attempt.
   std::optional<
--- a/src/http/client_impl.cc
+++ b/src/http/client_impl.cc
@@ -154,11 +154,15 @@
   exchange->may_have_sent = true;
   exchange->parser.emplace();
   exchange->parser->body_limit(options.max_body_bytes);
+  // Parses the header and the body in one sequence of reads.
+  exchange->parser->eager(true);
+  exchange->received_bytes = 0;
   boost::beast::http::async_write(
       exchange->connection->socket, exchange->request_message,
       [self = shared_from_this(), exchange, connection = exchange->connection](
-          boost::system::error_code error, std::size_t) {
+          boost::system::error_code error, std::size_t bytes) {
         if (connection->closed) return;
+        if (self->options.count_traffic) self->options.count_traffic(bytes, 0);
         // A write error does not end the attempt: the server may have responded
         // and closed the connection before it read the whole body. The client
         // can still read that response.
@@ -168,15 +172,18 @@
 }
 
 void client::impl::ReadResponse(const exchange_ptr& exchange) {
-  boost::beast::http::async_read(
+  boost::beast::http::async_read_some(
       exchange->connection->socket, exchange->connection->read_buffer,
       *exchange->parser,
       [self = shared_from_this(), exchange, connection = exchange->connection](
-          boost::system::error_code error, std::size_t) {
+          boost::system::error_code error, std::size_t bytes) {
         if (connection->closed) return;
+        if (self->options.count_traffic) self->options.count_traffic(0, bytes);
+        exchange->received_bytes += bytes;
         if (!error) {
-          self->CompleteWithResponse(exchange);
-          return;
+          return exchange->parser->is_done()
+                     ? self->CompleteWithResponse(exchange)
+                     : self->ReadResponse(exchange);
         }
         const bool malformed_response =
             error.category() == boost::beast::http::make_error_code(
@@ -247,11 +254,12 @@
     // Connections opened at the same time tend to stop responding together, so
     // the client does not reuse the idle connections either.
     CloseIdleConnections();
-    RetryOrFail(
-        exchange,
-        exchange->may_have_sent ? failure_kind::kTimeout
-                                : failure_kind::kUnavailable,
-        "no response from " + options.address + " within the time limit");
+    RetryOrFail(exchange,
+                exchange->may_have_sent ? failure_kind::kTimeout
+                                        : failure_kind::kUnavailable,
+                "no response from " + options.address +
+                    " within the time limit, received_bytes=" +
+                    std::to_string(exchange->received_bytes));
     return;
   }
   std::erase(queued_exchanges, exchange);
--- a/src/http/server_options.h
+++ b/src/http/server_options.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "src/base/clock.h"
+#include "src/http/traffic_hook.h"
 
 namespace radishwing::http {
 
@@ -14,6 +15,7 @@
   /// Largest number of open connections. The server closes further ones as soon
   /// as it has accepted them.
   std::size_t max_connections = 1000;
+  traffic_hook count_traffic;  ///< Null: traffic is not counted.
   /// The server rejects a request with a larger header with 431.
   std::uint32_t max_header_bytes = 16 * 1024;
   /// The server rejects a request with a larger body with 413.
--- a/src/http/server_session.cc
+++ b/src/http/server_session.cc
@@ -90,7 +90,8 @@
   beast_http::async_read_header(
       socket_, read_buffer_, *parser_,
       [self = shared_from_this()](boost::system::error_code error,
-                                  std::size_t) {
+                                  std::size_t bytes) {
+        self->CountTraffic(0, bytes);
         if (self->closed_) return;
         if (error) {
           self->RespondToReadError(error);
@@ -115,16 +116,18 @@
 
 void server_session::ReadBody() {
   ArmTimer(options_.body_timeout_ms);
-  beast_http::async_read(socket_, read_buffer_, *parser_,
-                         [self = shared_from_this()](
-                             boost::system::error_code error, std::size_t) {
-                           if (self->closed_) return;
-                           if (error) {
-                             self->RespondToReadError(error);
-                           } else {
-                             self->InvokeHandler();
-                           }
-                         });
+  beast_http::async_read(
+      socket_, read_buffer_, *parser_,
+      [self = shared_from_this()](boost::system::error_code error,
+                                  std::size_t bytes) {
+        self->CountTraffic(0, bytes);
+        if (self->closed_) return;
+        if (error) {
+          self->RespondToReadError(error);
+        } else {
+          self->InvokeHandler();
+        }
+      });
 }
 
 void server_session::RespondToReadError(boost::system::error_code error) {
@@ -205,11 +208,13 @@
   response_message_.keep_alive(keep_alive_);
   response_message_.prepare_payload();
   ArmTimer(options_.write_timeout_ms);
-  beast_http::async_write(socket_, response_message_,
-                          [self = shared_from_this()](
-                              boost::system::error_code error, std::size_t) {
-                            self->FinishResponse(error);
-                          });
+  beast_http::async_write(
+      socket_, response_message_,
+      [self = shared_from_this()](boost::system::error_code error,
+                                  std::size_t bytes) {
+        self->CountTraffic(bytes, 0);
+        self->FinishResponse(error);
+      });
 }
 
 void server_session::FinishResponse(boost::system::error_code error) {
@@ -263,6 +268,11 @@
       });
 }
 
+void server_session::CountTraffic(std::size_t sent, std::size_t received) {
+  if (!closed_ && options_.count_traffic)
+    options_.count_traffic(sent, received);
+}
+
 void server_session::DecrementInFlight() {
   if (!in_flight_) return;
   in_flight_ = false;
--- a/src/http/server_session.h
+++ b/src/http/server_session.h
@@ -71,6 +71,7 @@
   /// Starts the timer. If ArmTimer is not called again within `timeout_ms`, the
   /// timer sets timed_out_ and cancels the pending socket operation.
   void ArmTimer(millis timeout_ms);
+  void CountTraffic(std::size_t sent, std::size_t received);
   /// Removes the current request from the server's in-flight count.
   void DecrementInFlight();
 
--- a/src/node/leader_impl.h
+++ b/src/node/leader_impl.h
@@ -49,6 +49,8 @@
   /// Reads all job records and cancel requests in the store, then follows their
   /// changes.
   void WatchJobs();
+  /// Logs that a read of the takeover failed and will be repeated.
+  void LogTakeoverDelay(std::string_view reading, const failure& error);
   /// Starts scheduling once runners, jobs and the configuration are loaded.
   void MaybeBecomeReady();
   /// Calls `callback` after a delay. Does not call it if the term has ended by
--- a/src/node/leader_load.cc
+++ b/src/node/leader_load.cc
@@ -59,6 +59,15 @@
       });
 }
 
+void leader::impl::LogTakeoverDelay(std::string_view reading,
+                                    const failure& error) {
+  context.log.Info("leader",
+                   "takeover delayed, fence=" + std::to_string(fencing_token) +
+                       " reading=" + std::string(reading) + " since_ms=" +
+                       std::to_string(context.now.Now() - load_started_at) +
+                       " error=" + error.message);
+}
+
 void leader::impl::StartTakeover() { LoadRunnerSet(); }
 
 void leader::impl::LoadRunnerSet() {
@@ -67,6 +76,7 @@
     const auto self = weak.lock();
     if (!self || self->ended) return;
     if (!Ok(item)) {
+      self->LogTakeoverDelay("runner set", Error(item));
       return self->RetryLater([raw = self.get()] { raw->LoadRunnerSet(); });
     }
     self->runner_set_revision = Value(item).revision;
@@ -92,6 +102,7 @@
         const auto self = weak.lock();
         if (!self || self->ended) return;
         if (!Ok(page)) {
+          self->LogTakeoverDelay("progress", Error(page));
           return self->RetryLater(
               [raw = self.get(), after] { raw->LoadProgress(after); });
         }
@@ -119,6 +130,9 @@
   hooks.change = [this](const store::store_item& item) {
     ApplyRunnerEntry(item);
   };
+  hooks.failed = [this](const failure& error) {
+    if (!ready) LogTakeoverDelay("runners", error);
+  };
   runner_watch =
       std::make_unique<store_watch>(context.io, *context.store, context.now,
                                     std::move(options), std::move(hooks));
@@ -141,6 +155,9 @@
     MaybeBecomeReady();
   };
   hooks.change = [this](const store::store_item& item) { ApplyJobEntry(item); };
+  hooks.failed = [this](const failure& error) {
+    if (!ready) LogTakeoverDelay("jobs", error);
+  };
   job_watch =
       std::make_unique<store_watch>(context.io, *context.store, context.now,
                                     std::move(options), std::move(hooks));
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "src/base/clock.h"
+#include "src/node/traffic_counters.h"
 
 namespace radishwing::node {
 
@@ -62,11 +63,15 @@
   /// Sets the number of start orders whose outcome is unknown.
   void SetUnansweredStarts(std::size_t count);
 
+  /// Counters of the bytes that this node sends and receives.
+  traffic_counters& Traffic() { return traffic_; }
+
   /// Returns all metrics in the Prometheus text format.
   std::string Serialize() const;
 
  private:
   prometheus::Registry registry_;
+  traffic_counters traffic_{registry_};
   prometheus::Family<prometheus::Counter>& client_requests_;
   prometheus::Family<prometheus::Histogram>& client_request_seconds_;
   prometheus::Family<prometheus::Counter>& store_calls_;
--- a/src/node/node_server.cc
+++ b/src/node/node_server.cc
@@ -27,6 +27,7 @@
 // client requests.
 constexpr millis kStopMarginMs = 1500;
 constexpr millis kStopPollMs = 50;
+constexpr millis kTrafficLogIntervalMs = 5000;
 
 }  // namespace
 
@@ -34,17 +35,22 @@
   impl(boost::asio::io_context& io, fleet::node_settings settings,
        std::function<void()> stopped)
       : context(io, std::move(settings)),
-        peers(io),
+        peers(io, context.metrics.Traffic().Hook("nodes")),
         on_stopped(std::move(stopped)),
-        stop_timer(io) {}
+        stop_timer(io),
+        traffic_timer(io) {}
 
   result<success> Start();
   result<success> MakeStore();
   result<success> ListenAll();
   http::server_response MetricsResponse();
   std::string PeerAddress() const;  ///< Address for calls from other nodes.
+  /// `callers` names the callers of the server in the traffic counters.
   result<std::unique_ptr<http::server>> Listen(const std::string& address,
+                                               std::string_view callers,
                                                http::server::handler handler);
+  /// Logs the traffic once every kTrafficLogIntervalMs.
+  void LogTraffic();
   void WatchOperatorKeys();
   void ApplyOperatorItem(const store::store_item& item);
   void StartMembership();
@@ -64,6 +70,7 @@
   peer_client peers;  ///< HTTP client for calls to other nodes.
   std::function<void()> on_stopped;
   boost::asio::steady_timer stop_timer;
+  boost::asio::steady_timer traffic_timer;
   std::unique_ptr<client_api> client_api_handler;
   std::unique_ptr<peer_service> peer_handler;
   std::unique_ptr<http::server> client_api_server;
@@ -90,11 +97,10 @@
         RelayThroughPeers(context, peers, relayed_call_count++, std::move(call),
                           std::move(done));
       };
-  auto observe = [this](std::string_view kind, std::string_view outcome,
-                        millis took) {
-    context.metrics.CountStoreCall(kind, outcome, took);
-    const bool call_failed = outcome != "ok";
-    if (kind != "watch" &&
+  auto observe = [this](const platform::store_call_report& call) {
+    context.metrics.CountStoreCall(call.kind, call.outcome, call.took);
+    const bool call_failed = call.outcome != "ok";
+    if (call.kind != "watch" &&
         call_failed != (context.store_unreachable_since >= 0)) {
       context.store_unreachable_since = call_failed ? context.now.Now() : -1;
     }
@@ -103,21 +109,25 @@
     context.log.Info(
         "store",
         std::string(call_failed ? "store unreachable" : "store reachable") +
-            ", call=" + std::string(kind) + " outcome=" + std::string(outcome) +
-            " took_ms=" + std::to_string(took));
+            ", call=" + std::string(call.kind) +
+            " outcome=" + std::string(call.outcome) +
+            " took_ms=" + std::to_string(call.took) +
+            (call.error.empty() ? "" : " error=" + std::string(call.error)));
   };
-  auto made =
-      platform::store_client::Make(context.io, context.settings.store_address,
-                                   std::move(relay), std::move(observe));
+  auto made = platform::store_client::Make(
+      context.io, context.settings.store_address, std::move(relay),
+      std::move(observe), context.metrics.Traffic().Hook("store"));
   if (!Ok(made)) return Error(made);
   context.store = std::move(Value(made));
   return success{};
 }
 
 result<std::unique_ptr<http::server>> node_server::impl::Listen(
-    const std::string& address, http::server::handler handler) {
+    const std::string& address, std::string_view callers,
+    http::server::handler handler) {
   http::server_options options;
   options.address = address;
+  options.count_traffic = context.metrics.Traffic().Hook(callers);
   options.max_body_bytes = 2u << 20;
   return http::server::Make(context.io, options, std::move(handler));
 }
@@ -140,32 +150,33 @@
 result<success> node_server::impl::ListenAll() {
   struct listener {
     std::string address;
+    std::string_view callers;
     http::server::handler handler;
     std::unique_ptr<http::server>* server;
   };
   const listener listeners[] = {
-      {context.settings.client_api_address,
+      {context.settings.client_api_address, "clients",
        [this](const http::server_request& request, auto respond) {
          client_api_handler->Handle(request, std::move(respond));
        },
        &client_api_server},
-      {context.settings.readiness_address,
+      {context.settings.readiness_address, "probes",
        [this](const http::server_request&, const auto& respond) {
          respond(ReadinessResponse());
        },
        &readiness_server},
-      {PeerAddress(),
+      {PeerAddress(), "nodes",
        [this](const http::server_request& request, auto respond) {
          peer_handler->Handle(request, std::move(respond));
        },
        &peer_server},
-      {context.settings.metrics_address,
+      {context.settings.metrics_address, "metrics",
        [this](const http::server_request&, const auto& respond) {
          respond(MetricsResponse());
        },
        &metrics_server}};
   for (const listener& entry : listeners) {
-    auto made = Listen(entry.address, entry.handler);
+    auto made = Listen(entry.address, entry.callers, entry.handler);
     if (!Ok(made)) return Error(made);
     *entry.server = std::move(Value(made));
   }
@@ -182,6 +193,7 @@
   if (!Ok(listening)) return listening;
   WatchOperatorKeys();
   StartMembership();
+  LogTraffic();
   context.log.InfoUnlimited(
       "node", "started, node=" + context.settings.name +
                   " data_centre=" + context.settings.data_centre +
@@ -244,6 +256,22 @@
   if (local_leader) local_leader->AddMaintenanceWave(Value(wave));
 }
 
+void node_server::impl::LogTraffic() {
+  traffic_timer.expires_after(std::chrono::milliseconds(kTrafficLogIntervalMs));
+  traffic_timer.async_wait(
+      [weak = weak_from_this()](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (error || !self) return;
+        const std::string bytes = self->context.metrics.Traffic().TakeSummary();
+        if (!bytes.empty()) {
+          self->context.log.Info(
+              "node", "traffic in bytes, interval_ms=" +
+                          std::to_string(kTrafficLogIntervalMs) + " " + bytes);
+        }
+        self->LogTraffic();
+      });
+}
+
 void node_server::impl::StartMembership() {
   membership_hooks hooks;
   hooks.elected = [this](const election& won) { StartLeader(won); };
--- a/src/node/peer_client.h
+++ b/src/node/peer_client.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "src/base/clock.h"
 #include "src/base/result.h"
@@ -18,7 +19,8 @@
  public:
   using completion = std::function<void(result<std::string>)>;
 
-  explicit peer_client(boost::asio::io_context& io) : io_(io) {}
+  peer_client(boost::asio::io_context& io, http::traffic_hook count_traffic)
+      : io_(io), count_traffic_(std::move(count_traffic)) {}
 
   /// Sends `body` as a POST request to `target` on the node at `address`.
   /// `total_timeout_ms` is the time limit from sending to the full response,
@@ -28,6 +30,7 @@
 
  private:
   boost::asio::io_context& io_;
+  http::traffic_hook count_traffic_;
   /// Keyed by the address of the other node.
   std::map<std::string, std::unique_ptr<http::client>> clients_;
 };
--- a/tests/node/host_controller_test.cc
+++ b/tests/node/host_controller_test.cc
@@ -43,8 +43,7 @@
     hooks.hosts_listed = [this](const auto&, millis) { ++lists; };
     hooks.may_order_hosts = [this] { return permitted; };
     context->store = Value(platform::store_client::Make(
-        io, store.Address(), [](auto, const auto&) {},
-        [](auto, auto, auto) {}));
+        io, store.Address(), [](auto, const auto&) {}, [](const auto&) {}));
     election won{.term = 1};
     store.Put(ShardKey(), "n1");
     won.fencing_token = StoredRevision(ShardKey());
--- a/tests/node/membership_test.cc
+++ b/tests/node/membership_test.cc
@@ -22,7 +22,7 @@
     context.settings.name = "n1";
     context.store = Value(platform::store_client::Make(
         io, store.Address(), nullptr,
-        [](std::string_view, std::string_view, millis) {}));
+        [](const platform::store_call_report&) {}));
     membership_hooks hooks;
     hooks.elected = [this](const election& won) {
       events.push_back("elected " + std::to_string(won.term));
