Limit the progress of a store response instead of its whole duration

Cause: a call to the store had 0.7 s, a watch call 1.4 s, from its first byte to the last byte of the response. A configuration with 1,600 queues more is some 460 kB on the wire and takes 1.9 s at 2 Mbit/s. What had arrived was thrown away and the next attempt began at the first byte, so that it never ended; a takeover reads pages of up to 1 MB in the same way.

Change: the limit ends at the first byte of the response; each further part has 700 ms, the whole 30 s. A read that a peer relays may take 3 s more, and is sent to the next peer meanwhile, since a peer responds only when it has the whole.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -7,6 +7,13 @@
 #include "src/http/client_impl.h"
 
 namespace radishwing::http {
+namespace {
+
+// Longest duration of a request with a progress timeout, so that a server that
+// trickles its response does not hold the request forever.
+constexpr millis kMaxTransferMs = 30000;
+
+}  // namespace
 
 client::client(std::shared_ptr<impl> impl) : impl_(std::move(impl)) {}
 
@@ -22,8 +29,10 @@
 
 void client::Send(client_request request, completion completion) {
   auto exchange = std::make_shared<client_exchange>(impl_->io);
-  exchange->deadline = std::chrono::steady_clock::now() +
-                       std::chrono::milliseconds(request.total_timeout_ms);
+  const auto now = std::chrono::steady_clock::now();
+  exchange->deadline =
+      now + std::chrono::milliseconds(request.total_timeout_ms);
+  exchange->last_deadline = now + std::chrono::milliseconds(kMaxTransferMs);
   exchange->request_message = {request.method, request.target, 11};
   exchange->request_message.set(boost::beast::http::field::host,
                                 impl_->options.address);
--- a/src/http/client_exchange.h
+++ b/src/http/client_exchange.h
@@ -37,8 +37,11 @@
   /// request_message.
   client_request request;
   client::completion completion;
-  /// Time by which the complete response must have arrived.
+  /// Time by which the complete response must have arrived, or the next part of
+  /// it if the request has a progress timeout.
   std::chrono::steady_clock::time_point deadline;
+  /// Time after which progress no longer extends `deadline`.
+  std::chrono::steady_clock::time_point last_deadline;
   /// Time limit of the current step, see client::impl::ArmTimer.
   std::chrono::steady_clock::time_point step_deadline;
   /// Expires at `step_deadline` or earlier.
--- a/src/http/client_impl.cc
+++ b/src/http/client_impl.cc
@@ -181,9 +181,11 @@
         if (self->options.count_traffic) self->options.count_traffic(0, bytes);
         exchange->received_bytes += bytes;
         if (!error) {
-          return exchange->parser->is_done()
-                     ? self->CompleteWithResponse(exchange)
-                     : self->ReadResponse(exchange);
+          if (exchange->parser->is_done()) {
+            return self->CompleteWithResponse(exchange);
+          }
+          self->ExtendDeadline(exchange);
+          return self->ReadResponse(exchange);
         }
         const bool malformed_response =
             error.category() == boost::beast::http::make_error_code(
@@ -199,6 +201,15 @@
       });
 }
 
+void client::impl::ExtendDeadline(const exchange_ptr& exchange) {
+  if (exchange->request.progress_timeout_ms <= 0) return;
+  exchange->deadline =
+      std::min(exchange->last_deadline,
+               steady_clock::now() +
+                   milliseconds(exchange->request.progress_timeout_ms));
+  ArmTimer(exchange);
+}
+
 void client::impl::CompleteWithResponse(const exchange_ptr& exchange) {
   auto message = exchange->parser->release();
   client_response response;
--- a/src/http/client_impl.h
+++ b/src/http/client_impl.h
@@ -40,7 +40,11 @@
   /// Opens a connection for the exchange, then writes the request.
   void Connect(const exchange_ptr& exchange);
   void WriteRequest(const exchange_ptr& exchange);
+  /// Reads the next part of the response, until the response is complete.
   void ReadResponse(const exchange_ptr& exchange);
+  /// Extends the deadline of a request with a progress timeout, because a part
+  /// of the response has arrived.
+  void ExtendDeadline(const exchange_ptr& exchange);
   /// Keeps the connection for reuse or closes it, then completes the exchange
   /// with the parsed response.
   void CompleteWithResponse(const exchange_ptr& exchange);
--- a/src/http/client_request.h
+++ b/src/http/client_request.h
@@ -19,6 +19,11 @@
   /// Time limit in ms from Send to the complete response, including queueing
   /// and connection establishment.
   millis total_timeout_ms = 2000;
+  /// If above 0, the size of the response does not limit the request:
+  /// `total_timeout_ms` ends at the first byte of the response, and each
+  /// further part of it has to arrive within this time in ms after the previous
+  /// one.
+  millis progress_timeout_ms = 0;
   /// True if executing the request more than once has the same effect as
   /// executing it once. The client then sends it again on another connection
   /// if the connection breaks or no response arrives in time.
--- a/src/node/peer_client.cc
+++ b/src/node/peer_client.cc
@@ -1,5 +1,7 @@
 #include "src/node/peer_client.h"
 
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <utility>
 
 namespace radishwing::node {
@@ -7,11 +9,13 @@
 
 constexpr std::size_t kMaxConnections = 12;
 constexpr millis kConnectTimeoutMs = 400;
+// Time limit for each further part of a response after its first byte.
+constexpr millis kProgressTimeoutMs = 700;
 
 }  // namespace
 
 void peer_client::Call(const std::string& address, std::string target,
-                       std::string body, millis total_timeout_ms,
+                       std::string body, millis first_byte_timeout_ms,
                        completion done) {
   auto& client = clients_[address];
   if (!client) {
@@ -32,7 +36,8 @@
   request.target = std::move(target);
   request.body = std::move(body);
   request.headers = {{"Content-Type", "application/json"}};
-  request.total_timeout_ms = total_timeout_ms;
+  request.total_timeout_ms = first_byte_timeout_ms;
+  request.progress_timeout_ms = kProgressTimeoutMs;
   client->Send(std::move(request), [done = std::move(done)](
                                        result<http::client_response> answer) {
     if (!Ok(answer)) return done(Error(answer));
@@ -45,4 +50,13 @@
   });
 }
 
+void peer_client::CallLater(millis delay, std::function<void()> next) {
+  auto timer = std::make_shared<boost::asio::steady_timer>(
+      io_, std::chrono::milliseconds(delay));
+  timer->async_wait([timer, alive = std::weak_ptr<const bool>(alive_),
+                     next = std::move(next)](boost::system::error_code error) {
+    if (!error && !alive.expired()) next();
+  });
+}
+
 }  // namespace radishwing::node
--- a/src/node/peer_client.h
+++ b/src/node/peer_client.h
@@ -23,16 +23,20 @@
       : io_(io), count_traffic_(std::move(count_traffic)) {}
 
   /// Sends `body` as a POST request to `target` on the node at `address`.
-  /// `total_timeout_ms` is the time limit from sending to the full response,
-  /// whose body `done` receives.
+  /// `first_byte_timeout_ms` is the time limit from sending to the first byte
+  /// of the response, whose body `done` receives.
   void Call(const std::string& address, std::string target, std::string body,
-            millis total_timeout_ms, completion done);
+            millis first_byte_timeout_ms, completion done);
+  /// Calls `next` after `delay`, unless this client is destroyed before.
+  void CallLater(millis delay, std::function<void()> next);
 
  private:
   boost::asio::io_context& io_;
   http::traffic_hook count_traffic_;
   /// Keyed by the address of the other node.
   std::map<std::string, std::unique_ptr<http::client>> clients_;
+  /// Expires with this client; pending timers check it.
+  std::shared_ptr<const bool> alive_ = std::make_shared<const bool>(true);
 };
 
 }  // namespace radishwing::node
--- a/src/node/peer_service.cc
+++ b/src/node/peer_service.cc
@@ -16,14 +16,21 @@
 // Time that the relaying node may use in addition to the time limit of the
 // store call.
 constexpr millis kRelayOverheadMs = 150;
+// Added to the time limit of a relayed read, because the relaying node responds
+// only when it has received the whole response of the store.
+constexpr millis kRelayedReadTransferMs = 3000;
 
 /// A store call that is sent to one node after another until one relays it.
 struct relayed_call {
+  bool IsRead() const { return call.method == "GET"; }
+
   std::vector<std::string> addresses;  ///< Nodes to try, in this order.
   std::size_t next = 0;                ///< Index of the next address to try.
+  int pending_attempts = 0;            ///< Calls to peers without an answer.
   platform::raw_store_request call;
   /// True if the call may have reached the store without a reply to this node.
   bool outcome_unknown = false;
+  /// Null once it has been called.
   std::function<void(result<platform::raw_store_response>)> done;
 };
 
@@ -42,30 +49,52 @@
   return platform::raw_store_response{status, std::move(body)};
 }
 
+void TryNextPeer(peer_client& peers,
+                 const std::shared_ptr<relayed_call>& relay);
+
+void OnPeerAnswer(peer_client& peers,
+                  const std::shared_ptr<relayed_call>& relay,
+                  const result<std::string>& answer) {
+  --relay->pending_attempts;
+  if (!relay->done) return;
+  result<platform::raw_store_response> decoded =
+      Ok(answer) ? DecodeRelayResponse(Value(answer)) : Error(answer);
+  if (Ok(decoded)) {
+    return std::exchange(relay->done, nullptr)(std::move(decoded));
+  }
+  if (Error(decoded).kind != failure_kind::kUnavailable) {
+    relay->outcome_unknown = true;
+  }
+  TryNextPeer(peers, relay);
+}
+
 void TryNextPeer(peer_client& peers,
                  const std::shared_ptr<relayed_call>& relay) {
   if (relay->next >= relay->addresses.size()) {
-    return relay->done(failure{relay->outcome_unknown
-                                   ? failure_kind::kTimeout
-                                   : failure_kind::kUnavailable,
-                               "no peer could relay the call to the store"});
+    if (relay->pending_attempts > 0) return;
+    return std::exchange(relay->done, nullptr)(
+        failure{relay->outcome_unknown ? failure_kind::kTimeout
+                                       : failure_kind::kUnavailable,
+                "no peer could relay the call to the store"});
   }
   const std::string address = relay->addresses[relay->next++];
-  json::object body{{"method", relay->call.method},
-                    {"target", relay->call.target},
-                    {"body", relay->call.body},
-                    {"deadline_ms", relay->call.total_timeout_ms}};
+  const json::object body{{"method", relay->call.method},
+                          {"target", relay->call.target},
+                          {"body", relay->call.body},
+                          {"deadline_ms", relay->call.first_byte_timeout_ms}};
+  const millis limit = relay->call.first_byte_timeout_ms + kRelayOverheadMs;
+  ++relay->pending_attempts;
+  // A read may be sent to the next peer while an earlier one may still answer,
+  // because reading twice has no effect.
+  if (relay->IsRead()) {
+    peers.CallLater(limit, [&peers, relay, attempt = relay->next] {
+      if (relay->done && relay->next == attempt) TryNextPeer(peers, relay);
+    });
+  }
   peers.Call(address, "/peer/store", json::serialize(body),
-             relay->call.total_timeout_ms + kRelayOverheadMs,
-             [&peers, relay](result<std::string> answer) {
-               result<platform::raw_store_response> decoded =
-                   Ok(answer) ? DecodeRelayResponse(Value(answer))
-                              : Error(answer);
-               if (Ok(decoded)) return relay->done(std::move(decoded));
-               if (Error(decoded).kind != failure_kind::kUnavailable) {
-                 relay->outcome_unknown = true;
-               }
-               TryNextPeer(peers, relay);
+             limit + (relay->IsRead() ? kRelayedReadTransferMs : 0),
+             [&peers, relay](const result<std::string>& answer) {
+               OnPeerAnswer(peers, relay, answer);
              });
 }
 
@@ -100,7 +129,7 @@
   call.method = Value(parsed).String("method");
   call.target = Value(parsed).String("target");
   call.body = Value(parsed).String("body");
-  call.total_timeout_ms = Value(parsed).Signed("deadline_ms");
+  call.first_byte_timeout_ms = Value(parsed).Signed("deadline_ms");
   if (!Value(parsed).Valid()) {
     return respond(http::MakeErrorResponse(400, "malformed",
                                            Value(parsed).Failure().message));
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -3,6 +3,8 @@
 #define BOOST_TEST_DYN_LINK
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "src/http/target.h"
@@ -44,6 +46,52 @@
   BOOST_TEST(handled_requests == 5);
 }
 
+// Guards against abandoning a response that is still arriving, because it is
+// larger than what a slow link carries within the time limit.
+BOOST_FIXTURE_TEST_CASE(http_client_response_that_makes_progress_is_awaited,
+                        http_fixture) {
+  boost::asio::ip::tcp::acceptor acceptor(
+      io, {boost::asio::ip::address_v4::loopback(), 0});
+  boost::asio::ip::tcp::socket peer(io);
+  constexpr int kFirstByteMs = 500;
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab";
+  boost::asio::steady_timer second_part(io);
+  acceptor.async_accept(peer, [&](boost::system::error_code) {
+    boost::asio::write(peer, boost::asio::buffer(head));
+    second_part.expires_after(std::chrono::milliseconds(kFirstByteMs + 50));
+    second_part.async_wait([&](boost::system::error_code) {
+      boost::asio::write(peer, boost::asio::buffer("cd", 2));
+    });
+  });
+  test_client_options.address =
+      "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  test_client = Value(client::Make(io, test_client_options));
+  const auto outcome = SendRequest(
+      {.total_timeout_ms = kFirstByteMs, .progress_timeout_ms = 15000});
+  BOOST_REQUIRE(Ok(outcome));
+  BOOST_TEST(Value(outcome).body == "abcd");
+}
+
+// A response that stops in the middle must end the request.
+BOOST_FIXTURE_TEST_CASE(http_client_response_that_stops_ends_with_a_timeout,
+                        http_fixture) {
+  boost::asio::ip::tcp::acceptor acceptor(
+      io, {boost::asio::ip::address_v4::loopback(), 0});
+  boost::asio::ip::tcp::socket peer(io);
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab";
+  acceptor.async_accept(peer, [&](boost::system::error_code) {
+    boost::asio::write(peer, boost::asio::buffer(head));
+  });
+  test_client_options.address =
+      "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  test_client = Value(client::Make(io, test_client_options));
+  const auto outcome =
+      SendRequest({.total_timeout_ms = 15000, .progress_timeout_ms = 50});
+  BOOST_REQUIRE(!Ok(outcome));
+  BOOST_TEST((Error(outcome).kind == failure_kind::kTimeout));
+  BOOST_TEST(Error(outcome).message.ends_with("received_bytes=40"));
+}
+
 // A request that the server may have executed must be reported as kTimeout. A
 // request that was not sent must be reported as kUnavailable.
 BOOST_FIXTURE_TEST_CASE(http_client_distinguishes_unsent_from_unknown,
--- a/tests/node/node_fixture.cc
+++ b/tests/node/node_fixture.cc
@@ -20,6 +20,17 @@
 // No server listens on this port.
 constexpr const char* kClosedAddress = "127.0.0.1:1";
 
+// Returns the configuration of a queue whose paths begin with its name.
+json::object MakeQueue(const std::string& name) {
+  return {{"name", name},
+          {"host", "h.example"},
+          {"prefix", "/" + name + "/"},
+          {"backend", "pool"},
+          {"attempts", 2},
+          {"stretch", 2.0},
+          {"target-latency-ms", 600}};
+}
+
 }  // namespace
 
 node_fixture::node_fixture() {
@@ -35,20 +46,18 @@
   io.poll();
 }
 
-void node_fixture::PutConfig(const std::vector<std::string>& keys) {
+void node_fixture::PutConfig(const std::vector<std::string>& keys,
+                             int extra_queues) {
   json::array listed;
   for (const std::string& key : keys) listed.emplace_back(key);
+  json::array queues{MakeQueue("q")};
+  for (int i = 0; i < extra_queues; ++i) {
+    queues.push_back(MakeQueue("extra-" + std::to_string(i)));
+  }
   store.Put("op/config",
             json::serialize(json::object{
                 {"version", ++config_version},
-                {"routes",
-                 json::array{json::object{{"name", "q"},
-                                          {"host", "h.example"},
-                                          {"prefix", "/q/"},
-                                          {"backend", "pool"},
-                                          {"attempts", 2},
-                                          {"stretch", 2.0},
-                                          {"target-latency-ms", 600}}}},
+                {"routes", queues},
                 {"services", json::array{json::object{{"name", "pool"}}}},
                 {"tenants", json::array{json::object{{"name", "team"},
                                                      {"api-keys", listed},
@@ -137,13 +146,13 @@
   });
 }
 
-std::string node_fixture::JobBody(int width) {
+std::string node_fixture::JobBody(int width, const std::string& spec) {
   const json::object step{
       {"count", width}, {"cpu", 500}, {"mem-mb", 100}, {"estimate-ms", 60}};
   json::object second = step;
   second["after"] = json::array{0};
   return json::serialize(
-      json::object{{"spec", "s"}, {"steps", json::array{step, second}}});
+      json::object{{"spec", spec}, {"steps", json::array{step, second}}});
 }
 
 }  // namespace radishwing::node
--- a/tests/node/node_fixture.h
+++ b/tests/node/node_fixture.h
@@ -33,8 +33,9 @@
   /// Destroys a node without a shutdown, like a killed process: its keys remain
   /// until their lease expires.
   void KillNode(const std::string& name);
-  /// Stores a new version of the configuration with `keys` as the API keys.
-  void PutConfig(const std::vector<std::string>& keys);
+  /// Stores a new version of the configuration with `keys` as the API keys. It
+  /// has the queue at /q/ and `extra_queues` further ones at /extra-0/ and on.
+  void PutConfig(const std::vector<std::string>& keys, int extra_queues = 0);
   /// Sends a request to the node at `client_api_address` and returns the
   /// status, or 0 if there was no response. Stores the body in `response_body`.
   unsigned Call(const std::string& client_api_address,
@@ -53,7 +54,7 @@
   /// Runs the event loop until `condition` holds. Returns false on a timeout.
   bool RunUntil(const std::function<bool()>& condition);
   /// Returns the JSON of a job with two steps of `width` tasks each.
-  static std::string JobBody(int width);
+  static std::string JobBody(int width, const std::string& spec = "s");
 
   boost::asio::io_context io;
   fleet_fake::run_recorder recorder;  ///< Records the runs on all `runners`.
