Resume reading a prefix at the page that failed

A read of many pages began anew when one page got no response, so that on a bad link it may never end, and reads that were answered cost the link again. The pages that were read stay valid: the watch that follows starts at the revision of the first page and reports every later change.

--- a/src/node/store_watch.cc
+++ b/src/node/store_watch.cc
@@ -34,9 +34,11 @@
   void ReportChanges(const store::store_changes& changes, millis asked_at);
   /// Calls `next` after `delay`, unless the watch is destroyed before.
   void CallAfter(millis delay, std::function<void()> next);
-  /// Waits for a retry delay, then starts a new read of all keys if `reading`,
-  /// or a new watch call if not.
-  void RetryCall(const failure& problem, bool reading);
+  /// Reports the failure of a read and repeats it after a delay. Pages that
+  /// have been read stay valid, because the watch reports later changes.
+  void RetryPage(const failure& problem, const std::string& after);
+  /// Reports the failure of a watch call and repeats it after a delay.
+  void RetryWatch(const failure& problem);
 
   platform::store_client& store;
   clock now;
@@ -60,18 +62,18 @@
   });
 }
 
-void store_watch::impl::RetryCall(const failure& problem, bool reading) {
+void store_watch::impl::RetryPage(const failure& problem,
+                                  const std::string& after) {
   if (hooks.failed) hooks.failed(problem);
-  const bool aborted = !reading && problem.kind == failure_kind::kTimeout &&
+  CallAfter(kRetryDelayMs, [this, after] { ReadPage(after); });
+}
+
+void store_watch::impl::RetryWatch(const failure& problem) {
+  if (hooks.failed) hooks.failed(problem);
+  const bool aborted = problem.kind == failure_kind::kTimeout &&
                        now.Now() - watch_began_at < options.wait_ms;
   CallAfter(aborted ? kAbortedWatchRetryDelayMs : kRetryDelayMs,
-            [this, reading] {
-              if (reading) {
-                ReadPage("");
-              } else {
-                Watch();
-              }
-            });
+            [this] { Watch(); });
 }
 
 void store_watch::impl::ReadPage(std::string after) {
@@ -80,16 +82,16 @@
     read_items.clear();
     read_began_at = now.Now();
   }
-  store.ReadPage(
-      options.prefix, after,
-      [self = shared_from_this(), first_page](result<store::store_page> page) {
-        if (self->stopped) return;
-        if (!Ok(page)) return self->RetryCall(Error(page), true);
-        // The store may change between the pages, so the watch starts at the
-        // revision of the first page.
-        if (first_page) self->revision = Value(page).store_revision;
-        self->AddPage(Value(page));
-      });
+  store.ReadPage(options.prefix, after,
+                 [self = shared_from_this(), first_page,
+                  after](result<store::store_page> page) {
+                   if (self->stopped) return;
+                   if (!Ok(page)) return self->RetryPage(Error(page), after);
+                   // The store may change between the pages, so the watch
+                   // starts at the revision of the first page.
+                   if (first_page) self->revision = Value(page).store_revision;
+                   self->AddPage(Value(page));
+                 });
 }
 
 void store_watch::impl::AddPage(store::store_page& page) {
@@ -111,7 +113,7 @@
               [self = shared_from_this(),
                asked_at](result<store::store_changes> changes) {
                 if (self->stopped) return;
-                if (!Ok(changes)) return self->RetryCall(Error(changes), false);
+                if (!Ok(changes)) return self->RetryWatch(Error(changes));
                 self->ReportChanges(Value(changes), asked_at);
               });
 }
