Poll runners once a second while the leader loads the jobs

Cause: until the jobs are loaded a leader cannot apply listings of runners, and it discarded them, but asked for the next one after 300 ms. After an outage a listing has all ends that nobody has acknowledged, some 3 kB; 141 runners fill 1.4 MB/s and 350 runners 4 MB/s, while the links of small hosts carry 0.25 and 1.25 MB/s. Reading the jobs got what was left, and so did renewing the lease.

Change: 1 s between these polls, which still extends the predecessor's leases on the runners (4.5 s) in time. Other deferred polls keep their 300 ms.

--- a/src/fleet/node_settings.h
+++ b/src/fleet/node_settings.h
@@ -27,6 +27,8 @@
   millis shutdown_grace_ms = 6000;  ///< Time from SIGTERM to SIGKILL.
   /// Maximum time for which a node may still accept a revoked API key.
   millis key_revocation_ms = 5000;
+  /// Time within which all nodes use a new version of the configuration.
+  millis config_propagation_ms = 2000;
   millis max_lease_ms = 6000;  ///< Longest lease that runners grant.
   millis max_stop_ms = 1000;   ///< Maximum time that stopping a run takes.
   /// Minimum time between the last order of one host controller and the first
--- a/src/node/runner_link.cc
+++ b/src/node/runner_link.cc
@@ -17,9 +17,13 @@
 constexpr millis kIdlePollWaitMs = 2000;
 // Delay between a failed poll and the next one.
 constexpr millis kRetryDelayMs = 250;
-// Longest time for which the next poll is deferred because the last listing was
-// not applied or run ends in it are not stored yet.
+// Longest time for which the next poll is deferred because run ends in the last
+// listing are not stored yet.
 constexpr millis kMaxDeferralMs = 300;
+// Delay between polls while the leader loads the jobs and discards the
+// listings. Short enough to extend the predecessor's lease on the runner, and
+// long enough to leave most of the bandwidth of a narrow link to the load.
+constexpr millis kLoadingPollIntervalMs = 1000;
 
 }  // namespace
 
@@ -171,10 +175,13 @@
       hooks.apply_listing(report.id, listing, sent_at);
   if (stopped) return;
   listing_applied = listing_outcome != listing_result::kNotReady;
-  if (listing_outcome == listing_result::kAllAcknowledged) {
-    Poll();
-  } else {
-    PollLater(kMaxDeferralMs);
+  switch (listing_outcome) {
+    case listing_result::kAllAcknowledged:
+      return Poll();
+    case listing_result::kAcksPending:
+      return PollLater(kMaxDeferralMs);
+    case listing_result::kNotReady:
+      return PollLater(kLoadingPollIntervalMs);
   }
 }
 
--- a/tests/node/node_fixture.cc
+++ b/tests/node/node_fixture.cc
@@ -76,6 +76,8 @@
   settings.store_address =
       store_address.empty() ? store.Address() : store_address;
   settings.host_api_address = kClosedAddress;
+  settings.cores = cores;
+  settings.config_propagation_ms = config_propagation_ms;
   auto made = node_server::Make(io, settings, [] {});
   if (!Ok(made)) throw std::runtime_error(Error(made).message);
   nodes[name] = std::move(Value(made));
--- a/tests/node/node_fixture.h
+++ b/tests/node/node_fixture.h
@@ -65,6 +65,9 @@
   std::string response_body;  ///< Body of the last response.
   std::string retry_after;    ///< Retry-After header of the last response.
   int config_version = 0;     ///< Version of the stored configuration.
+  /// Settings of the nodes that AddNode starts.
+  double cores = 1;
+  millis config_propagation_ms = 3000;
 };
 
 }  // namespace radishwing::node
--- a/tools/fleet_fake/fake_runner.cc
+++ b/tools/fleet_fake/fake_runner.cc
@@ -148,6 +148,7 @@
 
 void fake_runner::SendListing(const json::object& body,
                               http::server::responder respond) {
+  ++poll_count_;
   const auto cursor =
       static_cast<std::uint64_t>(NumberField(body, "ack-cursor"));
   std::erase_if(unacknowledged_ends_,
--- a/tools/fleet_fake/fake_runner.h
+++ b/tools/fleet_fake/fake_runner.h
@@ -31,6 +31,8 @@
   /// Makes the runner execute the next `count` start orders but close the
   /// connections without a response.
   void DropStartResponses(int count) { start_responses_to_drop_ = count; }
+  /// Returns the number of polls received so far.
+  int PollCount() const { return poll_count_; }
   /// Returns the number of active runs.
   std::size_t ActiveRunCount() const { return active_runs_.size(); }
 
@@ -86,6 +88,7 @@
   /// Time at which the runner's lease expires, in ms since start_time_.
   millis lease_expiry_ = 0;
   int start_responses_to_drop_ = 0;
+  int poll_count_ = 0;
   bool unresponsive_ = false;
 };
 
