Let a leader that is still loading step down

A leader looked for a reason to step down only once it had loaded the jobs. A small node that is elected first, or a node whose own calls to the store fail, thus kept the lead for as long as loading took, and on a narrow link that was for ever. It has ordered nothing yet, so it resigns at once; its resignation counts its term's beginning as the time of the last order to a host.

narrow_link_path/loading_leader_yields_to_a_larger_node failed before: the small node loaded for 9 s and started tasks before it handed over.

--- a/src/node/node_server.cc
+++ b/src/node/node_server.cc
@@ -278,7 +278,6 @@
   hooks.lease_renewed = [this](millis sent_at) {
     if (!local_leader) return;
     local_leader->RecordLeaseRenewal(sent_at);
-    if (!local_leader->Ready()) return;
     // If this node cannot reach the store directly, a peer relayed the renewal.
     // That peer reaches the store, so a node with direct access can lead.
     const bool store_unreachable = context.IsStoreUnreachable();
@@ -288,7 +287,12 @@
                       std::to_string(local_leader->FencingToken()) + " why=" +
                       (store_unreachable ? "store unreachable"
                                          : "larger node available"));
-    HandOverLeadership();
+    if (local_leader->Ready()) {
+      HandOverLeadership();
+    } else {
+      // There is nothing to store yet, and loading may take long.
+      EndLeadershipAndResign();
+    }
   };
   hooks.leadership_lost = [this] { EndLeadership(); };
   cluster_membership =
@@ -390,6 +394,7 @@
   fleet::node_settings& applied = impl_->context.settings;
   applied.shutdown_grace_ms = settings.shutdown_grace_ms;
   applied.key_revocation_ms = settings.key_revocation_ms;
+  applied.config_propagation_ms = settings.config_propagation_ms;
   applied.max_lease_ms = settings.max_lease_ms;
   applied.max_stop_ms = settings.max_stop_ms;
   applied.host_controller_pause_ms = settings.host_controller_pause_ms;
--- a/tests/node/narrow_link_test.cc
+++ b/tests/node/narrow_link_test.cc
@@ -68,6 +68,19 @@
   BOOST_TEST(now.Now() - first_poll_at >= 2900);
 }
 
+// Guards against a small node that keeps the lead for as long as it loads the
+// jobs, while a larger one could have taken over at once.
+BOOST_AUTO_TEST_CASE(loading_leader_yields_to_a_larger_node) {
+  StoreJobs();
+  cores = 0.1;
+  AddNode("n1", slow_link.Address());
+  BOOST_REQUIRE(RunUntil([&] { return LeaderName() == "n1"; }));
+  cores = 1;
+  AddNode("n2");
+  BOOST_REQUIRE(RunUntil([&] { return LeaderName() == "n2"; }));
+  BOOST_TEST(recorder.tasks.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
