Refuse nothing for good with an outdated configuration

Seen by callers: a queue that had been added was refused with 404, and a key with 401, more than 3 s after the new configuration was acknowledged; a queue that had been dropped was served.

Cause: a node answered from the configuration that it had, however old. Only keyed calls were bounded, by 70% of the time in which a withdrawn key may work.

Change: within config-ms of the last time at which the configuration was known to be the newest, nothing changes. After that, an unknown queue or key gets 503 with Retry-After, since a newer version may have it; and while the store responds, every call does, since a newer version is then on its way. During an outage of the store known queues and keys go on as before. The watch of the operator's keys ends after 450 instead of 900 ms, so that its age stays below 1 s, and reads the newest value when the history has several of a key.

Evidence: node_path/outdated_configuration_refuses_nothing_for_good failed before (404 and 401 for 60 s).

--- a/src/node/client_api.cc
+++ b/src/node/client_api.cc
@@ -164,8 +164,7 @@
   const auto limit = static_cast<millis>(
       static_cast<double>(context.settings.key_revocation_ms) *
       kMaxConfigAgeShare);
-  return context.config_current_at >= 0 &&
-         context.now.Now() - context.config_current_at <= limit;
+  return context.ConfigAge() <= limit;
 }
 
 bool client_api::impl::Authorize(const http::server_request& request,
@@ -180,6 +179,16 @@
   host = host.substr(0, host.find(':'));
   const fleet::queue_config* found =
       context.config->FindQueue(host, request.target.path);
+  const bool propagated = context.IsConfigPropagated();
+  // If the store responds but this configuration is not known to be current, a
+  // newer one is on its way. If the store does not respond, the queues and keys
+  // that this node knows stay in use, the keys as long as AreKeysCurrent().
+  const bool being_replaced =
+      !propagated && context.store_unreachable_since < 0;
+  if (being_replaced || (!found && !propagated)) {
+    respond(MakeRetryLaterResponse("configuration_not_current"));
+    return false;
+  }
   if (!found) {
     respond(http::MakeErrorResponse(404, "unknown_queue", "no such queue"));
     return false;
@@ -190,7 +199,7 @@
       key.empty() ? nullptr : context.config->FindTeamByKey(key);
   if (owner) team = owner->name;
   if (queue.is_public) return true;
-  if (!AreKeysCurrent()) {
+  if (!AreKeysCurrent() || (!owner && !propagated)) {
     respond(MakeRetryLaterResponse("configuration_not_current"));
     return false;
   }
--- a/src/node/node_context.h
+++ b/src/node/node_context.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
+#include <limits>
 #include <memory>
 
 #include "platform/store_client.h"
@@ -41,6 +42,20 @@
   millis store_unreachable_since = -1;
   bool stopping = false;  ///< The shutdown of this node has begun.
 
+  /// Returns the time since `config` was last known to be the newest version,
+  /// or a very large value if it never was.
+  millis ConfigAge() const {
+    return config_current_at < 0 ? std::numeric_limits<millis>::max()
+                                 : now.Now() - config_current_at;
+  }
+
+  /// Returns true if every version that `config` may lack is younger than the
+  /// time within which all nodes have to use it. Otherwise a request must not
+  /// be refused for a queue or a key that `config` does not have.
+  bool IsConfigPropagated() const {
+    return ConfigAge() <= settings.config_propagation_ms;
+  }
+
   /// Returns true if all of this node's own calls to the store have failed for
   /// kStoreUnreachableMs. Calls then succeed only if a peer relays them.
   bool IsStoreUnreachable() const {
--- a/src/node/node_server.cc
+++ b/src/node/node_server.cc
@@ -19,7 +19,9 @@
 namespace radishwing::node {
 namespace {
 
-constexpr millis kOperatorWatchWaitMs = 900;
+// Short, because the configuration is known to be current only as of the
+// beginning of the last watch call that has ended.
+constexpr millis kOperatorWatchWaitMs = 450;
 // The readiness check fails if the configuration was last known to be the
 // newest version at least this long ago.
 constexpr millis kMaxReadyConfigAgeMs = 3000;
@@ -206,6 +208,7 @@
   store_watch_options options;
   options.prefix = platform::kOperatorKeyPrefix;
   options.wait_ms = kOperatorWatchWaitMs;
+  options.skip_superseded_values = true;
   store_watch_hooks hooks;
   hooks.snapshot = [this](const std::vector<store::store_item>& items) {
     for (const store::store_item& item : items) ApplyOperatorItem(item);
@@ -333,8 +336,7 @@
 
 http::server_response node_server::impl::ReadinessResponse() {
   const bool config_is_current =
-      context.config &&
-      context.now.Now() - context.config_current_at < kMaxReadyConfigAgeMs;
+      context.config && context.ConfigAge() < kMaxReadyConfigAgeMs;
   http::server_response response;
   response.status = config_is_current && !context.stopping ? 200 : 503;
   response.body = "{}";
--- a/src/node/store_watch.cc
+++ b/src/node/store_watch.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace radishwing::node {
@@ -32,6 +34,7 @@
   void AddPage(store::store_page& page);
   void Watch();
   void ReportChanges(const store::store_changes& changes, millis asked_at);
+  static bool HasSupersededValue(const std::vector<store::store_item>& items);
   /// Calls `next` after `delay`, unless the watch is destroyed before.
   void CallAfter(millis delay, std::function<void()> next);
   /// Reports the failure of a read and repeats it after a delay. Pages that
@@ -118,6 +121,14 @@
               });
 }
 
+bool store_watch::impl::HasSupersededValue(
+    const std::vector<store::store_item>& items) {
+  std::set<std::string_view> keys;
+  return std::ranges::any_of(items, [&](const store::store_item& item) {
+    return !keys.insert(item.key).second;
+  });
+}
+
 void store_watch::impl::ReportChanges(const store::store_changes& changes,
                                       millis asked_at) {
   if (changes.history_discarded) return ReadPage("");
@@ -128,7 +139,9 @@
   revision = std::max(revision, changes.store_revision);
   if (hooks.caught_up) hooks.caught_up(asked_at);
   if (stopped) return;
-  if (options.gap_ms > 0) {
+  if (options.skip_superseded_values && HasSupersededValue(changes.items)) {
+    ReadPage("");
+  } else if (options.gap_ms > 0) {
     CallAfter(options.gap_ms, [this] { Watch(); });
   } else {
     Watch();
--- a/src/node/store_watch.h
+++ b/src/node/store_watch.h
@@ -16,6 +16,10 @@
   std::string prefix;     ///< Prefix of the watched keys.
   millis wait_ms = 1000;  ///< Maximum time that the store waits for a change.
   millis gap_ms = 0;      ///< Pause from a reply to the next watch call.
+  /// Reads all keys again, instead of following the history, after a reply with
+  /// more than one value of a key. For large values on narrow links, which
+  /// cannot carry every value that a key has had.
+  bool skip_superseded_values = false;
 };
 
 /// Callbacks of a store_watch; `caught_up` and `failed` may be empty.
--- a/tests/node/node_test.cc
+++ b/tests/node/node_test.cc
@@ -111,6 +111,22 @@
   BOOST_TEST(Call(client_api_address, verb::get, "/q/", "", "k2") == 200u);
 }
 
+// Guards against refusing a queue or a key that a newer configuration has, when
+// this node cannot know that its own one is the newest.
+BOOST_AUTO_TEST_CASE(outdated_configuration_refuses_nothing_for_good) {
+  config_propagation_ms = 1500;
+  const std::string client_api_address = AddNode("n1");
+  BOOST_REQUIRE(CallUntil(client_api_address, verb::get, "/q/", 200));
+  BOOST_REQUIRE(Call(client_api_address, verb::get, "/new/") == 404u);
+  BOOST_REQUIRE(Call(client_api_address, verb::get, "/q/", "", "bad") == 401u);
+  store.SetUnavailable(true);
+  BOOST_TEST(CallUntil(client_api_address, verb::get, "/new/", 503));
+  BOOST_TEST(!retry_after.empty());
+  BOOST_TEST(Call(client_api_address, verb::get, "/q/", "", "bad") == 503u);
+  store.SetUnavailable(false);
+  BOOST_TEST(CallUntil(client_api_address, verb::get, "/new/", 404));
+}
+
 // Guards against tasks that wait forever for an unresponsive runner.
 BOOST_AUTO_TEST_CASE(tasks_of_unresponsive_runner_run_elsewhere) {
   const std::string client_api_address = AddNode("n1");
