Wait longer for responses that are late because the link is full

Seen by callers: at the small size of both deployments a leader was replaced every few seconds, also without any fault of the platform.

Cause: limits for the first byte of a response (0.7 s) took a full link for a server that does not respond. Polls of runners, reads and renewals were given up, and repeated, while their responses were on the way: the link carried the same bytes again, and a takeover received 600 kB in 5 s through peers that it had asked because the store seemed unreachable. Same class as the limit for whole responses, found in every client that has a limit for a response.

Change: link_load measures from the traffic what share of the link-mbps of the settings the node uses. Orders to hosts keep their limit, which guards the lease.

--- a/src/fleet/node_settings.h
+++ b/src/fleet/node_settings.h
@@ -24,6 +24,8 @@
   std::string advice_address;   ///< Address of the advice service.
   std::string metrics_address;  ///< Address that serves the node's metrics.
   double cores = 1;             ///< Processor cores that the process may use.
+  /// Capacity of each direction of the host's network link; 0: not known.
+  double link_bytes_per_s = 0;
   millis shutdown_grace_ms = 6000;  ///< Time from SIGTERM to SIGKILL.
   /// Maximum time for which a node may still accept a revoked API key.
   millis key_revocation_ms = 5000;
--- a/src/http/client_exchange.h
+++ b/src/http/client_exchange.h
@@ -40,6 +40,8 @@
   /// Time by which the complete response must have arrived, or the next part of
   /// it if the request has a progress timeout.
   std::chrono::steady_clock::time_point deadline;
+  /// Time until which `deadline` is extended while the link is congested.
+  std::chrono::steady_clock::time_point congested_deadline;
   /// Time after which progress no longer extends `deadline`.
   std::chrono::steady_clock::time_point last_deadline;
   /// Time limit of the current step, see client::impl::ArmTimer.
--- a/src/http/client_impl.cc
+++ b/src/http/client_impl.cc
@@ -162,7 +162,8 @@
       [self = shared_from_this(), exchange, connection = exchange->connection](
           boost::system::error_code error, std::size_t bytes) {
         if (connection->closed) return;
-        if (self->options.count_traffic) self->options.count_traffic(bytes, 0);
+        if (self->options.link.count_traffic)
+          self->options.link.count_traffic(bytes, 0);
         // A write error does not end the attempt: the server may have responded
         // and closed the connection before it read the whole body. The client
         // can still read that response.
@@ -178,7 +179,8 @@
       [self = shared_from_this(), exchange, connection = exchange->connection](
           boost::system::error_code error, std::size_t bytes) {
         if (connection->closed) return;
-        if (self->options.count_traffic) self->options.count_traffic(0, bytes);
+        if (self->options.link.count_traffic)
+          self->options.link.count_traffic(0, bytes);
         exchange->received_bytes += bytes;
         if (!error) {
           if (exchange->parser->is_done()) {
@@ -260,7 +262,23 @@
       });
 }
 
+bool client::impl::ExtendForCongestion(const exchange_ptr& exchange) {
+  if (exchange->request.progress_timeout_ms <= 0 ||
+      exchange->received_bytes > 0 || !options.link.is_congested ||
+      exchange->deadline >= exchange->congested_deadline ||
+      !options.link.is_congested()) {
+    return false;
+  }
+  exchange->deadline =
+      std::min(exchange->congested_deadline,
+               steady_clock::now() +
+                   milliseconds(exchange->request.progress_timeout_ms));
+  ArmTimer(exchange);
+  return true;
+}
+
 void client::impl::EndTimedOutWait(const exchange_ptr& exchange) {
+  if (ExtendForCongestion(exchange)) return;
   if (exchange->connection) {
     // Connections opened at the same time tend to stop responding together, so
     // the client does not reuse the idle connections either.
--- a/src/http/client_impl.h
+++ b/src/http/client_impl.h
@@ -53,6 +53,9 @@
   void ArmTimer(const exchange_ptr& exchange);
   /// Waits until the timer's expiry, then for the rest of the current step.
   void AwaitTimer(const exchange_ptr& exchange);
+  /// Extends the deadline of an exchange without a response if the link is
+  /// congested; returns false if it does not.
+  bool ExtendForCongestion(const exchange_ptr& exchange);
   /// Called at the time limit of a step. Ends the current attempt or, if the
   /// exchange is queued, completes it with a failure.
   void EndTimedOutWait(const exchange_ptr& exchange);
--- a/src/http/client_options.h
+++ b/src/http/client_options.h
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "src/base/clock.h"
-#include "src/http/traffic_hook.h"
+#include "src/http/link_hooks.h"
 
 namespace radishwing::http {
 
@@ -29,7 +29,7 @@
   /// long, so that a network partition cannot hold a request back and deliver
   /// it later; 0: the system's default.
   millis unacknowledged_timeout_ms = 0;
-  traffic_hook count_traffic;  ///< Null: traffic is not counted.
+  link_hooks link;
   /// A larger response body fails the request with kInternal.
   std::uint64_t max_body_bytes = 64ull << 20;
 };
--- a/src/http/server_options.h
+++ b/src/http/server_options.h
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "src/base/clock.h"
-#include "src/http/traffic_hook.h"
+#include "src/http/link_hooks.h"
 
 namespace radishwing::http {
 
--- a/src/node/host_controller.cc
+++ b/src/node/host_controller.cc
@@ -25,7 +25,7 @@
     auto made = platform::host_client::Make(
         context.io, {context.settings.host_api_address, context.settings.name,
                      sched::kHostOrderTimeoutMs, hooks.may_order_hosts,
-                     context.metrics.Traffic().Hook("host_service")});
+                     context.LinkHooks("host_service")});
     if (!Ok(made)) return;
     host_service_client = std::move(Value(made));
   }
--- a/src/node/node_context.h
+++ b/src/node/node_context.h
@@ -12,6 +12,7 @@
 #include "src/node/event_log.h"
 #include "src/node/member_table.h"
 #include "src/node/node_metrics.h"
+#include "src/sched/link_load.h"
 
 namespace radishwing::node {
 
@@ -28,6 +29,7 @@
   clock unix_now = clock::Wall();  ///< Clock that reads Unix time.
   event_log log{clock::BootTime()};
   node_metrics metrics{settings.name, unix_now.Now()};
+  sched::link_load link{settings.link_bytes_per_s};
   std::unique_ptr<platform::store_client> store;
   member_table members;  ///< Registered nodes and the shard's leader.
   /// The newest configuration that this node has read; null before the first
@@ -42,6 +44,19 @@
   millis store_unreachable_since = -1;
   bool stopping = false;  ///< The shutdown of this node has begun.
 
+  /// Returns the load of the host's network link until now.
+  const sched::link_load& MeasuredLink() {
+    link.Record(now.Now(), metrics.Traffic().Totals());
+    return link;
+  }
+
+  /// Returns the hooks of a client for other sides of the kind `other_side`,
+  /// see traffic_counters::Hook.
+  http::link_hooks LinkHooks(std::string_view other_side) {
+    return {metrics.Traffic().Hook(other_side),
+            [this] { return MeasuredLink().IsCongested(); }};
+  }
+
   /// Returns the time since `config` was last known to be the newest version,
   /// or a very large value if it never was.
   millis ConfigAge() const {
--- a/src/node/node_server.cc
+++ b/src/node/node_server.cc
@@ -37,7 +37,7 @@
   impl(boost::asio::io_context& io, fleet::node_settings settings,
        std::function<void()> stopped)
       : context(io, std::move(settings)),
-        peers(io, context.metrics.Traffic().Hook("nodes")),
+        peers(io, context.LinkHooks("nodes")),
         on_stopped(std::move(stopped)),
         stop_timer(io),
         traffic_timer(io) {}
@@ -116,9 +116,12 @@
             " took_ms=" + std::to_string(call.took) +
             (call.error.empty() ? "" : " error=" + std::string(call.error)));
   };
+  platform::store_client::hooks hooks;
+  hooks.relay = std::move(relay);
+  hooks.observe = std::move(observe);
+  hooks.link = context.LinkHooks("store");
   auto made = platform::store_client::Make(
-      context.io, context.settings.store_address, std::move(relay),
-      std::move(observe), context.metrics.Traffic().Hook("store"));
+      context.io, context.settings.store_address, std::move(hooks));
   if (!Ok(made)) return Error(made);
   context.store = std::move(Value(made));
   return success{};
--- a/src/node/peer_client.cc
+++ b/src/node/peer_client.cc
@@ -23,7 +23,7 @@
     options.address = address;
     options.max_connections = kMaxConnections;
     options.connect_timeout_ms = kConnectTimeoutMs;
-    options.count_traffic = count_traffic_;
+    options.link = link_;
     auto made = http::client::Make(io_, options);
     if (!Ok(made)) {
       clients_.erase(address);
--- a/src/node/peer_client.h
+++ b/src/node/peer_client.h
@@ -19,8 +19,8 @@
  public:
   using completion = std::function<void(result<std::string>)>;
 
-  peer_client(boost::asio::io_context& io, http::traffic_hook count_traffic)
-      : io_(io), count_traffic_(std::move(count_traffic)) {}
+  peer_client(boost::asio::io_context& io, http::link_hooks link)
+      : io_(io), link_(std::move(link)) {}
 
   /// Sends `body` as a POST request to `target` on the node at `address`.
   /// `first_byte_timeout_ms` is the time limit from sending to the first byte
@@ -32,7 +32,7 @@
 
  private:
   boost::asio::io_context& io_;
-  http::traffic_hook count_traffic_;
+  http::link_hooks link_;
   /// Keyed by the address of the other node.
   std::map<std::string, std::unique_ptr<http::client>> clients_;
   /// Expires with this client; pending timers check it.
--- a/src/node/runner_link.cc
+++ b/src/node/runner_link.cc
@@ -83,9 +83,8 @@
 
 bool runner_link::impl::Connect() {
   if (client) return true;
-  auto created =
-      platform::runner_client::Make(context.io, report.address, report.id,
-                                    context.metrics.Traffic().Hook("runners"));
+  auto created = platform::runner_client::Make(
+      context.io, report.address, report.id, context.LinkHooks("runners"));
   if (!Ok(created)) {
     context.log.Warning("runner",
                         "invalid runner address, runner=" + report.id +
--- a/src/node/traffic_counters.cc
+++ b/src/node/traffic_counters.cc
@@ -16,8 +16,10 @@
   entry.sent = &family_.Add({{"other_side", name}, {"direction", "sent"}});
   entry.received =
       &family_.Add({{"other_side", name}, {"direction", "received"}});
-  return [sent_counter = entry.sent, received_counter = entry.received](
-             std::size_t sent, std::size_t received) {
+  return [sent_counter = entry.sent, received_counter = entry.received,
+          totals = totals_](std::size_t sent, std::size_t received) {
+    totals->sent += sent;
+    totals->received += received;
     if (sent > 0) sent_counter->Increment(static_cast<double>(sent));
     if (received > 0) {
       received_counter->Increment(static_cast<double>(received));
--- a/src/node/traffic_counters.h
+++ b/src/node/traffic_counters.h
@@ -5,10 +5,12 @@
 #include <prometheus/registry.h>
 
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 
-#include "src/http/traffic_hook.h"
+#include "src/http/link_hooks.h"
+#include "src/sched/link_load.h"
 
 namespace radishwing::node {
 
@@ -23,6 +25,8 @@
   /// Returns a hook that counts the traffic with the other sides of the kind
   /// `other_side`, such as "store".
   http::traffic_hook Hook(std::string_view other_side);
+  /// Returns the bytes of all kinds since this object was created.
+  const sched::traffic_totals& Totals() const { return *totals_; }
   /// Returns the bytes since the last call as "store_sent=N store_received=N
   /// ...", without the kinds that had no traffic.
   std::string TakeSummary();
@@ -36,6 +40,8 @@
   };
 
   prometheus::Family<prometheus::Counter>& family_;
+  std::shared_ptr<sched::traffic_totals> totals_ =
+      std::make_shared<sched::traffic_totals>();
   std::map<std::string, counters, std::less<>> counters_;  ///< By other side.
 };
 
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -72,6 +72,28 @@
   BOOST_TEST(Value(outcome).body == "abcd");
 }
 
+// Guards against giving up requests that wait behind other traffic on the link,
+// and against waiting for them without end.
+BOOST_FIXTURE_TEST_CASE(http_client_waits_longer_while_the_link_is_congested,
+                        http_fixture) {
+  constexpr millis kFirstByteMs = 300;
+  std::vector<server::responder> held;
+  handler = [&](server_request, server::responder respond) {
+    held.push_back(std::move(respond));
+  };
+  test_client_options.link.is_congested = [] { return true; };
+  StartServer();
+  boost::asio::steady_timer later(io);
+  later.expires_after(std::chrono::milliseconds(kFirstByteMs + 50));
+  later.async_wait([&](boost::system::error_code) { held.front()({}); });
+  const client_request request{.total_timeout_ms = kFirstByteMs,
+                               .progress_timeout_ms = kFirstByteMs};
+  BOOST_TEST(Ok(SendRequest(request)));
+  const auto unanswered = SendRequest(request);
+  BOOST_REQUIRE(!Ok(unanswered));
+  BOOST_TEST((Error(unanswered).kind == failure_kind::kTimeout));
+}
+
 // A response that stops in the middle must end the request.
 BOOST_FIXTURE_TEST_CASE(http_client_response_that_stops_ends_with_a_timeout,
                         http_fixture) {
