Keep the leader's traffic within its link

Seen by callers: on hosts with narrow links a leader lost its lease 13 s after the traffic began, its runs lapsed, and so on with each successor.

Cause: a task costs the leader some 1.2 kB in each direction: its start, its part of the listings, and a write of its job's progress for nearly each end. 393 tasks a second are 470 kB/s, and a link of 2 Mbit/s carries 250. Nothing limited the starts, so that everything else waited behind them for seconds.

Change: start_pacer permits as many starts as 80% of the link carry by the measured cost of a task; the most urgent ones go first, as before. On a link that is busy the listings of a runner are 100 ms apart and the ends of a job's tasks wait up to 200 ms for one another before they are stored, 250 and 600 ms when it is full; what a start, a caller or a handover waits for is stored at once. The list of the hosts is read every 1.5 instead of 0.5 s then. While the jobs are loaded, runners are polled after 1 s and then every 2.5 s.

A wider link is not limited: 10 Mbit/s carry some 700 starts a second.

--- a/src/node/host_controller.cc
+++ b/src/node/host_controller.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr millis kHostListIntervalMs = 500;
+constexpr millis kCongestedHostListIntervalMs = 1500;
 
 }  // namespace
 
@@ -20,7 +21,10 @@
 
 void host_controller::impl::RequestHostList() {
   const millis now = context.now.Now();
-  if (list_in_flight || now - list_requested_at < kHostListIntervalMs) return;
+  const millis interval = context.MeasuredLink().IsCongested()
+                              ? kCongestedHostListIntervalMs
+                              : kHostListIntervalMs;
+  if (list_in_flight || now - list_requested_at < interval) return;
   if (!host_service_client) {
     auto made = platform::host_client::Make(
         context.io, {context.settings.host_api_address, context.settings.name,
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -76,7 +76,11 @@
 void leader::impl::RunSchedulingPass() {
   if (!MaySendOrders()) return;
   const millis plan_started_at = context.now.Now();
+  const int allowance =
+      start_pace.Allowance(plan_started_at, context.MeasuredLink());
+  scheduler.SetStartAllowance(allowance);
   const auto orders = scheduler.Plan(plan_started_at, context.unix_now.Now());
+  start_pace.RecordStarts(allowance - scheduler.StartAllowance());
   pacer.RecordPassDuration(context.now.Now() - plan_started_at);
   for (const sched::order& order : orders) SendOrder(order);
   RequestAdvice();
@@ -225,33 +229,36 @@
   if (save_pending || saves_in_flight >= kMaxSavesInFlight || ended) return;
   save_pending = true;
   save_timer.expires_after(std::chrono::milliseconds(kSaveDelayMs));
-  save_timer.async_wait(
-      [weak = weak_from_this()](boost::system::error_code error) {
-        const auto self = weak.lock();
-        if (error || !self || self->ended) return;
-        self->save_pending = false;
-        const auto writes = self->scheduler.TakeWrites(kMaxJobsPerCommit);
-        if (writes.empty()) {
-          if (self->saves_in_flight == 0 && self->on_handover) {
-            std::exchange(self->on_handover, nullptr)();
-          }
-          return;
-        }
-        store::store_commit commit;
-        commit.preconditions.push_back({ShardKey(), self->fencing_token});
-        for (const sched::pending_write& write : writes) {
-          const std::string key = ProgressKey(write.job);
-          commit.preconditions.push_back({key, write.record_revision});
-          commit.writes.push_back({key, write.text, 0});
-        }
-        ++self->saves_in_flight;
-        self->context.store->Commit(
-            commit, [weak, writes](result<store::commit_outcome> outcome) {
-              const auto locked = weak.lock();
-              if (locked && !locked->ended) locked->OnSaveDone(writes, outcome);
-            });
-        self->SaveProgress();
-      });
+  save_timer.async_wait([weak = weak_from_this()](
+                            boost::system::error_code error) {
+    const auto self = weak.lock();
+    if (error || !self || self->ended) return;
+    self->save_pending = false;
+    const millis deferral =
+        self->handing_over ? 0 : self->context.MeasuredLink().WriteDeferral();
+    const auto writes = self->scheduler.TakeWrites(
+        kMaxJobsPerCommit, self->context.now.Now(), deferral);
+    if (writes.empty()) {
+      if (self->saves_in_flight == 0 && self->on_handover) {
+        std::exchange(self->on_handover, nullptr)();
+      }
+      return;
+    }
+    store::store_commit commit;
+    commit.preconditions.push_back({ShardKey(), self->fencing_token});
+    for (const sched::pending_write& write : writes) {
+      const std::string key = ProgressKey(write.job);
+      commit.preconditions.push_back({key, write.record_revision});
+      commit.writes.push_back({key, write.text, 0});
+    }
+    ++self->saves_in_flight;
+    self->context.store->Commit(
+        commit, [weak, writes](result<store::commit_outcome> outcome) {
+          const auto locked = weak.lock();
+          if (locked && !locked->ended) locked->OnSaveDone(writes, outcome);
+        });
+    self->SaveProgress();
+  });
 }
 
 void leader::impl::OnSaveDone(const std::vector<sched::pending_write>& writes,
--- a/src/node/leader_impl.h
+++ b/src/node/leader_impl.h
@@ -16,6 +16,7 @@
 #include "src/sched/plan_pacer.h"
 #include "src/sched/recorded_runners.h"
 #include "src/sched/scheduler.h"
+#include "src/sched/start_pacer.h"
 #include "src/sched/term_lease.h"
 
 namespace radishwing::node {
@@ -187,6 +188,7 @@
   /// Result of scheduler::PendingJobCounts() at `pending_counted_at`.
   std::map<std::string, std::size_t> pending_counts;
   millis pending_counted_at = -1;  ///< -1: not counted yet.
+  sched::start_pacer start_pace;   ///< Limits the starts of tasks.
   sched::plan_pacer pacer;         ///< Determines the delay before each pass.
   boost::asio::steady_timer pass_timer;
   boost::asio::steady_timer tick_timer;
--- a/src/node/leader_runners.cc
+++ b/src/node/leader_runners.cc
@@ -111,6 +111,7 @@
     });
   };
   hooks.may_send_orders = [this] { return MaySendOrders(); };
+  hooks.poll_spacing = [this] { return context.MeasuredLink().PollSpacing(); };
   return hooks;
 }
 
--- a/src/node/runner_link.cc
+++ b/src/node/runner_link.cc
@@ -20,10 +20,12 @@
 // Longest time for which the next poll is deferred because run ends in the last
 // listing are not stored yet.
 constexpr millis kMaxDeferralMs = 300;
-// Delay between polls while the leader loads the jobs and discards the
-// listings. Short enough to extend the predecessor's lease on the runner, and
-// long enough to leave most of the bandwidth of a narrow link to the load.
-constexpr millis kLoadingPollIntervalMs = 1000;
+// Delays between polls while the leader loads the jobs and discards the
+// listings: the second poll extends the predecessor's lease on the runner, the
+// others keep it. They leave most of the bandwidth of a narrow link to the
+// load.
+constexpr millis kSecondLoadingPollDelayMs = 1000;
+constexpr millis kLoadingPollIntervalMs = 2500;
 
 }  // namespace
 
@@ -53,6 +55,8 @@
   /// not known yet.
   millis ExtendLease();
   void PollLater(millis delay);
+  /// Polls now, or as soon as the spacing of polls permits it.
+  void ResumePolling();
 
   node_context& context;
   std::uint64_t fencing_token;
@@ -72,6 +76,7 @@
   millis clock_read_at = 0;  ///< Time on this node's clock.
   /// Unix time at which the runner's process started; 0: not reported yet.
   millis process_start_unix_ms = 0;
+  millis next_poll_at = 0;       ///< Earliest time of the next poll.
   bool reachable = false;        ///< The runner responded to the last poll.
   bool listing_applied = false;  ///< The leader applied the last listing.
   bool busy = false;             ///< Tasks run or may run on the runner.
@@ -122,6 +127,13 @@
       });
 }
 
+void runner_link::impl::ResumePolling() {
+  const millis delay = next_poll_at - context.now.Now();
+  if (delay > 0) return PollLater(delay);
+  poll_timer.cancel();
+  Poll();
+}
+
 void runner_link::impl::Poll() {
   if (poll_in_flight || stopped || !hooks.may_send_orders()) return;
   if (!Connect()) return PollLater(kRetryDelayMs);
@@ -166,7 +178,9 @@
     acknowledged_end_number = 0;
     hooks.restarted(report.id);
   }
+  const bool first_response = process_start_unix_ms == 0;
   process_start_unix_ms = listing.started_unix_ms;
+  next_poll_at = context.now.Now() + hooks.poll_spacing();
   runner_clock = listing.runner_clock_ms;
   clock_read_at = context.now.Now();
   SetReachable(true);
@@ -176,11 +190,12 @@
   listing_applied = listing_outcome != listing_result::kNotReady;
   switch (listing_outcome) {
     case listing_result::kAllAcknowledged:
-      return Poll();
+      return ResumePolling();
     case listing_result::kAcksPending:
       return PollLater(kMaxDeferralMs);
     case listing_result::kNotReady:
-      return PollLater(kLoadingPollIntervalMs);
+      return PollLater(first_response ? kSecondLoadingPollDelayMs
+                                      : kLoadingPollIntervalMs);
   }
 }
 
@@ -241,10 +256,7 @@
 }
 
 void runner_link::ResumePolling() {
-  if (!impl_->poll_in_flight && impl_->reachable) {
-    impl_->poll_timer.cancel();
-    impl_->Poll();
-  }
+  if (!impl_->poll_in_flight && impl_->reachable) impl_->ResumePolling();
 }
 
 bool runner_link::Reachable() const { return impl_->reachable; }
--- a/src/node/runner_link.h
+++ b/src/node/runner_link.h
@@ -36,6 +36,8 @@
   std::function<void()> fenced;
   /// Returns true if this node may send orders.
   std::function<bool()> may_send_orders;
+  /// Returns the shortest time from a listing to the next poll.
+  std::function<millis()> poll_spacing;
 };
 
 /// The leader's connection to one runner. Polls the runner continuously,
--- a/src/sched/job_state.h
+++ b/src/sched/job_state.h
@@ -71,6 +71,11 @@
   std::uint64_t persisted_version = 0;
   /// Store revision of the job's progress record; 0 if there is no record.
   std::uint64_t record_revision = 0;
+  /// The progress to write has more than ends of tasks: the job's end, or what
+  /// its starts or its cancellation wait for.
+  bool write_urgent = false;
+  /// Time at which the queued write was first considered; -1: not yet.
+  millis write_considered_at = -1;
   bool write_queued = false;  ///< The job is in the queue of jobs to write.
   /// The caller took a write of the progress and has not reported the result of
   /// the write yet.
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -1,6 +1,7 @@
 #include "src/sched/scheduler.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "src/sched/job_steps.h"
 #include "src/sched/progress_codec.h"
@@ -73,6 +74,11 @@
 }
 
 void scheduler::MarkChanged(job_state& job) {
+  job.write_urgent = true;
+  MarkChangedByEnd(job);
+}
+
+void scheduler::MarkChangedByEnd(job_state& job) {
   ++job.progress_version;
   QueueWrite(job);
 }
@@ -80,6 +86,7 @@
 void scheduler::QueueWrite(job_state& job) {
   if (job.write_queued || job.write_in_flight) return;
   job.write_queued = true;
+  job.write_considered_at = -1;
   write_queue_.push_back(job.record.id);
 }
 
@@ -199,16 +206,28 @@
   }
 }
 
-std::vector<pending_write> scheduler::TakeWrites(std::size_t limit) {
+std::vector<pending_write> scheduler::TakeWrites(std::size_t limit, millis now,
+                                                 millis deferral) {
   std::vector<pending_write> writes;
+  std::deque<std::string> deferred;
   while (!write_queue_.empty() && writes.size() < limit) {
-    job_state& job = *jobs_.at(write_queue_.front());
+    std::string id = std::move(write_queue_.front());
     write_queue_.pop_front();
+    job_state& job = *jobs_.at(id);
+    if (job.write_considered_at < 0) job.write_considered_at = now;
+    if (!job.write_urgent && now - job.write_considered_at < deferral) {
+      deferred.push_back(std::move(id));
+      continue;
+    }
     job.write_queued = false;
+    job.write_urgent = false;
     job.write_in_flight = true;
     writes.push_back({job.record.id, job.progress_version, job.record_revision,
                       EncodeProgress(job)});
   }
+  write_queue_.insert(write_queue_.begin(),
+                      std::make_move_iterator(deferred.begin()),
+                      std::make_move_iterator(deferred.end()));
   return writes;
 }
 
@@ -231,6 +250,7 @@
   if (it == jobs_.end()) return;
   store_writable_ = false;
   it->second->write_in_flight = false;
+  it->second->write_urgent = true;
   DropDeferredRuns(*it->second);
   QueueWrite(*it->second);
 }
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <memory>
 #include <set>
@@ -133,6 +134,11 @@
   std::size_t CountUnansweredStarts() const;
   /// Performs a scheduling pass and returns the orders to send.
   std::vector<order> Plan(millis now, millis unix_now);
+  /// Limits the number of tasks that the next passes start.
+  void SetStartAllowance(int allowance) { start_allowance_ = allowance; }
+  /// Returns the part of the limit that is left; below 0 if the last gang
+  /// exceeded it.
+  int StartAllowance() const { return start_allowance_; }
   /// Returns the queries to the advice service that the most recent Plan()
   /// needs, the most urgent first, and clears them.
   std::vector<advice_request> TakeAdviceRequests();
@@ -149,8 +155,10 @@
 
   /// Returns at most `limit` writes of changed jobs, the oldest change first.
   /// Skips jobs with a write in flight, so the caller must report the result of
-  /// each write.
-  std::vector<pending_write> TakeWrites(std::size_t limit);
+  /// each write. Jobs for which only tasks have ended wait for further ends
+  /// until `deferral` after a call has first passed over them.
+  std::vector<pending_write> TakeWrites(std::size_t limit, millis now = 0,
+                                        millis deferral = 0);
   /// Reports that the write of `job` failed or got no answer, so that the
   /// scheduler queues it again.
   void ReportWriteFailure(const std::string& job);
@@ -253,6 +261,8 @@
 
   /// Increments the version of the job's progress and queues a write.
   void MarkChanged(job_state& job);
+  /// As MarkChanged, for a change whose write may wait for further ones.
+  void MarkChangedByEnd(job_state& job);
   /// Queues a write of the job's progress, unless one is queued or in flight.
   void QueueWrite(job_state& job);
   static void UpdateCriticalPath(job_state& job);
@@ -368,6 +378,8 @@
   /// task if `latency_sensitive` is false.
   bool HasTaskOfKind(const runner_state& runner, bool latency_sensitive) const;
 
+  /// Number of tasks that may still be started, see SetStartAllowance().
+  int start_allowance_ = std::numeric_limits<int>::max();
   int min_run_;                 ///< Lowest number of a new run.
   fleet::fleet_config config_;  ///< Configuration of queues, pools and teams.
   run_time_model run_times_;    ///< Ratios of actual to estimated run times.
--- a/src/sched/scheduler_deferred_starts.cc
+++ b/src/sched/scheduler_deferred_starts.cc
@@ -30,6 +30,7 @@
     job.data_centres_version = job.progress_version;
   }
   const bool deferred = !RecordCoversStarts(job);
+  if (deferred) job.write_urgent = true;
   if (deferred && !job.write_queued && !job.write_in_flight) MarkChanged(job);
   for (const order& start : starts) {
     const task_ref ref = FindTask(start.task);
--- a/src/sched/scheduler_listing.cc
+++ b/src/sched/scheduler_listing.cc
@@ -116,12 +116,12 @@
       for (task_state& member : ref.state->tasks) member.done = true;
       ref.state->done_count = static_cast<int>(ref.state->tasks.size());
     }
-    MarkChanged(*ref.job);
+    MarkChangedByEnd(*ref.job);
   }
   if (end.end_kind == fleet::run_end::kFailed &&
       std::ranges::find(task.failed_runs, end.run) == task.failed_runs.end()) {
     task.failed_runs.push_back(end.run);
-    MarkChanged(*ref.job);
+    MarkChangedByEnd(*ref.job);
   }
 }
 
@@ -135,7 +135,7 @@
   task.last_run = std::max(task.last_run, end.run);
   if (!end.checkpoint.empty() && end.checkpoint != task.checkpoint) {
     task.checkpoint = end.checkpoint;
-    MarkChanged(*ref.job);
+    MarkChangedByEnd(*ref.job);
   }
   RecordTaskOutcome(ref, end);
   if (task.done) {
--- a/src/sched/scheduler_plan.cc
+++ b/src/sched/scheduler_plan.cc
@@ -178,6 +178,7 @@
   std::vector<order> starts;
   for (std::size_t i = 0; i < state.tasks.size(); ++i) {
     task_state& task = state.tasks[i];
+    if (start_allowance_ <= 0) break;
     if (task.done || now < task.not_before) continue;
     if (!task.runs.empty() && !NeedsCopy(job, step, task, now)) continue;
     // An unlisted run of the task may exist, so only a step that allows
@@ -262,6 +263,7 @@
   const auto s = static_cast<std::size_t>(step_number);
   const fleet::task_step& step = job.record.request.steps[s];
   step_state& state = repetition.steps[s];
+  if (start_allowance_ <= 0) return;
   int run = min_run_;
   std::string checkpoint;
   for (task_state& task : state.tasks) {
@@ -306,6 +308,7 @@
 void scheduler::PlaceRun(const fleet::task_name& name, const task_ref& ref,
                          runner_state& runner, int run, millis now,
                          std::vector<order>& starts) {
+  --start_allowance_;
   run_state state{.runner = runner.report.id, .run = run};
   state.ordered_at = now;
   state.progress_at = now;
--- a/tests/sched/scheduler_order_test.cc
+++ b/tests/sched/scheduler_order_test.cc
@@ -101,6 +101,18 @@
   BOOST_TEST((subject.FindJob("a")->phase == job_phase::kCancelled));
 }
 
+// A leader whose link is full starts fewer tasks, the most urgent ones first.
+BOOST_AUTO_TEST_CASE(starts_beyond_the_allowance_wait_for_the_next_pass) {
+  AddRunner("r1");
+  AddJob("a", {Step(3)});
+  subject.SetStartAllowance(2);
+  BOOST_TEST(PlanAndAccept().size() == 2u);
+  BOOST_TEST(subject.StartAllowance() == 0);
+  BOOST_TEST(PlanAndAccept().empty());
+  subject.SetStartAllowance(2);
+  BOOST_TEST(PlanAndAccept().size() == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/sched/scheduler_writes_test.cc
+++ b/tests/sched/scheduler_writes_test.cc
@@ -40,6 +40,38 @@
   BOOST_TEST(TakeWrittenJobs(1) == std::vector<std::string>{"a"});
 }
 
+// On a full link, the ends of a job's tasks wait for one another, but nothing
+// that a start or a caller waits for.
+BOOST_AUTO_TEST_CASE(deferred_write_has_all_ends_and_waits_for_a_limited_time) {
+  constexpr millis kDeferralMs = 600;
+  AddRunner("r1");
+  AddJob("a", {Step(3)});
+  const auto orders = PlanAndAccept();
+  BOOST_REQUIRE_EQUAL(orders.size(), 3u);
+  ReportListing("r1",
+                End(1, orders[0].task, orders[0].run, fleet::run_end::kDone));
+  BOOST_TEST(subject.TakeWrites(5, now, kDeferralMs).empty());
+  ReportListing("r1",
+                End(2, orders[1].task, orders[1].run, fleet::run_end::kDone));
+  BOOST_TEST(subject.TakeWrites(5, now + kDeferralMs - 1, kDeferralMs).empty());
+  const auto writes = subject.TakeWrites(5, now + kDeferralMs, kDeferralMs);
+  BOOST_REQUIRE_EQUAL(writes.size(), 1u);
+  BOOST_TEST(writes[0].text.find("110") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(end_of_a_job_is_not_deferred) {
+  AddRunner("r1");
+  FinishJobs({"a"});
+  BOOST_TEST(subject.TakeWrites(5, now, 600).size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(record_that_starts_wait_for_is_not_deferred) {
+  AddRunner("r1");
+  AddJob("a", {Step(1)});
+  BOOST_TEST(subject.Plan(now, now).empty());
+  BOOST_TEST(subject.TakeWrites(5, now, 600).size() == 1u);
+}
+
 // Guards against two writes of one job in flight. The first write changes the
 // revision of the job's record, so the second write would expect an outdated
 // revision and fail.
