Notify a leader that is not ready once more instead of four times

A node repeats the notification of a stored job to the leader every 150 ms. The response 503 means that the other node does not lead, or still loads the jobs; the job is stored, so loading, or the watch after it, reads it. On a full link 338 notifications of 0.7 kB in 10 s were a part of what a takeover waited for. One attempt after 600 ms is left, which shortens the wait for jobs that were stored while the leader read them. No test of its own; node_path covers jobs that reach a node while there is no leader.

--- a/src/node/leader_notifier.cc
+++ b/src/node/leader_notifier.cc
@@ -1,5 +1,6 @@
 #include "src/node/leader_notifier.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <utility>
@@ -13,6 +14,8 @@
 // than a change of leader.
 constexpr int kMaxAttempts = 4;
 constexpr millis kRetryDelayMs = 150;
+// Delay of the attempt after a node that does not lead, or not yet.
+constexpr millis kNotReadyRetryDelayMs = 600;
 
 struct leader_notification {
   bool is_cancel = false;  ///< True for a cancel request, false for a job.
@@ -33,7 +36,7 @@
   /// Sends a notification to the leader once. If that fails, schedules the next
   /// attempt.
   void Send(leader_notification notification);
-  void RetryLater(leader_notification notification);
+  void RetryLater(leader_notification notification, millis delay);
 
   node_context& context;
   peer_client& peers;
@@ -48,31 +51,41 @@
   }
   --notification.attempts_left;
   const std::string& address = context.members.Leader().address;
-  if (address.empty()) return RetryLater(std::move(notification));
+  if (address.empty()) {
+    return RetryLater(std::move(notification), kRetryDelayMs);
+  }
   const std::string path =
       notification.is_cancel ? "/peer/cancel?id=" : "/peer/job?id=";
   const std::string body = notification.record;
   const std::string target = path + notification.id;
-  peers.Call(address, target, body, kSendTimeoutMs,
-             [weak = weak_from_this(), notification = std::move(notification)](
-                 const result<std::string>& response) {
-               const auto self = weak.lock();
-               if (!self || Ok(response)) return;
-               self->context.log.Warning(
-                   "front", std::string(notification.is_cancel
-                                            ? "cancel notification failed"
-                                            : "job notification failed") +
-                                ", job=" + notification.id + " tries_left=" +
-                                std::to_string(notification.attempts_left) +
-                                " error=" + Error(response).message);
-               self->RetryLater(notification);
-             });
+  peers.Call(
+      address, target, body, kSendTimeoutMs,
+      [weak = weak_from_this(), notification = std::move(notification)](
+          const result<std::string>& response) mutable {
+        const auto self = weak.lock();
+        if (!self || Ok(response)) return;
+        self->context.log.Warning(
+            "front",
+            std::string(notification.is_cancel ? "cancel notification failed"
+                                               : "job notification failed") +
+                ", job=" + notification.id +
+                " tries_left=" + std::to_string(notification.attempts_left) +
+                " error=" + Error(response).message);
+        if (Error(response).kind == failure_kind::kDenied) {
+          // The next leader reads all jobs. One more attempt shortens
+          // its wait for jobs that were stored while it read them.
+          notification.attempts_left = std::min(notification.attempts_left, 1);
+          return self->RetryLater(notification, kNotReadyRetryDelayMs);
+        }
+        self->RetryLater(notification, kRetryDelayMs);
+      });
 }
 
-void leader_notifier::impl::RetryLater(leader_notification notification) {
+void leader_notifier::impl::RetryLater(leader_notification notification,
+                                       millis delay) {
   if (notification.attempts_left <= 0) return;
   auto timer = std::make_shared<boost::asio::steady_timer>(
-      context.io, std::chrono::milliseconds(kRetryDelayMs));
+      context.io, std::chrono::milliseconds(delay));
   timer->async_wait(
       [weak = weak_from_this(), timer, notification = std::move(notification)](
           boost::system::error_code error) mutable {
--- a/src/node/peer_client.cc
+++ b/src/node/peer_client.cc
@@ -38,16 +38,18 @@
   request.headers = {{"Content-Type", "application/json"}};
   request.total_timeout_ms = first_byte_timeout_ms;
   request.progress_timeout_ms = kProgressTimeoutMs;
-  client->Send(std::move(request), [done = std::move(done)](
-                                       result<http::client_response> answer) {
-    if (!Ok(answer)) return done(Error(answer));
-    if (Value(answer).status != 200) {
-      return done(failure{failure_kind::kUnavailable,
-                          "peer responded with status " +
-                              std::to_string(Value(answer).status)});
-    }
-    done(std::move(Value(answer).body));
-  });
+  client->Send(std::move(request),
+               [done = std::move(done)](result<http::client_response> answer) {
+                 if (!Ok(answer)) return done(Error(answer));
+                 if (Value(answer).status != 200) {
+                   return done(failure{
+                       Value(answer).status == 503 ? failure_kind::kDenied
+                                                   : failure_kind::kUnavailable,
+                       "peer responded with status " +
+                           std::to_string(Value(answer).status)});
+                 }
+                 done(std::move(Value(answer).body));
+               });
 }
 
 void peer_client::CallLater(millis delay, std::function<void()> next) {
--- a/src/node/peer_client.h
+++ b/src/node/peer_client.h
@@ -14,7 +14,8 @@
 namespace radishwing::node {
 
 /// HTTP client for calls to other nodes. Reports the failures of http::client,
-/// and kUnavailable if the response status is not 200.
+/// kDenied if the other node responded that it does not lead or is not ready
+/// to, and kUnavailable if the response status is another one than 200.
 class peer_client {
  public:
   using completion = std::function<void(result<std::string>)>;
--- a/src/node/peer_service.cc
+++ b/src/node/peer_service.cc
@@ -62,7 +62,8 @@
   if (Ok(decoded)) {
     return std::exchange(relay->done, nullptr)(std::move(decoded));
   }
-  if (Error(decoded).kind != failure_kind::kUnavailable) {
+  if (Error(decoded).kind != failure_kind::kUnavailable &&
+      Error(decoded).kind != failure_kind::kDenied) {
     relay->outcome_unknown = true;
   }
   TryNextPeer(peers, relay);
