Renew a lease without waiting for the response to the last renewal

A node sent the next renewal of its lease 450 ms after the response to the last one, or 200 ms after 0.7 s without a response. The lease lasts 1.6 s: two late responses in a row, as on a full link, ended the lease and with it the node's leadership. A renewal is now sent every 450 ms, whatever became of the others; the newest send time of those that were confirmed counts.

unanswered_renewals_do_not_delay_the_next_ones: eight unanswered renewals took 8 x 0.9 s before and take 8 x 0.45 s now.

--- a/src/node/membership.cc
+++ b/src/node/membership.cc
@@ -1,5 +1,6 @@
 #include "src/node/membership.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <utility>
@@ -151,24 +152,29 @@
 
 void membership::impl::RenewNodeLease() {
   const millis sent_at = context.now.Now();
-  context.store->RenewLease(lease_id, [weak = weak_from_this(), sent_at](
-                                          const result<bool>& still_exists) {
-    const auto self = weak.lock();
-    if (!self || self->stopped) return;
-    if (!Ok(still_exists)) return self->ScheduleRenewal(kRetryDelayMs);
-    if (Value(still_exists)) {
-      self->renewed_at = sent_at;
-      self->hooks.lease_renewed(sent_at);
-      self->UpdateRole();
-      return self->ScheduleRenewal(kLeaseRenewalIntervalMs);
-    }
-    self->context.log.InfoUnlimited(
-        "member", "lease expired, lease=" + std::to_string(self->lease_id));
-    self->lease_id = 0;
-    // ShardKey() expired with the lease, and a new lease does not restore it.
-    self->EndLeadership();
-    self->RequestLease();
-  });
+  // The next renewal does not wait for the response to this one, which may take
+  // longer than the lease lasts on a link that is full.
+  ScheduleRenewal(kLeaseRenewalIntervalMs);
+  context.store->RenewLease(
+      lease_id, [weak = weak_from_this(), sent_at,
+                 lease = lease_id](const result<bool>& still_exists) {
+        const auto self = weak.lock();
+        if (!self || self->stopped || lease != self->lease_id) return;
+        if (!Ok(still_exists)) return self->ScheduleRenewal(kRetryDelayMs);
+        if (Value(still_exists)) {
+          self->renewed_at = std::max(self->renewed_at, sent_at);
+          self->hooks.lease_renewed(sent_at);
+          self->UpdateRole();
+          return;
+        }
+        self->context.log.InfoUnlimited(
+            "member", "lease expired, lease=" + std::to_string(lease));
+        self->lease_id = 0;
+        // ShardKey() expired with the lease, and a new lease does not restore
+        // it.
+        self->EndLeadership();
+        self->RequestLease();
+      });
 }
 
 void membership::impl::WatchMembers() {
--- a/tests/node/membership_test.cc
+++ b/tests/node/membership_test.cc
@@ -78,6 +78,20 @@
   BOOST_TEST(RunUntil([&] { return Happened("elected 2"); }));
 }
 
+// Guards against losing the lease while responses of the store are late: a
+// renewal must not wait for the response to the one before.
+BOOST_AUTO_TEST_CASE(unanswered_renewals_do_not_delay_the_next_ones) {
+  BOOST_REQUIRE(RunUntil([&] { return Happened("elected 1"); }));
+  const std::uint64_t before = store.RenewalCount();
+  const clock now = clock::Monotonic();
+  const millis held_at = now.Now();
+  store.HoldRenewalResponses(8);
+  BOOST_REQUIRE(RunUntil([&] { return store.RenewalCount() >= before + 9; }));
+  BOOST_TEST(!Happened("leadership lost"));
+  // Each unanswered renewal took 900 ms before.
+  BOOST_TEST(now.Now() - held_at < 6500);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tools/fleet_fake/fake_store.cc
+++ b/tools/fleet_fake/fake_store.cc
@@ -145,7 +145,13 @@
   const bool renew = path.starts_with("/kv-keep/");
   held->second.expires_at = renew ? clock_.Now() + held->second.ttl_ms : 0;
   ExpireDueLeases();
-  respond(http::MakeJsonResponse(200, json::object{}));
+  http::server_response response = http::MakeJsonResponse(200, json::object{});
+  if (renew) ++renewal_count_;
+  if (renew && renewal_responses_to_hold_ > 0) {
+    --renewal_responses_to_hold_;
+    response.action = http::response_action::kNeverRespond;
+  }
+  respond(std::move(response));
 }
 
 void fake_store::ApplyCommit(const http::server_request& request,
--- a/tools/fleet_fake/fake_store.h
+++ b/tools/fleet_fake/fake_store.h
@@ -40,6 +40,11 @@
   /// Makes the store apply the next `count` commits but close the connections
   /// without a response.
   void DropCommitResponses(int count) { commit_responses_to_drop_ = count; }
+  /// Makes the store renew the lease of the next `count` renewals but never
+  /// respond to them.
+  void HoldRenewalResponses(int count) { renewal_responses_to_hold_ = count; }
+  /// Returns the number of renewals so far.
+  std::uint64_t RenewalCount() const { return renewal_count_; }
   /// Expires all leases and deletes their keys.
   void ExpireAllLeases();
   /// While true, watches report no changes.
@@ -101,6 +106,8 @@
   std::uint64_t next_lease_id_ = 100;
   std::size_t commit_count_ = 0;
   int commit_responses_to_drop_ = 0;
+  int renewal_responses_to_hold_ = 0;
+  std::uint64_t renewal_count_ = 0;
   bool unavailable_ = false;
   bool second_unavailable_ = false;
   bool watches_muted_ = false;
