Wait for the leases of leaders before a short term

Found by reading, while leaders that are still loading learned to resign: A is cut off and may extend leases on runners for 6 s more; B is elected, resigns after one second, and C takes B's resignation, or its own earlier process, for the end of all orders. C then takes a runner that it cannot reach for idle while A still extends its lease there, and starts its tasks again elsewhere.

The term record now says how long the leases of the leaders before its term may last, counted from its last write; a successor waits for what is left of that, less the time that has passed by the clock, with the same tolerance for steps as for hosts. Records without the field are read as before.

--- a/src/node/membership.cc
+++ b/src/node/membership.cc
@@ -59,6 +59,9 @@
   void ReleasePreviousProcessKey(std::uint64_t term_revision,
                                  term_record before);
   void BecomeLeader(std::uint64_t fencing_token);
+  /// Returns the time in ms after which every lease on a runner that leaders up
+  /// to the term `before` hold has expired, if this node is elected now.
+  millis PredecessorLeaseMs(const term_record& before) const;
   void SendResignation();
   void ApplyElectionOutcome(const result<store::commit_outcome>& outcome);
   /// Returns true if `record` names this process of this node as the leader.
@@ -94,6 +97,8 @@
   millis renewed_at = 0;
   /// Fencing token of this node's current term; 0: it is not the leader.
   std::uint64_t current_fencing_token = 0;
+  /// election::predecessor_lease_end of this node's last election.
+  millis predecessor_lease_end = 0;
   /// Time of the last order to a host in the term from which this node
   /// resigned.
   millis last_host_order_at = 0;
@@ -238,9 +243,14 @@
 void membership::impl::SendResignation() {
   if (resignation_in_flight || stopped) return;
   resignation_in_flight = true;
-  const term_record own_record{previous_term.term + 1, self_member.name, true,
-                               context.now.Now() - last_host_order_at,
-                               context.unix_now.Now()};
+  const millis now = context.now.Now();
+  const term_record own_record{
+      previous_term.term + 1,
+      self_member.name,
+      true,
+      now - last_host_order_at,
+      context.unix_now.Now(),
+      std::max<millis>(0, predecessor_lease_end - now)};
   store::store_commit commit;
   commit.preconditions = {{ShardKey(), ended_fencing_token}};
   commit.removals = {ShardKey()};
@@ -320,8 +330,9 @@
   store::store_commit commit;
   commit.preconditions = {{ShardKey(), record.fencing_token},
                           {TermKey(), term_revision}};
-  const term_record own_record{before.term + 1, self_member.name, false, 0,
-                               context.unix_now.Now()};
+  const term_record own_record{
+      before.term + 1,        self_member.name,          false, 0,
+      context.unix_now.Now(), PredecessorLeaseMs(before)};
   commit.writes = {{ShardKey(), EncodeMember(self_member), lease_id},
                    {TermKey(), EncodeTerm(own_record), 0}};
   previous_term = before;
@@ -373,6 +384,13 @@
   UpdateRole();
 }
 
+millis membership::impl::PredecessorLeaseMs(const term_record& before) const {
+  if (before.term == 0) return 0;
+  return std::max(sched::term_lease::PredecessorLeaseEnd(
+                      0, before.HasStopped(self_member.name)),
+                  before.RemainingLease(context.unix_now.Now()));
+}
+
 void membership::impl::BecomeLeader(std::uint64_t fencing_token) {
   current_fencing_token = fencing_token;
   last_seen_leader = self_member.name;
@@ -382,8 +400,7 @@
                .term = previous_term.term + 1,
                .lease_renewed_at = renewed_at};
   if (previous_term.term > 0) {
-    won.predecessor_lease_end =
-        sched::term_lease::PredecessorLeaseEnd(now, predecessor_stopped);
+    won.predecessor_lease_end = now + PredecessorLeaseMs(previous_term);
     const millis pause =
         context.settings.host_controller_pause_ms + kMaxOrderInFlightMs;
     won.moves_allowed_at =
@@ -397,6 +414,7 @@
           " term=" + std::to_string(won.term) + " predecessor_silent=" +
           (predecessor_stopped ? "1" : "0") + " moves_free_in_ms=" +
           std::to_string(std::max<millis>(0, won.moves_allowed_at - now)));
+  predecessor_lease_end = won.predecessor_lease_end;
   hooks.elected(won);
 }
 
--- a/src/node/term_record.cc
+++ b/src/node/term_record.cc
@@ -24,13 +24,20 @@
   return std::max<millis>(0, pause_ms - (resigned ? host_order_age_ms : 0));
 }
 
+millis term_record::RemainingLease(millis unix_now) const {
+  const millis certainly_elapsed =
+      std::max<millis>(0, unix_now - recorded_unix_ms - kMaxClockStepMs);
+  return std::max<millis>(0, unended_lease_ms - certainly_elapsed);
+}
+
 std::string EncodeTerm(const term_record& record) {
   return boost::json::serialize(
       boost::json::object{{"term", record.term},
                           {"node", record.node},
                           {"resigned", record.resigned},
                           {"host_order_age_ms", record.host_order_age_ms},
-                          {"began_unix_ms", record.recorded_unix_ms}});
+                          {"began_unix_ms", record.recorded_unix_ms},
+                          {"unended_lease_ms", record.unended_lease_ms}});
 }
 
 term_record DecodeTerm(std::string_view text) {
@@ -43,7 +50,10 @@
   record.resigned = fields.Bool("resigned");
   record.host_order_age_ms = fields.Signed("host_order_age_ms");
   record.recorded_unix_ms = fields.Signed("began_unix_ms");
-  return fields.Valid() ? record : term_record{};
+  if (!fields.Valid()) return {};
+  // Earlier versions of the program do not write this field.
+  record.unended_lease_ms = fields.Signed("unended_lease_ms");
+  return record;
 }
 
 }  // namespace radishwing::node
--- a/src/node/term_record.h
+++ b/src/node/term_record.h
@@ -21,6 +21,10 @@
   /// Wall-clock time when the leader last wrote this record: at its election,
   /// or when it resigned.
   millis recorded_unix_ms = 0;
+  /// Time in ms from `recorded_unix_ms` until the leases that the leaders
+  /// before this one hold on runners have expired. A short term may end before
+  /// that.
+  millis unended_lease_ms = 0;
 
   /// Returns true if the leader of this term is known to send no more orders:
   /// it resigned, or it was an earlier process of the node named `self`.
@@ -28,6 +32,9 @@
     return resigned || node == self;
   }
 
+  /// Returns what is left at `unix_now` of `unended_lease_ms`.
+  millis RemainingLease(millis unix_now) const;
+
   /// Returns the time in ms after which the node named `self`, elected at
   /// `unix_now`, may move any host. `pause_ms` is the pause that the platform
   /// requires between orders of two lease holders to the same host. An earlier
--- a/tests/node/membership_test.cc
+++ b/tests/node/membership_test.cc
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "src/node/record_keys.h"
+#include "src/node/term_record.h"
 #include "tools/fleet_fake/fake_store.h"
 
 namespace radishwing::node {
@@ -27,6 +29,7 @@
     membership_hooks hooks;
     hooks.elected = [this](const election& won) {
       events.push_back("elected " + std::to_string(won.term));
+      lease_wait_ms = won.predecessor_lease_end - context.now.Now();
     };
     hooks.lease_renewed = [this](millis) { events.emplace_back("renewed"); };
     hooks.leadership_lost = [this] { events.emplace_back("leadership lost"); };
@@ -51,6 +54,8 @@
   fleet_fake::fake_store store{io};
   node_context context{io, {}};
   std::vector<std::string> events;
+  /// Time from the election until the leases of earlier leaders have expired.
+  millis lease_wait_ms = 0;
   std::unique_ptr<membership> subject;
 };
 
@@ -92,6 +97,16 @@
   BOOST_TEST(now.Now() - held_at < 6500);
 }
 
+// Guards against starting tasks of a silent runner again after a term that was
+// too short for the leases of the leader before it to expire.
+BOOST_AUTO_TEST_CASE(leases_from_before_a_short_term_are_waited_for) {
+  constexpr millis kUnendedLeaseMs = 20000;
+  store.Put(TermKey(), EncodeTerm({7, "n0", true, 0, context.unix_now.Now(),
+                                   kUnendedLeaseMs}));
+  BOOST_REQUIRE(RunUntil([&] { return Happened("elected 8"); }));
+  BOOST_TEST(lease_wait_ms > kUnendedLeaseMs / 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/node/term_record_test.cc
+++ b/tests/node/term_record_test.cc
@@ -24,6 +24,25 @@
   BOOST_TEST((term_record{3, "n1", false, 0}).HasStopped("n1"));
 }
 
+// Guards against starting tasks of a silent runner again after a short term:
+// its leader has resigned, but the one before it may still extend leases.
+BOOST_AUTO_TEST_CASE(leases_of_earlier_terms_end_as_time_passes) {
+  term_record short_term{7, "n1", true, 0, 100000, 9000};
+  BOOST_TEST(short_term.RemainingLease(100000) == 9000);
+  BOOST_TEST(short_term.RemainingLease(99000) == 9000);
+  BOOST_TEST(short_term.RemainingLease(105500) == 6000);
+  BOOST_TEST(short_term.RemainingLease(120000) == 0);
+  BOOST_TEST(DecodeTerm(EncodeTerm(short_term)).unended_lease_ms == 9000);
+}
+
+BOOST_AUTO_TEST_CASE(record_of_an_earlier_version_has_no_unended_lease) {
+  const term_record read = DecodeTerm(
+      R"({"term":7,"node":"n1","resigned":true,"host_order_age_ms":5,)"
+      R"("began_unix_ms":6})");
+  BOOST_TEST(read.term == 7);
+  BOOST_TEST(read.unended_lease_ms == 0);
+}
+
 BOOST_AUTO_TEST_CASE(unreadable_text_is_no_term) {
   BOOST_TEST(DecodeTerm("").term == 0);
   BOOST_TEST(DecodeTerm("3 resigned").term == 0);
