Bound the extra wait on a full link below a runner's lease

A connection that is silent for good would have cost the runs of its runner. The extra wait is two progress timeouts now, 1.4 s, whatever the limit: 3.1 s for a poll, 4.1 s for one of an idle runner, 2.1 s as before for calls to the store.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -12,9 +12,9 @@
 // Longest duration of a request with a progress timeout, so that a server that
 // trickles its response does not hold the request forever.
 constexpr millis kMaxTransferMs = 30000;
-// Multiple of its time limit that a request waits for its first byte while the
-// link is congested.
-constexpr int kCongestedTimeoutFactor = 3;
+// Multiple of its progress timeout that a request waits longer for its first
+// byte while the link is congested.
+constexpr int kMaxCongestedExtensions = 2;
 
 }  // namespace
 
@@ -36,8 +36,9 @@
   exchange->deadline =
       now + std::chrono::milliseconds(request.total_timeout_ms);
   exchange->congested_deadline =
-      now + kCongestedTimeoutFactor *
-                std::chrono::milliseconds(request.total_timeout_ms);
+      exchange->deadline +
+      kMaxCongestedExtensions *
+          std::chrono::milliseconds(request.progress_timeout_ms);
   exchange->last_deadline = now + std::chrono::milliseconds(kMaxTransferMs);
   exchange->request_message = {request.method, request.target, 11};
   exchange->request_message.set(boost::beast::http::field::host,
