Do not send renewals faster after a failure

The retry after 200 ms only added to the calls that time out while the store is away, each of which goes through two peers as well.

--- a/src/node/membership.cc
+++ b/src/node/membership.cc
@@ -158,14 +158,14 @@
 void membership::impl::RenewNodeLease() {
   const millis sent_at = context.now.Now();
   // The next renewal does not wait for the response to this one, which may take
-  // longer than the lease lasts on a link that is full.
+  // longer than the lease lasts on a link that is full, nor for its failure.
   ScheduleRenewal(kLeaseRenewalIntervalMs);
   context.store->RenewLease(
       lease_id, [weak = weak_from_this(), sent_at,
                  lease = lease_id](const result<bool>& still_exists) {
         const auto self = weak.lock();
         if (!self || self->stopped || lease != self->lease_id) return;
-        if (!Ok(still_exists)) return self->ScheduleRenewal(kRetryDelayMs);
+        if (!Ok(still_exists)) return;
         if (Value(still_exists)) {
           self->renewed_at = std::max(self->renewed_at, sent_at);
           self->hooks.lease_renewed(sent_at);
