Let a loading leader step down only after two seconds

While a data centre is cut off from 33 s on, smaller nodes are elected before larger ones can campaign again; each of them resigned within 0.3 s because a larger node was registered, five in turn, and nobody led from 35.5 to 38.8 s. On wide links loading takes 0.2 to 0.6 s, so such a leader is ready sooner than any other.

--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -381,6 +381,9 @@
 
 std::uint64_t leader::FencingToken() const { return impl_->fencing_token; }
 bool leader::Ready() const { return impl_->ready; }
+millis leader::TimeSinceElection() const {
+  return impl_->context.now.Now() - impl_->load_started_at;
+}
 
 void leader::RecordLeaseRenewal(millis sent_at) {
   impl_->OnLeaseRenewed(sent_at);
--- a/src/node/leader.h
+++ b/src/node/leader.h
@@ -36,6 +36,8 @@
   /// Returns true once runners, jobs and the configuration are loaded. Only
   /// then does the leader send orders and answer queries.
   bool Ready() const;
+  /// Returns the time since the leader began to load the jobs.
+  millis TimeSinceElection() const;
   /// Records that a call sent at `sent_at` renewed this node's lease in the
   /// store, which extends the time for which the leader may send orders.
   void RecordLeaseRenewal(millis sent_at);
--- a/src/node/node_server.cc
+++ b/src/node/node_server.cc
@@ -30,6 +30,10 @@
 constexpr millis kStopMarginMs = 1500;
 constexpr millis kStopPollMs = 50;
 constexpr millis kTrafficLogIntervalMs = 5000;
+// Time after which a leader that is still loading may step down. Several times
+// what loading takes on a wide link, so that nodes which are elected while
+// larger ones cannot campaign yet do not resign in turn.
+constexpr millis kMinLoadBeforeStepDownMs = 2000;
 
 }  // namespace
 
@@ -284,6 +288,10 @@
   hooks.lease_renewed = [this](millis sent_at) {
     if (!local_leader) return;
     local_leader->RecordLeaseRenewal(sent_at);
+    if (!local_leader->Ready() &&
+        local_leader->TimeSinceElection() < kMinLoadBeforeStepDownMs) {
+      return;
+    }
     // If this node cannot reach the store directly, a peer relayed the renewal.
     // That peer reaches the store, so a node with direct access can lead.
     const bool store_unreachable = context.IsStoreUnreachable();
