--- a/src/sched/link_load.h
+++ b/src/sched/link_load.h
@@ -39,8 +39,8 @@
   millis WriteDeferral() const;
 
  private:
-  // The totals do not include the headers and acknowledgements of TCP and IP, a
-  // fifth to a third of the capacity for messages of a few hundred bytes.
+  // Well below 1, because the totals do not include the headers and
+  // acknowledgements of TCP and IP.
   static constexpr double kBusyShare = 0.4;
   static constexpr double kCongestedShare = 0.6;
 
