--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -152,31 +152,37 @@
     const std::string task = fleet::FormatTaskName(event.task);
     const std::string run_fields =
         " run=" + std::to_string(event.run) + " runner=" + event.runner;
+    // Long-running tasks have a limit of lines of their own, so that the lines
+    // about batch tasks do not suppress theirs.
+    const sched::job_state* job = scheduler.FindJob(event.task.job);
+    const std::string_view component =
+        job && job->long_running ? "longrun" : "sched";
     switch (event.kind) {
       case sched::event_kind::kTaskStarted:
         context.metrics.RecordTaskStart(event.elapsed_ms);
-        context.log.Info("sched",
+        context.log.Info(component,
                          "task started, task=" + task + run_fields +
                              " job_age_ms=" + std::to_string(event.elapsed_ms));
         break;
       case sched::event_kind::kTaskEnded:
         context.metrics.CountRunEnd(event.detail);
-        context.log.Info("sched", "task ended, task=" + task + run_fields +
-                                      " how=" + event.detail + " took_ms=" +
-                                      std::to_string(event.elapsed_ms));
+        context.log.Info(component, "task ended, task=" + task + run_fields +
+                                        " how=" + event.detail + " took_ms=" +
+                                        std::to_string(event.elapsed_ms));
         break;
       case sched::event_kind::kTaskAdopted:
-        context.log.Info("sched", "task adopted, task=" + task + run_fields);
+        context.log.Info(component, "task adopted, task=" + task + run_fields);
         break;
       case sched::event_kind::kTaskLost:
         context.metrics.CountRunEnd("lost");
-        context.log.Warning("sched", "run given up, task=" + task + run_fields +
-                                         " why=" + event.detail + " age_ms=" +
-                                         std::to_string(event.elapsed_ms));
+        context.log.Warning(component,
+                            "run given up, task=" + task + run_fields +
+                                " why=" + event.detail +
+                                " age_ms=" + std::to_string(event.elapsed_ms));
         break;
       case sched::event_kind::kStopOrdered:
-        context.log.Info("sched", "stop ordered, task=" + task + run_fields +
-                                      " why=" + event.detail);
+        context.log.Info(component, "stop ordered, task=" + task + run_fields +
+                                        " why=" + event.detail);
         break;
       case sched::event_kind::kJobFinished:
         context.metrics.CountJobEnd(event.detail, event.elapsed_ms);
