Conclude that a run is stuck from listings, not from silence

Cause: a run counted as stuck when its progress had not changed for 2.5 s by the leader's clock, although no listing of its runner may have arrived in that time: a poll without a response takes 1.7 s, and the next successful one makes the runner reachable again.

Change: the time without progress is measured on the runner's clock, from the first listing with the present progress to the newest one.

Ruled out: a stop of the predecessor, since the log has 'stop ordered ... why=stuck' of the term.

--- a/src/sched/run_state.h
+++ b/src/sched/run_state.h
@@ -31,9 +31,19 @@
   /// Time at which the runner confirmed the start, or the stop if the phase is
   /// kStopping; 0 if this leader got no confirmation.
   millis confirmed_at = 0;
-  millis retry_at = 0;       ///< Earliest time to repeat the last order.
-  millis progress_at = 0;    ///< Time of the last change of progress or pace.
+  millis retry_at = 0;  ///< Earliest time to repeat the last order.
+  /// Time on the runner's clock of the first listing since the last change of
+  /// progress or pace; -1: no listing yet.
+  millis progress_clock_ms = -1;
+  /// Time without progress, from that listing to the most recent one.
+  millis stalled_ms = 0;
   int progress_percent = 0;  ///< Progress in the most recent listing.
+
+  /// Begins to measure the time without progress with the next listing.
+  void RestartProgressTimer() {
+    progress_clock_ms = -1;
+    stalled_ms = 0;
+  }
   /// Load in the most recent listing: tail latency in ms of a latency-sensitive
   /// task, processor use of any other task.
   double load = 0;
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -233,7 +233,7 @@
   /// Sets the final phase of a job and stops its runs.
   void FinishJob(job_state& job, job_phase phase, millis now);
   void ApplyListedRun(const std::string& runner, const fleet::listed_run& run,
-                      millis now);
+                      millis runner_clock_ms, millis now);
   /// Drops the runs that the scheduler has on a runner but that the runner's
   /// listing does not include any more. `sent_at` is the send time of the poll
   /// that the listing answers.
@@ -316,7 +316,7 @@
                    run_state& run, runner_state& runner, millis now);
   /// Slows best-effort tasks down while a latency-sensitive task on the same
   /// runner is near its target.
-  void PlanPace(millis now, std::vector<order>& out);
+  void PlanPace(std::vector<order>& out);
   /// Starts tasks of ready steps, those of the most urgent jobs first.
   void PlanStarts(millis now, std::vector<order>& out);
   void StartTasksOf(job_state& job, millis now, std::vector<order>& out);
--- a/src/sched/scheduler_listing.cc
+++ b/src/sched/scheduler_listing.cc
@@ -52,7 +52,7 @@
   }
   runner.has_unknown_runs = false;
   for (const fleet::listed_run& run : listing.running) {
-    ApplyListedRun(id, run, now);
+    ApplyListedRun(id, run, listing.runner_clock_ms, now);
   }
   if (listing.ended.size() < kMaxListedEnds) {
     DropMissingRuns(id, listing, sent_at, now);
@@ -169,7 +169,8 @@
 }
 
 void scheduler::ApplyListedRun(const std::string& runner,
-                               const fleet::listed_run& listed, millis now) {
+                               const fleet::listed_run& listed,
+                               millis runner_clock_ms, millis now) {
   EnsureRepetition(listed.task);
   const task_ref ref = FindTask(listed.task);
   if (!ref.task) {
@@ -184,7 +185,6 @@
     adopted.phase = run_phase::kRunning;
     adopted.ordered_at = now;
     adopted.confirmed_at = 0;
-    adopted.progress_at = now;
     AttachRun(listed.task, ref, std::move(adopted));
     ref.job->started = true;
     if (ref.job->phase == job_phase::kPending) {
@@ -198,12 +198,13 @@
   if (run.phase == run_phase::kStarting) {
     run.phase = run_phase::kRunning;
     run.confirmed_at = now;
-    run.progress_at = now;
   }
   if (run.progress_percent != listed.progress_percent) {
     run.progress_percent = listed.progress_percent;
-    run.progress_at = now;
+    run.RestartProgressTimer();
   }
+  if (run.progress_clock_ms < 0) run.progress_clock_ms = runner_clock_ms;
+  run.stalled_ms = runner_clock_ms - run.progress_clock_ms;
   run.load = listed.load;
   if (!listed.checkpoint.empty()) ref.task->checkpoint = listed.checkpoint;
   if (ref.task->done || ref.job->IsFinished()) {
@@ -286,7 +287,6 @@
       if (run.phase != run_phase::kStarting) return;
       run.phase = run_phase::kRunning;
       run.confirmed_at = now;
-      run.progress_at = now;
       return;
     case order_outcome::kUnknown:
       run.start_unanswered = true;
--- a/src/sched/scheduler_plan.cc
+++ b/src/sched/scheduler_plan.cc
@@ -44,7 +44,7 @@
     last_housekeeping_at_ = now;
     for (job_state* job : active_jobs_) CreateRepetitions(*job, unix_now);
     CheckRuns(now, out);
-    PlanPace(now, out);
+    PlanPace(out);
   }
   IssueDeferredStarts(now, out);
   PlanStarts(now, out);
@@ -311,7 +311,6 @@
   --start_allowance_;
   run_state state{.runner = runner.report.id, .run = run};
   state.ordered_at = now;
-  state.progress_at = now;
   AttachRun(name, ref, std::move(state));
   starts.push_back(MakeStartOrder(name, ref, runner.report.id, run, now));
 }
--- a/src/sched/scheduler_runs.cc
+++ b/src/sched/scheduler_runs.cc
@@ -9,7 +9,7 @@
 namespace radishwing::sched {
 namespace {
 
-// Time without progress after which a run on a reachable runner counts as
+// Time without progress in a runner's listings after which a run counts as
 // stuck. Runners report progress at least once a second.
 constexpr millis kStuckTimeoutMs = 2500;
 // Percentage of full speed of best-effort tasks while a latency-sensitive task
@@ -59,7 +59,7 @@
                             run_state& run, runner_state& runner, millis now) {
   if (!runner.reachable || ref.step->gang) return;
   if (run.phase != run_phase::kRunning || run.progress_percent >= 100 ||
-      run.pace_percent < 100 || now - run.progress_at < kStuckTimeoutMs) {
+      run.pace_percent < 100 || run.stalled_ms < kStuckTimeoutMs) {
     return;
   }
   runner.consecutive_failures =
@@ -77,7 +77,7 @@
   });
 }
 
-void scheduler::PlanPace(millis now, std::vector<order>& out) {
+void scheduler::PlanPace(std::vector<order>& out) {
   for (auto& [id, runner] : runners_) {
     // -1 if the runner has no latency-sensitive task.
     double worst_latency_ratio = -1;
@@ -102,7 +102,7 @@
                                                       : run.pace_percent;
         if (pace == run.pace_percent) continue;
         run.pace_percent = pace;
-        run.progress_at = now;
+        run.RestartProgressTimer();
         out.push_back(
             {order_kind::kPace, id, name, run.run, "", "", pace, "tail"});
       }
