Count hosts with an unanswered order as down; record orders before sending

Cause: an order that ends with outcome=unknown was counted as not carried out until it was repeated, so the next host of the wave was ordered at once.

Change: an order to a host is open until a response shows that it can't be carried out any more. Open orders hold a slot of their wave and keep new tasks off the host, and are repeated. The fencing token of an order is the revision of that write, so that a later order to a host makes the service refuse an earlier one that is carried out late.

--- a/src/node/host_controller.cc
+++ b/src/node/host_controller.cc
@@ -77,23 +77,31 @@
     LoadStartedHosts(number);
   }
   RequestHostList();
-  if (listed_hosts.empty()) return;
+  if (listed_hosts.empty() || !orders_loaded) return;
+  CordonOrderedHosts();
   RemoveEndedMoves();
   if (!hooks.may_order_hosts()) return;
+  RepeatUnansweredOrders();
   for (auto& [number, wave] : waves) {
     if (wave.started_hosts_loaded && !wave.reported_finished)
       ContinueWave(wave);
   }
   if (IsHostListCurrent()) PlanMoves();
+  StoreOrders();
 }
 
 host_controller::host_controller(node_context& context, const election& won,
                                  sched::scheduler& scheduler,
                                  host_controller_hooks hooks)
     : impl_(std::make_shared<impl>(context, won, scheduler, std::move(hooks))) {
+  impl_->LoadOrders();
 }
 
-host_controller::~host_controller() = default;
+host_controller::~host_controller() { impl_->load_timer.cancel(); }
+
+bool host_controller::OrdersLoaded() const { return impl_->orders_loaded; }
+
+void host_controller::CordonOrderedHosts() { impl_->CordonOrderedHosts(); }
 
 void host_controller::AddWave(const fleet::wave_request& wave) {
   auto& state = impl_->waves[wave.number];
--- a/src/node/host_controller.h
+++ b/src/node/host_controller.h
@@ -30,6 +30,9 @@
       hosts_listed;
   /// Returns true if this node may send orders to hosts.
   std::function<bool()> may_order_hosts;
+  /// Called once the orders of earlier leaders that may still be carried out
+  /// are known.
+  std::function<void()> orders_loaded;
 };
 
 /// Controls the hosts during one term of a leader: carries out maintenance
@@ -46,6 +49,11 @@
   /// Returns the time in ms since the last order to a host in this term, or
   /// since the start of the term if there was none.
   millis TimeSinceLastOrder() const;
+  /// Returns true once the orders of earlier leaders that may still be carried
+  /// out are known.
+  bool OrdersLoaded() const;
+  /// Keeps new tasks off the hosts with an order that may still be carried out.
+  void CordonOrderedHosts();
   /// Sends all requests and orders that are due. The caller has to call it
   /// periodically.
   void Tick();
--- a/src/node/host_controller_impl.h
+++ b/src/node/host_controller_impl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
 #include <set>
@@ -8,6 +9,7 @@
 
 #include "platform/host_client.h"
 #include "src/node/host_controller.h"
+#include "src/node/host_order_record.h"
 #include "src/sched/host_pause.h"
 #include "src/sched/pool_planner.h"
 
@@ -33,8 +35,6 @@
     std::map<std::string, millis> draining_since;
     /// Earliest time of the next maintenance order to the host.
     std::map<std::string, millis> next_order_at;
-    /// Hosts with an unanswered maintenance order.
-    std::set<std::string> hosts_with_order_in_flight;
     /// Earliest time to read `started_hosts` from the store again.
     millis next_load_at = 0;
     /// True once `started_hosts` has been read from the store.
@@ -55,6 +55,7 @@
         fencing_token(won.fencing_token),
         scheduler(scheduler),
         hooks(std::move(hooks)),
+        load_timer(context.io),
         waves_allowed_at(won.waves_allowed_at),
         move_pause(
             won.moves_allowed_at,
@@ -69,6 +70,25 @@
     std::string runner;     ///< Id of the host's runner before the move.
   };
 
+  /// Where an order to a host stands.
+  enum class order_phase {
+    kQueued,    ///< The record of the orders does not name the order yet.
+    kInFlight,  ///< The order was sent.
+    /// The order got no response, or an earlier leader may have sent it. The
+    /// host service may carry it out at any time, until a repeated order is
+    /// accepted.
+    kUnanswered,
+  };
+
+  /// An order that may still be carried out.
+  struct open_order {
+    host_order order;
+    order_phase phase = order_phase::kQueued;
+    /// True if the order was sent before and got no response.
+    bool is_repeat = false;
+    millis retry_at = 0;  ///< Earliest time to repeat the order.
+  };
+
   /// A runner whose host accepted an order that ends the runner.
   struct ending_runner {
     std::string host;       ///< Name of the host.
@@ -96,7 +116,8 @@
   /// Cordons the runner of an empty host and orders the host's move. Does
   /// nothing if the host is not empty or is being moved already.
   void OrderMove(const sched::host_move& move);
-  void ApplyMoveOutcome(const std::string& host, fleet::order_outcome outcome);
+  void ApplyMoveOutcome(const std::string& host, const open_order& sent,
+                        fleet::order_outcome outcome);
   /// Removes moves that have completed or exceeded their time limit.
   void RemoveEndedMoves();
   /// Reports the runners in `ending_runners` that have ended according to the
@@ -115,9 +136,10 @@
                      const std::vector<std::string>& remaining);
   /// Evacuates a draining host; orders its maintenance once it is empty.
   void DrainHost(wave_state& wave, const fleet::host_info& host);
-  /// Orders the maintenance of a host, which takes the host down.
-  void TakeDown(wave_state& wave, const fleet::host_info& host);
-  void ApplyMaintenanceOutcome(std::int64_t number, const std::string& host,
+  /// Returns the number of hosts of the wave that are down for maintenance or
+  /// may go down because of an order.
+  int CountHostsDown(const wave_state& wave) const;
+  void ApplyMaintenanceOutcome(const std::string& host, const open_order& sent,
                                fleet::order_outcome outcome);
   /// Stops draining a host and lets its runner accept tasks again.
   void StopDraining(wave_state& wave, const std::string& host);
@@ -127,6 +149,30 @@
   /// Writes the wave's state to the store key that the operator reads:
   /// "succeeded" if `finished`, else "running".
   void ReportWaveState(wave_state& wave, bool finished);
+  /// Reads the record of the orders that earlier leaders may have sent.
+  void LoadOrders();
+  /// Queues an order, to be sent once the record of the orders names it.
+  void QueueOrder(const std::string& host, host_order order);
+  /// Queues orders without a response again, when their hosts are empty.
+  void RepeatUnansweredOrders();
+  /// Returns true if an order without a response may be repeated now.
+  bool MayRepeat(const host_order& order, const fleet::host_info& host);
+  /// Writes the record of the orders if orders are queued or the record is
+  /// outdated, and then sends the queued orders.
+  void StoreOrders();
+  void OnOrdersStored(const std::vector<std::string>& queued,
+                      host_orders written,
+                      const result<store::commit_outcome>& outcome);
+  void SendOrder(const std::string& host, std::uint64_t token);
+  /// Applies the outcome of the order to `host`. The order stays open if the
+  /// host service may still carry it out.
+  void ApplyOrderOutcome(const std::string& host, fleet::order_outcome outcome);
+  /// Keeps new tasks off the hosts with open orders.
+  void CordonOrderedHosts();
+  /// Drops the order to a host that does not exist any more, unless a response
+  /// is expected.
+  void DropOrder(const std::string& host);
+
   /// Returns the host from `listed_hosts`, or null if it is not listed.
   const fleet::host_info* FindHost(const std::string& name) const;
 
@@ -136,7 +182,15 @@
   host_controller_hooks hooks;
   /// Null until the first request.
   std::unique_ptr<platform::host_client> host_service_client;
-  std::map<std::int64_t, wave_state> waves;  ///< Keyed by wave number.
+  std::map<std::int64_t, wave_state> waves;       ///< Keyed by wave number.
+  std::map<std::string, open_order> open_orders;  ///< Keyed by host name.
+  /// Retries the read of the record of the orders.
+  boost::asio::steady_timer load_timer;
+  bool orders_loaded = false;         ///< True once LoadOrders() has succeeded.
+  host_orders stored_orders;          ///< Orders in the record, if known.
+  std::uint64_t record_revision = 0;  ///< Revision of the record; 0: none.
+  bool record_write_in_flight = false;
+  millis record_written_at = 0;  ///< Time of the last write of the record.
   /// Hosts in the newest list, keyed by name.
   std::map<std::string, fleet::host_info> listed_hosts;
   std::map<std::string, pending_move> pending_moves;    ///< Keyed by host name.
--- a/src/node/host_moves.cc
+++ b/src/node/host_moves.cc
@@ -37,8 +37,8 @@
     planner_host.empty =
         runner ? runner->tasks.empty() : host.pool == standby_pool;
     planner_host.available =
-        up && !IsInMaintenance(host.name) && IsPauseOver(host) &&
-        (runner || host.pool == standby_pool) &&
+        up && !IsInMaintenance(host.name) && !open_orders.contains(host.name) &&
+        IsPauseOver(host) && (runner || host.pool == standby_pool) &&
         (!runner || (runner->listed && !runner->report.draining));
     planner_hosts.push_back(std::move(planner_host));
   }
@@ -106,36 +106,30 @@
 
 void host_controller::impl::OrderMove(const sched::host_move& move) {
   const fleet::host_info* host = FindHost(move.host);
-  if (!host || pending_moves.contains(move.host)) return;
+  if (!host || pending_moves.contains(move.host) ||
+      open_orders.contains(move.host)) {
+    return;
+  }
   const sched::runner_state* runner = scheduler.FindRunner(host->runner);
   if (runner && !runner->tasks.empty()) return;
   if (runner) scheduler.SetCordoned(host->runner, true);
-  last_order_at = context.now.Now();
   pending_moves[move.host] = {move.to_pool, context.now.Now(), host->runner};
-  host_service_client->Move(move.host, move.to_pool, fencing_token,
-                            [weak = weak_from_this(),
-                             name = move.host](fleet::order_outcome outcome) {
-                              if (const auto self = weak.lock()) {
-                                self->ApplyMoveOutcome(name, outcome);
-                              }
-                            });
+  QueueOrder(move.host, {host->runner, move.to_pool, 0});
 }
 
 void host_controller::impl::ApplyMoveOutcome(const std::string& name,
+                                             const open_order& sent,
                                              fleet::order_outcome outcome) {
   context.metrics.CountOrder("move", fleet::OrderOutcomeName(outcome));
   context.log.Info("hosts", "move ordered, host=" + name +
-                                " pool=" + pending_moves[name].new_pool +
+                                " pool=" + sent.order.new_pool +
                                 " outcome=" + fleet::OrderOutcomeName(outcome));
   if (outcome == fleet::order_outcome::kAccepted) {
-    context.metrics.CountHostMove(pending_moves[name].new_pool);
-    ending_runners[pending_moves[name].runner] = {name, context.now.Now()};
+    context.metrics.CountHostMove(sent.order.new_pool);
+    ending_runners[sent.order.runner] = {name, context.now.Now()};
     return;
   }
-  if (outcome == fleet::order_outcome::kFenced) fenced = true;
-  // The host may have moved although no reply arrived; the next list of the
-  // hosts shows whether it did.
-  if (outcome == fleet::order_outcome::kUnknown) return;
+  if (open_orders.contains(name)) return;
   pending_moves.erase(name);
   const fleet::host_info* host = FindHost(name);
   if (host) scheduler.SetCordoned(host->runner, false);
@@ -173,16 +167,23 @@
     const pending_move& move = entry.second;
     const millis age = now - move.ordered_at;
     const fleet::host_info* host = FindHost(entry.first);
-    if (!host) return true;
+    if (!host) {
+      DropOrder(entry.first);
+      return !open_orders.contains(entry.first);
+    }
     const bool arrived =
         host->pool == move.new_pool && host->state == fleet::host_state::kUp &&
         listed_hosts_as_of > move.ordered_at + context.settings.move_ms;
     if (arrived) {
+      DropOrder(entry.first);
       const sched::runner_state* runner = scheduler.FindRunner(host->runner);
       return move.new_pool == standby_pool || (runner && runner->listed) ||
              age > 4 * (context.settings.move_ms + kRunnerStartMs);
     }
-    if (age < 3 * (context.settings.move_ms + kRunnerStartMs)) return false;
+    if (open_orders.contains(entry.first) ||
+        age < 3 * (context.settings.move_ms + kRunnerStartMs)) {
+      return false;
+    }
     scheduler.SetCordoned(host->runner, false);
     return true;
   });
--- a/src/node/host_waves.cc
+++ b/src/node/host_waves.cc
@@ -49,6 +49,16 @@
 
 void host_controller::impl::ContinueWave(wave_state& wave) {
   if (!wave.reported_running) return ReportWaveState(wave, false);
+  for (auto it = open_orders.begin(); it != open_orders.end();) {
+    const auto& [host, open] = *it++;
+    if (open.order.wave != wave.request.number) continue;
+    if (wave.started_hosts.contains(host)) {
+      // The record of the orders is older than the list of started hosts.
+      DropOrder(std::string(host));
+    } else {
+      wave.draining_since.try_emplace(host, context.now.Now());
+    }
+  }
   std::erase_if(wave.down_since, [&](const auto& entry) {
     const fleet::host_info* host = FindHost(entry.first);
     const bool up_again =
@@ -84,6 +94,7 @@
   for (const auto& [name, since] : draining) {
     const fleet::host_info* host = FindHost(name);
     if (!host) {
+      DropOrder(name);
       wave.draining_since.erase(name);
     } else {
       DrainHost(wave, *host);
@@ -125,8 +136,7 @@
 void host_controller::impl::DrainHost(wave_state& wave,
                                       const fleet::host_info& host) {
   const millis now = context.now.Now();
-  if (wave.hosts_with_order_in_flight.contains(host.name) ||
-      wave.next_order_at[host.name] > now) {
+  if (open_orders.contains(host.name) || wave.next_order_at[host.name] > now) {
     return;
   }
   if (!host.runner.empty() && scheduler.FindRunner(host.runner)) {
@@ -135,49 +145,47 @@
         now - wave.draining_since[host.name] < kMaxBatchDrainMs;
     if (!scheduler.Evacuate(host.runner, !may_wait_for_batch, now)) return;
   }
-  const auto down =
-      wave.down_since.size() + wave.hosts_with_order_in_flight.size();
-  if (static_cast<int>(down) < wave.request.max_down) TakeDown(wave, host);
+  if (CountHostsDown(wave) < wave.request.max_down) {
+    QueueOrder(host.name, {host.runner, "", wave.request.number});
+  }
 }
 
-void host_controller::impl::TakeDown(wave_state& wave,
-                                     const fleet::host_info& host) {
-  wave.hosts_with_order_in_flight.insert(host.name);
-  last_order_at = context.now.Now();
-  host_service_client->BeginMaintenance(
-      host.name, wave.request.number, fencing_token,
-      [weak = weak_from_this(), number = wave.request.number,
-       name = host.name](fleet::order_outcome outcome) {
-        if (const auto self = weak.lock()) {
-          self->ApplyMaintenanceOutcome(number, name, outcome);
+int host_controller::impl::CountHostsDown(const wave_state& wave) const {
+  return static_cast<int>(
+      std::ranges::count_if(wave.request.hosts, [&](const std::string& name) {
+        if (wave.down_since.contains(name)) return true;
+        const auto open = open_orders.find(name);
+        if (open != open_orders.end() &&
+            open->second.order.wave == wave.request.number) {
+          return true;
         }
-      });
+        const fleet::host_info* host = FindHost(name);
+        return host && host->state == fleet::host_state::kMaintenance;
+      }));
 }
 
 void host_controller::impl::ApplyMaintenanceOutcome(
-    std::int64_t number, const std::string& host,
+    const std::string& host, const open_order& sent,
     fleet::order_outcome outcome) {
   using fleet::order_outcome;
-  wave_state& wave = waves[number];
-  wave.hosts_with_order_in_flight.erase(host);
+  const std::int64_t number = sent.order.wave;
   context.metrics.CountOrder("maintenance", fleet::OrderOutcomeName(outcome));
   context.log.Info("hosts", "maintenance ordered, host=" + host +
                                 " wave=" + std::to_string(number) +
                                 " outcome=" + fleet::OrderOutcomeName(outcome));
+  if (outcome == order_outcome::kAccepted && !sent.order.runner.empty()) {
+    ending_runners[sent.order.runner] = {host, context.now.Now()};
+  }
+  // An earlier leader may have sent the order for a wave that was withdrawn.
+  if (!waves.contains(number)) return;
+  wave_state& wave = waves[number];
   switch (outcome) {
     case order_outcome::kAccepted:
       wave.started_hosts.insert(host);
       wave.down_since[host] = context.now.Now();
-      if (const fleet::host_info* info = FindHost(host)) {
-        ending_runners[info->runner] = {host, context.now.Now()};
-      }
       wave.draining_since.erase(host);
       StoreStartedHosts(wave);
       return;
-    case order_outcome::kFenced:
-      // Another node controls the hosts, so this term sends no more orders.
-      fenced = true;
-      return;
     case order_outcome::kNotInWave:
     case order_outcome::kInvalid:
       wave.started_hosts.insert(host);
@@ -186,6 +194,7 @@
     case order_outcome::kBusy:
       // The host is being moved or removed. Other hosts can be drained in the
       // meantime.
+      if (open_orders.contains(host)) return;
       StopDraining(wave, host);
       wave.next_order_at[host] = context.now.Now() + kHostOrderRetryMs;
       return;
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -377,6 +377,7 @@
     return raw->MaySendOrders() &&
            raw->lease.MayOrderHosts(raw->context.now.Now());
   };
+  hooks.orders_loaded = [raw = impl_.get()] { raw->MaybeBecomeReady(); };
   impl_->hosts = std::make_unique<host_controller>(
       context, won, impl_->scheduler, std::move(hooks));
   impl_->StartTakeover();
