--- a/src/node/leader_runners.cc
+++ b/src/node/leader_runners.cc
@@ -36,6 +36,7 @@
 
 void leader::impl::ApplyRunnerEntry(const store::store_item& entry) {
   const std::string id = entry.key.substr(platform::kRunnerKeyPrefix.size());
+  if (id.empty()) return;
   if (entry.revision == 0) return CordonUnregisteredRunner(id);
   const auto report = platform::DecodeRunnerRecord(id, entry.value);
   if (!report) {
@@ -48,7 +49,10 @@
 }
 
 void leader::impl::UpdateRunner(const fleet::runner_report& report) {
-  unregistered_since.erase(report.id);
+  if (unregistered_since.erase(report.id) > 0) {
+    scheduler.SetCordoned(report.id, false);
+    hosts->CordonOrderedHosts();
+  }
   const sched::runner_state* known = scheduler.FindRunner(report.id);
   if (!known || known->report.draining != report.draining ||
       known->report.pool != report.pool) {
--- a/tests/node/node_test.cc
+++ b/tests/node/node_test.cc
@@ -197,6 +197,46 @@
   BOOST_TEST(runs_on_absent_runner == 0u);
 }
 
+BOOST_AUTO_TEST_CASE(odd_runner_entries_do_not_stop_the_leader) {
+  const std::string address = AddNode("n1");
+  BOOST_REQUIRE(CallUntil(address, verb::get, "/q/", 200));
+  const std::string entry =
+      R"({"backend":"pool","state":"ready","zone":"dc","address":"127.0.0.1:)";
+  const std::vector<std::string> odd_entries = {
+      std::string(100000, '['), std::string(100000, '{') + "\"",
+      entry + R"(70000","free-resources":{"cpu":4000}})",
+      entry + R"(1","free-resources":{"cpu":1e400},"born":1e300})", "\xff\xfe"};
+  for (std::size_t i = 0; i < odd_entries.size(); ++i) {
+    store.Put("servers/odd" + std::to_string(i), odd_entries[i]);
+  }
+  store.Put("servers/", odd_entries[3]);
+  BOOST_REQUIRE(
+      CallUntil(address, verb::post, JobPath(kFirstJobId), 200, JobBody(12)));
+  for (std::size_t i = 0; i < odd_entries.size(); ++i) {
+    store.Put("servers/w0", odd_entries[i]);
+  }
+  BOOST_TEST(WaitForState(address, kFirstJobId, "succeeded"));
+  BOOST_TEST(recorder.DuplicatedTaskCount() == 0);
+  KillNode("n1");
+  const std::string next_address = AddNode("n1");
+  BOOST_REQUIRE(CallUntil(next_address, verb::post, JobPath(kSecondJobId), 200,
+                          JobBody(3)));
+  BOOST_TEST(WaitForState(next_address, kSecondJobId, "succeeded"));
+}
+
+BOOST_AUTO_TEST_CASE(runner_whose_entry_returns_gets_tasks_again) {
+  const std::string address = AddNode("n1");
+  BOOST_REQUIRE(CallUntil(address, verb::get, "/q/", 200));
+  for (const std::string key : {"servers/w0", "servers/w1", "servers/w2"}) {
+    const std::string entry = store.Value(key);
+    store.Remove(key);
+    store.Put(key, entry);
+  }
+  BOOST_REQUIRE(
+      CallUntil(address, verb::post, JobPath(kFirstJobId), 200, JobBody(3)));
+  BOOST_TEST(WaitForState(address, kFirstJobId, "succeeded"));
+}
+
 // A leader that reaches the store only through peers polls runners and commits
 // late. Such a leader must not keep its role for seconds if other nodes reach
 // the store directly. In a trial, a leader was in this state from 1 s to 13 s.
