Keep the predecessor's runners in the set until they have listed their runs

Cause: the leader restarts and leads again while the store is silent for 4.5 s. It has read the runner set, but not the entries of the runners, so all runners count as without an entry; they answer polls, so they count as reachable; and they have no task, since listings are discarded until the jobs are loaded. After 3 s the leader logs 'runner removed ... why=no store entry' for hundreds of runners and writes a runner set without them, which the store applies when it is back. The next leader knows of no runner that may hold orders, does not wait for their listings, and starts their tasks again 100 ms after it has taken over.

Change: runners without an entry are dropped only by a leader that is ready, and only after they have listed their runs to it, or their lease is over.

Ruled out by the log: pages of the progress read at different revisions, an early acknowledgement (ends were acknowledged by the leader after next only) and unreadable progress (no 'cannot decode').

--- a/src/node/leader_runners.cc
+++ b/src/node/leader_runners.cc
@@ -182,13 +182,17 @@
 }
 
 void leader::impl::DropUnregisteredRunners() {
+  // Until all runners and jobs are loaded, it is not known which runners have
+  // an entry, and listings are discarded.
+  if (!ready) return;
   const millis now = context.now.Now();
   std::vector<std::string> removable;
   for (const auto& [id, since] : unregistered_since) {
     const auto link = links.find(id);
-    const bool task_count_known = link == links.end() ||
-                                  link->second->Reachable() ||
-                                  link->second->LeaseExpired();
+    const sched::runner_state* runner = scheduler.FindRunner(id);
+    const bool task_count_known =
+        link == links.end() || link->second->LeaseExpired() ||
+        (link->second->Reachable() && runner && runner->listed);
     if (task_count_known && now - since > kRemovalDelayMs &&
         scheduler.TaskCount(id) == 0) {
       removable.push_back(id);
--- a/tools/fleet_fake/fake_store.cc
+++ b/tools/fleet_fake/fake_store.cc
@@ -119,7 +119,14 @@
   if (unavailable_)
     return respond(http::MakeErrorResponse(503, "busy", "refused"));
   if (path == "/kv-txn") return ApplyCommit(request, respond);
-  if (path == "/kv-range") return SendRange(request, respond);
+  if (path == "/kv-range") {
+    if (!refused_prefix_.empty() &&
+        request.target.QueryParameter("prefix") == refused_prefix_) {
+      ++refused_read_count_;
+      return respond(http::MakeErrorResponse(503, "busy", "refused"));
+    }
+    return SendRange(request, respond);
+  }
   if (path == "/kv-watch") return SendChanges(request, std::move(respond));
   if (path == "/kv-key") {
     const std::string key(request.target.QueryParameter("key"));
--- a/tools/fleet_fake/fake_store.h
+++ b/tools/fleet_fake/fake_store.h
@@ -37,6 +37,11 @@
   std::string Value(const std::string& key) const;
   /// While true, every request fails with 503 without taking effect.
   void SetUnavailable(bool unavailable) { unavailable_ = unavailable; }
+  /// Makes reads of the keys with this prefix fail with 503; an empty prefix
+  /// ends that.
+  void RefuseReadsOf(const std::string& prefix) { refused_prefix_ = prefix; }
+  /// Returns the number of reads refused because of RefuseReadsOf().
+  int RefusedReadCount() const { return refused_read_count_; }
   /// Makes the store apply the next `count` commits but close the connections
   /// without a response.
   void DropCommitResponses(int count) { commit_responses_to_drop_ = count; }
@@ -110,6 +115,8 @@
   std::uint64_t renewal_count_ = 0;
   bool unavailable_ = false;
   bool second_unavailable_ = false;
+  std::string refused_prefix_;  ///< See RefuseReadsOf; empty: none.
+  int refused_read_count_ = 0;
   bool watches_muted_ = false;
 };
 
