Count a predecessor's task as available only once its stops have ended

The predecessor had ordered the stop of task 1 three times without a response.

Cause: an order without a response may be carried out seconds later. A runner that is stopping a run lists it as before until the stop ends, up to max_stop_ms later, so the new leader's first listing can show a task at work that is about to end. From that listing on the runner refuses the predecessor's orders.

Change: an adopted run counts as available once a listing shows it max_stop_ms after the first one, on the runner's clock.

scheduler_evacuate/task_that_the_predecessor_may_be_stopping_is_unavailable failed before.

--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -53,7 +53,9 @@
       retry_timer(context.io),
       save_timer(context.io),
       load_started_at(context.now.Now()),
-      lease(won.lease_renewed_at) {}
+      lease(won.lease_renewed_at) {
+  scheduler.SetMaxStopDuration(context.settings.max_stop_ms);
+}
 
 bool leader::impl::MaySendOrders() const {
   return !ended && !handing_over && lease.MayIssueOrders(context.now.Now());
--- a/src/sched/run_state.h
+++ b/src/sched/run_state.h
@@ -35,14 +35,25 @@
   /// Time on the runner's clock of the first listing since the last change of
   /// progress or pace; -1: no listing yet.
   millis progress_clock_ms = -1;
-  /// Time without progress, from that listing to the most recent one.
-  millis stalled_ms = 0;
+  /// Time on the runner's clock of the most recent listing; -1: no listing yet.
+  millis listed_clock_ms = -1;
+  /// If an earlier leader started the run: time on the runner's clock of the
+  /// first listing to this leader; else -1.
+  millis adopted_clock_ms = -1;
   int progress_percent = 0;  ///< Progress in the most recent listing.
 
   /// Begins to measure the time without progress with the next listing.
-  void RestartProgressTimer() {
-    progress_clock_ms = -1;
-    stalled_ms = 0;
+  void RestartProgressTimer() { progress_clock_ms = -1; }
+  /// Returns the time without progress, as far as listings show it.
+  millis StalledMs() const {
+    return progress_clock_ms < 0 ? 0 : listed_clock_ms - progress_clock_ms;
+  }
+  /// Returns false if an earlier leader may have ordered a stop of the run that
+  /// has not ended yet. The runner has refused such orders since its first
+  /// listing to this leader, and ends a run within `max_stop_ms`.
+  bool IsUnaffectedByEarlierLeaders(millis max_stop_ms) const {
+    return adopted_clock_ms < 0 ||
+           listed_clock_ms - adopted_clock_ms >= max_stop_ms;
   }
   /// Load in the most recent listing: tail latency in ms of a latency-sensitive
   /// task, processor use of any other task.
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -61,6 +61,10 @@
 
   void SetConfig(const fleet::fleet_config& config);
 
+  /// Sets the time within which runners end a run that they were ordered to
+  /// stop, on their clocks.
+  void SetMaxStopDuration(millis duration) { max_stop_ms_ = duration; }
+
   /// Adds an accepted job. `restored` is true if an earlier leader may have
   /// started it.
   void AddJob(fleet::job_record record, bool restored, millis now,
@@ -381,6 +385,7 @@
   /// Number of tasks that may still be started, see SetStartAllowance().
   int start_allowance_ = std::numeric_limits<int>::max();
   int min_run_;                 ///< Lowest number of a new run.
+  millis max_stop_ms_ = 1000;   ///< See SetMaxStopDuration().
   fleet::fleet_config config_;  ///< Configuration of queues, pools and teams.
   run_time_model run_times_;    ///< Ratios of actual to estimated run times.
   /// Jobs by id.
--- a/src/sched/scheduler_listing.cc
+++ b/src/sched/scheduler_listing.cc
@@ -185,6 +185,7 @@
     adopted.phase = run_phase::kRunning;
     adopted.ordered_at = now;
     adopted.confirmed_at = 0;
+    adopted.adopted_clock_ms = runner_clock_ms;
     AttachRun(listed.task, ref, std::move(adopted));
     ref.job->started = true;
     if (ref.job->phase == job_phase::kPending) {
@@ -204,7 +205,7 @@
     run.RestartProgressTimer();
   }
   if (run.progress_clock_ms < 0) run.progress_clock_ms = runner_clock_ms;
-  run.stalled_ms = runner_clock_ms - run.progress_clock_ms;
+  run.listed_clock_ms = runner_clock_ms;
   run.load = listed.load;
   if (!listed.checkpoint.empty()) ref.task->checkpoint = listed.checkpoint;
   if (ref.task->done || ref.job->IsFinished()) {
--- a/src/sched/scheduler_runs.cc
+++ b/src/sched/scheduler_runs.cc
@@ -59,7 +59,7 @@
                             run_state& run, runner_state& runner, millis now) {
   if (!runner.reachable || ref.step->gang) return;
   if (run.phase != run_phase::kRunning || run.progress_percent >= 100 ||
-      run.pace_percent < 100 || run.stalled_ms < kStuckTimeoutMs) {
+      run.pace_percent < 100 || run.StalledMs() < kStuckTimeoutMs) {
     return;
   }
   runner.consecutive_failures =
@@ -150,13 +150,14 @@
   return demand;
 }
 
-// A task on an unreachable runner counts as unavailable, whatever the most
-// recent listing says.
+// A task on an unreachable runner, or one that an earlier leader may have
+// stopped, counts as unavailable, whatever the most recent listing says.
 bool scheduler::IsAvailable(const task_state& task) const {
   return std::ranges::any_of(task.runs, [&](const run_state& run) {
     const runner_state* runner = FindRunner(run.runner);
     return run.phase == run_phase::kRunning && run.progress_percent >= 100 &&
-           runner && runner->reachable;
+           run.IsUnaffectedByEarlierLeaders(max_stop_ms_) && runner &&
+           runner->reachable;
   });
 }
 
--- a/tests/sched/scheduler_evacuate_test.cc
+++ b/tests/sched/scheduler_evacuate_test.cc
@@ -72,6 +72,47 @@
   BOOST_TEST(!subject.Evacuate("r9", true, now));
 }
 
+/// Two long-running tasks that the predecessor started on two runners.
+struct adopted_tasks_fixture : scheduler_fixture {
+  adopted_tasks_fixture() {
+    subject.SetMaxStopDuration(kMaxStopMs);
+    AddRunner("r1");
+    AddRunner("r2");
+    fleet::task_step step = Step(2);
+    step.long_running = true;
+    step.has_disruption_budget = true;
+    step.max_unavailable = 1;
+    AddJob("a", {step}, true);
+  }
+
+  /// Reports that task `index` runs on `runner`, at `clock_ms` on its clock.
+  void ListTask(const std::string& runner, int index, millis clock_ms) {
+    fleet::runner_listing listing;
+    listing.runner_clock_ms = clock_ms;
+    listing.running.push_back({{"a", 0, 0, index}, 7, "", 100, 0});
+    ReportListing(runner, listing);
+  }
+
+  static constexpr millis kMaxStopMs = 900;
+};
+
+// Until a stop of the predecessor has ended, the runner lists the task as
+// before.
+BOOST_FIXTURE_TEST_CASE(
+    task_that_the_predecessor_may_be_stopping_is_unavailable,
+    adopted_tasks_fixture) {
+  ListTask("r1", 0, 5000);
+  ListTask("r2", 1, 5000);
+  subject.Evacuate("r1", true, now);
+  BOOST_TEST(Plan().empty());
+  ListTask("r2", 1, 5000 + kMaxStopMs - 1);
+  subject.Evacuate("r1", true, now);
+  BOOST_TEST(Plan().empty());
+  ListTask("r2", 1, 5000 + kMaxStopMs);
+  subject.Evacuate("r1", true, now);
+  BOOST_TEST(Plan().size() == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
