Count a job as pending until a runner has confirmed a start

Cause: a job left the count of pending jobs when its first start was ordered, although the order may get no response and be carried out seconds later or never; and a new leader took every job with a progress record for begun, although the record is stored before the first start.

Change: the count goes by confirmed starts, listed runs and ends, and by what the record shows to have run.

scheduler_pending: job_is_pending_until_a_start_is_accepted and restored_job_without_begun_tasks_is_pending failed before.

--- a/src/sched/job_state.h
+++ b/src/sched/job_state.h
@@ -42,7 +42,8 @@
   /// listing to this leader has not arrived. The job waits for these listings.
   bool awaits_listings = false;
   bool long_running = false;  ///< At least one step is long-running.
-  /// True if a task has started, or may have started under an earlier leader.
+  /// True once a runner has confirmed the start of a task, or the progress
+  /// record shows that one has run.
   bool started = false;
   millis accepted_at = 0;  ///< Time of the job's acceptance.
   /// Length of the critical path through all steps, by the caller's estimates.
--- a/src/sched/progress_codec.cc
+++ b/src/sched/progress_codec.cc
@@ -28,6 +28,13 @@
   return rows;
 }
 
+// Returns true if the record shows that a task of the step has run.
+bool HasBegunTasks(const step_state& step) {
+  return std::ranges::any_of(step.tasks, [](const task_state& task) {
+    return task.done || task.last_run > 0 || !task.checkpoint.empty();
+  });
+}
+
 void DecodeStep(const json::object& wire, step_state& step) {
   const json::string& bits = wire.at("done").as_string();
   for (std::size_t i = 0; i < bits.size() && i < step.tasks.size(); ++i) {
@@ -101,9 +108,10 @@
          ++i) {
       DecodeStep(steps[i].as_object(), repetition.steps[i]);
     }
+    job.started |=
+        repetition.done || std::ranges::any_of(repetition.steps, HasBegunTasks);
     job.repetitions[row.at("number").to_number<int>()] = std::move(repetition);
   }
-  job.started = !job.repetitions.empty();
   return success{};
 } catch (const std::exception&) {
   return Unreadable();
--- a/src/sched/scheduler_deferred_starts.cc
+++ b/src/sched/scheduler_deferred_starts.cc
@@ -46,7 +46,6 @@
   run.start_deferred = false;
   run.order_in_flight = true;
   run.ordered_at = now;
-  ref.job->started = true;
   ref.job->phase = job_phase::kRunning;
   out.push_back(start);
   events_.push_back({event_kind::kTaskStarted, start.task, start.run,
--- a/src/sched/scheduler_listing.cc
+++ b/src/sched/scheduler_listing.cc
@@ -73,6 +73,7 @@
     return;
   }
   job_state& job = *ref.job;
+  job.started = true;
   EndRun(ref, end.task, end, runner, now);
   out.push_back({end.end_number, job.record.id, job.progress_version});
 }
@@ -187,7 +188,6 @@
     adopted.confirmed_at = 0;
     adopted.adopted_clock_ms = runner_clock_ms;
     AttachRun(listed.task, ref, std::move(adopted));
-    ref.job->started = true;
     if (ref.job->phase == job_phase::kPending) {
       ref.job->phase = job_phase::kRunning;
     }
@@ -195,6 +195,7 @@
         {event_kind::kTaskAdopted, listed.task, listed.run, runner, "", 0});
     it = std::prev(ref.task->runs.end());
   }
+  ref.job->started = true;
   run_state& run = *it;
   if (run.phase == run_phase::kStarting) {
     run.phase = run_phase::kRunning;
@@ -285,6 +286,7 @@
   switch (outcome) {
     case order_outcome::kAccepted:
     case order_outcome::kStaleRun:  // A later listing has the end of the run.
+      ref.job->started = true;
       if (run.phase != run_phase::kStarting) return;
       run.phase = run_phase::kRunning;
       run.confirmed_at = now;
