--- a/src/node/record_keys.h
+++ b/src/node/record_keys.h
@@ -38,9 +38,7 @@
 inline std::string RunnerSetKey() { return "rw/r/" + std::to_string(kShard); }
 /// Key of the orders to hosts that may still be carried out, as encoded by
 /// EncodeHostOrders().
-inline std::string HostOrdersKey() {
-  return "rw/h/" + std::to_string(kShard);
-}
+inline std::string HostOrdersKey() { return "rw/h/" + std::to_string(kShard); }
 /// Key of the names of the hosts that need no further order in wave number
 /// `wave`.
 inline std::string WaveKey(std::int64_t wave) {
