--- a/src/node/host_controller_impl.h
+++ b/src/node/host_controller_impl.h
@@ -160,9 +160,12 @@
   /// Writes the record of the orders if orders are queued or the record is
   /// outdated, and then sends the queued orders.
   void StoreOrders();
+  /// Applies the outcome of a write of the record `written`, and sends the
+  /// orders to the hosts `queued` if it succeeded.
   void OnOrdersStored(const std::vector<std::string>& queued,
                       host_orders written,
                       const result<store::commit_outcome>& outcome);
+  /// Sends the queued order to `host` with the fencing token `token`.
   void SendOrder(const std::string& host, std::uint64_t token);
   /// Applies the outcome of the order to `host`. The order stays open if the
   /// host service may still carry it out.
@@ -186,8 +189,8 @@
   std::map<std::string, open_order> open_orders;  ///< Keyed by host name.
   /// Retries the read of the record of the orders.
   boost::asio::steady_timer load_timer;
-  bool orders_loaded = false;         ///< True once LoadOrders() has succeeded.
-  host_orders stored_orders;          ///< Orders in the record, if known.
+  bool orders_loaded = false;  ///< True once LoadOrders() has succeeded.
+  host_orders stored_orders;  ///< Orders in the record as last read or written.
   std::uint64_t record_revision = 0;  ///< Revision of the record; 0: none.
   bool record_write_in_flight = false;
   millis record_written_at = 0;  ///< Time of the last write of the record.
--- a/src/node/host_orders.cc
+++ b/src/node/host_orders.cc
@@ -13,6 +13,9 @@
 namespace radishwing::node {
 namespace {
 
+// Delay before a failed read of the record is repeated. The leader is not ready
+// before it has the record.
+constexpr millis kLoadRetryDelayMs = 150;
 // Interval at which orders that are not open any more are removed from the
 // record, if no order is to be sent.
 constexpr millis kRecordCleanUpIntervalMs = 1000;
@@ -27,7 +30,7 @@
         if (!self) return;
         if (!Ok(item)) {
           self->load_timer.expires_after(
-              std::chrono::milliseconds(kHostOrderRetryMs));
+              std::chrono::milliseconds(kLoadRetryDelayMs));
           self->load_timer.async_wait([weak](boost::system::error_code error) {
             const auto locked = weak.lock();
             if (!error && locked) locked->LoadOrders();
