review: an odd runner entry makes the leader lose jobs

One entry of a service that no configuration names, written over a live runner's entry until its next heartbeat, replaces the connection to that runner. The poll under way never completes and the ends of the runner's tasks are never taken note of.

--- a/review/stand_in/deployment.cc
+++ b/review/stand_in/deployment.cc
@@ -214,6 +214,15 @@
        });
 }
 
+void deployment::SubmitFor(millis time, const std::string& body) {
+  const millis until = record.Now() + time;
+  while (record.Now() < until) {
+    const int number = next_job_++;
+    Submit(JobId(number), number, body);
+    RunFor(250);
+  }
+}
+
 void deployment::AskForStates() {
   ++ask_round_;
   for (const auto& [id, job] : jobs) {
--- a/review/stand_in/deployment.h
+++ b/review/stand_in/deployment.h
@@ -52,6 +52,8 @@
   /// node, and returns after 429 or 503.
   void Submit(const std::string& id, int node, const std::string& body,
               int attempts = 6);
+  /// Hands in a job with the body `body` every 250 ms, for `time` ms.
+  void SubmitFor(radishwing::millis time, const std::string& body);
   /// Sends a request for a job to a node; status 0: no answer within 3 s.
   void Send(boost::beast::http::verb method, const std::string& id, int node,
             const std::string& body,
@@ -75,6 +77,7 @@
 
   std::string net_;
   int nodes_;
+  int next_job_ = 1;
   int ask_round_ = 0;
   std::unique_ptr<radishwing::http::server> cloud_;
   std::vector<std::unique_ptr<radishwing::http::client>> fronts_;
--- a/review/stand_in/main.cc
+++ b/review/stand_in/main.cc
@@ -18,6 +18,8 @@
   outcome result = outcome::kCouldNotRun;
   if (scenario == "new-address") result = PlayNewAddress(system, trouble);
   if (scenario == "short-outage") result = PlayShortOutage(system, trouble);
+  if (scenario == "odd-entry") result = PlayOddEntry(system, trouble);
+  if (scenario == "late-write") result = PlayLateWrite(system, trouble);
   system.record.Write(result == outcome::kHeld ? "result: the rule held"
                       : result == outcome::kBroken
                           ? "result: the rule is broken"
--- a/review/stand_in/scenarios.h
+++ b/review/stand_in/scenarios.h
@@ -7,6 +7,11 @@
 /// Result of a scenario, and exit code of the program.
 enum class outcome { kHeld = 0, kBroken = 1, kCouldNotRun = 2 };
 
+/// Called at the end of the traffic. Returns kBroken if the rule LOST is
+/// broken: `finish_s` later, an accepted job has nothing running for 3 s
+/// although there is room for it.
+outcome JudgeLost(deployment& system);
+
 /// The runners of a rack lose power and start again under their ids, at new
 /// addresses.
 outcome PlayNewAddress(deployment& system, bool trouble);
@@ -14,4 +19,12 @@
 /// about a second.
 outcome PlayShortOutage(deployment& system, bool trouble);
 
+/// Another writer overwrites the entries of some runners with entries of a
+/// service that no configuration names, until the runners' next heartbeats.
+outcome PlayOddEntry(deployment& system, bool trouble);
+
+/// Answers of the store are lost and the writes done seconds later, while
+/// clients hand in jobs and cancel those whose submission got no answer.
+outcome PlayLateWrite(deployment& system, bool trouble);
+
 }  // namespace review
