--- a/review/build.sh
+++ b/review/build.sh
@@ -10,7 +10,7 @@
 mkdir -p target/review
 objects=()
 pids=()
-for source in review/stand_in/*.cc; do
+for source in review/*.cc; do
   object=target/review/$(basename "$source" .cc).o
   objects+=("$object")
   g++ -std=c++20 -O1 -Wall -Wextra -I. -DBOOST_ASIO_SEPARATE_COMPILATION \
--- a/review/stand_in/deployment.cc
+++ b/review/deployment.cc
@@ -1,4 +1,4 @@
-#include "review/stand_in/deployment.h"
+#include "review/deployment.h"
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
--- a/review/stand_in/deployment.h
+++ b/review/deployment.h
@@ -9,9 +9,9 @@
 #include <string>
 #include <vector>
 
-#include "review/stand_in/recorder.h"
-#include "review/stand_in/runner.h"
-#include "review/stand_in/store.h"
+#include "review/recorder.h"
+#include "review/runner.h"
+#include "review/store.h"
 #include "src/http/client.h"
 #include "src/http/server.h"
 
--- a/review/stand_in/judge_lost.cc
+++ b/review/judge_lost.cc
@@ -1,6 +1,6 @@
 #include <set>
 
-#include "review/stand_in/scenarios.h"
+#include "review/scenarios.h"
 
 namespace review {
 using namespace radishwing;
--- a/review/stand_in/late_write.cc
+++ b/review/late_write.cc
@@ -1,7 +1,7 @@
 #include <map>
 #include <random>
 
-#include "review/stand_in/scenarios.h"
+#include "review/scenarios.h"
 
 namespace review {
 using namespace radishwing;
--- a/review/stand_in/main.cc
+++ b/review/main.cc
@@ -3,7 +3,7 @@
 #include <iostream>
 #include <string>
 
-#include "review/stand_in/scenarios.h"
+#include "review/scenarios.h"
 
 // Usage: stand_in SCENARIO RECORD_FILE NET NODES
 // Stand-ins of the platform, the runners and the clients, and the course of one
--- a/review/stand_in/odd_entry.cc
+++ b/review/odd_entry.cc
@@ -1,6 +1,6 @@
 #include <boost/json.hpp>
 
-#include "review/stand_in/scenarios.h"
+#include "review/scenarios.h"
 
 namespace review {
 namespace json = boost::json;
--- a/review/stand_in/runner.cc
+++ b/review/runner.cc
@@ -1,4 +1,4 @@
-#include "review/stand_in/runner.h"
+#include "review/runner.h"
 
 #include <algorithm>
 #include <chrono>
--- a/review/stand_in/runner.h
+++ b/review/runner.h
@@ -10,8 +10,8 @@
 #include <string>
 #include <vector>
 
-#include "review/stand_in/recorder.h"
-#include "review/stand_in/store.h"
+#include "review/recorder.h"
+#include "review/store.h"
 #include "src/http/server.h"
 
 namespace review {
--- a/review/stand_in/scenarios.h
+++ b/review/scenarios.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "review/stand_in/deployment.h"
+#include "review/deployment.h"
 
 namespace review {
 
--- a/review/stand_in/short_outage.cc
+++ b/review/short_outage.cc
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <map>
 
-#include "review/stand_in/scenarios.h"
+#include "review/scenarios.h"
 
 namespace review {
 using namespace radishwing;
--- a/review/stand_in/store.cc
+++ b/review/store.cc
@@ -1,4 +1,4 @@
-#include "review/stand_in/store.h"
+#include "review/store.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
--- a/review/stand_in/store.h
+++ b/review/store.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-#include "review/stand_in/recorder.h"
+#include "review/recorder.h"
 #include "src/http/server.h"
 
 namespace review {
--- a/review/stand_in/store_outage.cc
+++ b/review/store_outage.cc
@@ -1,4 +1,4 @@
-#include "review/stand_in/scenarios.h"
+#include "review/scenarios.h"
 
 namespace review {
 using namespace radishwing;
