--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -316,7 +316,9 @@
   // callback of that watch may be the caller of this function.
   boost::asio::post(context.io, [weak = weak_from_this()] {
     const auto self = weak.lock();
-    if (self && !self->ended) self->WatchJobs();
+    if (!self || self->ended) return;
+    self->LogRepeatedJobRead("skipped_without_lease");
+    self->WatchJobs();
   });
 }
 
@@ -337,9 +339,22 @@
     commit.removals.push_back(CancelKey(id));
     commit.removals.push_back(ProgressKey(id));
   }
-  context.store->Commit(commit, [](const result<store::commit_outcome>&) {
+  const std::size_t count = commit.removals.size() / 3;
+  context.store->Commit(commit, [weak = weak_from_this(), count](
+                                    const result<store::commit_outcome>& done) {
+    const auto self = weak.lock();
+    if (!self || self->ended) return;
     // If the commit fails, the keys remain until the next leader loads these
     // jobs and removes them.
+    if (Ok(done) && Value(done).committed) {
+      self->context.log.Info(
+          "jobs", "expired jobs removed, jobs=" + std::to_string(count));
+    } else {
+      self->context.log.Warning(
+          "jobs",
+          "removal of expired jobs failed, jobs=" + std::to_string(count) +
+              " error=" + (Ok(done) ? "conflict" : Error(done).message));
+    }
   });
 }
 
--- a/src/node/leader_impl.h
+++ b/src/node/leader_impl.h
@@ -145,6 +145,10 @@
   void OnLeaseRenewed(millis sent_at);
   /// Applies a job record or a cancel request that was read from the store.
   void ApplyJobEntry(const store::store_item& entry);
+  /// Applies all job records and cancel requests in the store.
+  void ApplyJobSnapshot(const std::vector<store::store_item>& entries);
+  /// Logs that all jobs will be read again because of `reason`.
+  void LogRepeatedJobRead(std::string_view reason);
   /// Deletes the stored keys of jobs whose retention time has passed.
   void RemoveExpiredJobs();
   /// Returns true if this node's lease permits orders, the term has not ended
--- a/src/node/leader_load.cc
+++ b/src/node/leader_load.cc
@@ -145,16 +145,10 @@
   options.gap_ms = kJobWatchGapMs;
   store_watch_hooks hooks;
   hooks.snapshot = [this](const std::vector<store::store_item>& items) {
-    for (const store::store_item& item : items) ApplyJobEntry(item);
-    // The leader must not get ready until the skipped jobs are loaded.
-    // Otherwise, when a runner lists runs of these jobs, the runs would be
-    // stopped as runs of unknown jobs.
-    if (ended || (jobs_skipped && !jobs_loaded)) return;
-    jobs_loaded = true;
-    loaded_progress.clear();
-    MaybeBecomeReady();
+    ApplyJobSnapshot(items);
   };
   hooks.change = [this](const store::store_item& item) { ApplyJobEntry(item); };
+  hooks.history_lost = [this] { LogRepeatedJobRead("history_discarded"); };
   hooks.failed = [this](const failure& error) {
     if (!ready) LogTakeoverDelay("jobs", error);
   };
@@ -163,6 +157,41 @@
                                     std::move(options), std::move(hooks));
 }
 
+void leader::impl::LogRepeatedJobRead(std::string_view reason) {
+  context.log.Warning("jobs",
+                      "reading all jobs again, why=" + std::string(reason) +
+                          " known=" + std::to_string(scheduler.JobCount()));
+}
+
+void leader::impl::ApplyJobSnapshot(
+    const std::vector<store::store_item>& entries) {
+  const std::size_t known_before = scheduler.JobCount();
+  for (const store::store_item& entry : entries) {
+    const std::string id = entry.key.substr(kJobPrefix.size());
+    const bool was_known = scheduler.FindJob(id) != nullptr;
+    ApplyJobEntry(entry);
+    if (ended) return;
+    if (jobs_loaded && !was_known && scheduler.FindJob(id)) {
+      context.log.Warning("jobs",
+                          "job found by a repeated read, job=" + id +
+                              " revision=" + std::to_string(entry.revision));
+    }
+  }
+  if (jobs_loaded) {
+    context.log.Info(
+        "jobs",
+        "all jobs read again, jobs=" + std::to_string(scheduler.JobCount()) +
+            " new=" + std::to_string(scheduler.JobCount() - known_before));
+  }
+  // The leader must not get ready until the skipped jobs are loaded. Otherwise,
+  // when a runner lists runs of these jobs, the runs would be stopped as runs
+  // of unknown jobs.
+  if (jobs_skipped && !jobs_loaded) return;
+  jobs_loaded = true;
+  loaded_progress.clear();
+  MaybeBecomeReady();
+}
+
 void leader::impl::ApplyJobEntry(const store::store_item& entry) {
   if (entry.revision == 0 || entry.key.size() <= kJobPrefix.size()) return;
   std::string id = entry.key.substr(kJobPrefix.size());
--- a/src/node/store_watch.cc
+++ b/src/node/store_watch.cc
@@ -131,7 +131,10 @@
 
 void store_watch::impl::ReportChanges(const store::store_changes& changes,
                                       millis asked_at) {
-  if (changes.history_discarded) return ReadPage("");
+  if (changes.history_discarded) {
+    if (hooks.history_lost) hooks.history_lost();
+    return ReadPage("");
+  }
   for (const store::store_item& item : changes.items) {
     hooks.change(item);
     if (stopped) return;
--- a/src/node/store_watch.h
+++ b/src/node/store_watch.h
@@ -22,7 +22,7 @@
   bool skip_superseded_values = false;
 };
 
-/// Callbacks of a store_watch; `caught_up` and `failed` may be empty.
+/// Callbacks of a store_watch. All but `snapshot` and `change` may be empty.
 struct store_watch_hooks {
   /// Receives all items with the prefix: after the first read, and again when
   /// changes were missed because the store had discarded its history.
@@ -31,6 +31,8 @@
   std::function<void(const store::store_item&)> change;
   /// All changes that the store had made by `asked_at` have been reported.
   std::function<void(millis asked_at)> caught_up;
+  /// The store has discarded its history, so all keys are read again.
+  std::function<void()> history_lost;
   /// A call to the store failed and will be retried.
   std::function<void(const failure&)> failed;
 };
