Keep finished jobs until the store has confirmed the removal of their keys

Cause: the leader dropped a finished job from memory before it removed the job's keys, took the job off its list when the commit was sent and did not look at the outcome. While the store was down, the removals failed. A job that arrived before the leader knew its lease to be valid again made it read all jobs, and it took the dropped ones for new: the progress records had been read by the takeover only.

A job now leaves memory only after the store has confirmed the removal, so a read of all jobs finds none that the leader does not know. A failed removal is repeated after 500 ms instead of being left to the next leader. One removal is in flight at a time, and the next follows at once, so that the rate does not depend on the interval of the periodic checks.

--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -34,10 +34,6 @@
 // Time after which a handover is completed even if some job progress is not
 // stored yet.
 constexpr millis kHandOverTimeoutMs = 1500;
-// Finished jobs are retained this long beyond `job_status_retention_ms`, so
-// that repeated submissions are recognized. A repeated submission arrives
-// within seconds of the response.
-constexpr millis kDuplicateSubmitMarginMs = 60000;
 
 }  // namespace
 
@@ -322,42 +318,6 @@
   });
 }
 
-void leader::impl::RemoveExpiredJobs() {
-  if (expired_jobs.empty()) {
-    expired_jobs = scheduler.DropFinishedJobs(
-        context.now.Now(),
-        context.settings.job_status_retention_ms + kDuplicateSubmitMarginMs);
-  }
-  if (expired_jobs.empty() || saves_in_flight > 0) return;
-  store::store_commit commit;
-  commit.preconditions.push_back({ShardKey(), fencing_token});
-  // Uses at most 25 of the 32 entries that the store accepts per commit.
-  for (int i = 0; i < 8 && !expired_jobs.empty(); ++i) {
-    const std::string id = expired_jobs.back();
-    expired_jobs.pop_back();
-    commit.removals.push_back(JobKey(id));
-    commit.removals.push_back(CancelKey(id));
-    commit.removals.push_back(ProgressKey(id));
-  }
-  const std::size_t count = commit.removals.size() / 3;
-  context.store->Commit(commit, [weak = weak_from_this(), count](
-                                    const result<store::commit_outcome>& done) {
-    const auto self = weak.lock();
-    if (!self || self->ended) return;
-    // If the commit fails, the keys remain until the next leader loads these
-    // jobs and removes them.
-    if (Ok(done) && Value(done).committed) {
-      self->context.log.Info(
-          "jobs", "expired jobs removed, jobs=" + std::to_string(count));
-    } else {
-      self->context.log.Warning(
-          "jobs",
-          "removal of expired jobs failed, jobs=" + std::to_string(count) +
-              " error=" + (Ok(done) ? "conflict" : Error(done).message));
-    }
-  });
-}
-
 void leader::impl::EndTerm(std::string_view reason) {
   if (ended) return;
   context.log.InfoUnlimited(
--- a/src/node/leader_impl.h
+++ b/src/node/leader_impl.h
@@ -149,8 +149,12 @@
   void ApplyJobSnapshot(const std::vector<store::store_item>& entries);
   /// Logs that all jobs will be read again because of `reason`.
   void LogRepeatedJobRead(std::string_view reason);
-  /// Deletes the stored keys of jobs whose retention time has passed.
+  /// Deletes the stored keys of some jobs whose retention time has passed.
   void RemoveExpiredJobs();
+  /// Handles the store's response to the removal of the keys of `jobs`. Drops
+  /// the jobs only if the store has confirmed the removal.
+  void OnRemovalDone(const std::vector<std::string>& jobs,
+                     const result<store::commit_outcome>& outcome);
   /// Returns true if this node's lease permits orders, the term has not ended
   /// and no handover has begun.
   bool MaySendOrders() const;
@@ -203,9 +207,8 @@
   /// after the callback was called.
   std::function<void()> on_handover;
   millis handover_started_at = 0;
-  /// Ids of jobs that the scheduler has dropped but whose keys are still
-  /// stored.
-  std::vector<std::string> expired_jobs;
+  bool removal_in_flight = false;  ///< A commit removes the keys of jobs.
+  millis next_removal_at = 0;      ///< Earliest time of the next such commit.
   /// Tracks the runners that are known to be in the stored runner set.
   sched::recorded_runners runner_set_record;
   /// Last known store revision of RunnerSetKey().
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -114,23 +114,6 @@
   return counts;
 }
 
-std::vector<std::string> scheduler::DropFinishedJobs(millis now,
-                                                     millis retention_ms) {
-  std::vector<std::string> dropped;
-  for (auto it = jobs_.begin(); it != jobs_.end();) {
-    const job_state& job = *it->second;
-    if (job.IsFinished() && job.active_runs == 0 &&
-        job.progress_version == job.persisted_version &&
-        now - job.finished_at > retention_ms) {
-      dropped.push_back(it->first);
-      it = jobs_.erase(it);
-    } else {
-      ++it;
-    }
-  }
-  return dropped;
-}
-
 void scheduler::AddRunner(const fleet::runner_report& report) {
   runner_state& runner = runners_[report.id];
   runner.report = report;
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <limits>
 #include <map>
 #include <memory>
@@ -82,10 +83,13 @@
   /// without such a job are missing.
   std::map<std::string, std::size_t> PendingJobCounts() const;
   std::size_t JobCount() const { return jobs_.size(); }
-  /// Drops each job that finished more than `retention_ms` ago, if the job has
-  /// no runs left and its final state is persisted. Returns the ids of the
-  /// dropped jobs.
-  std::vector<std::string> DropFinishedJobs(millis now, millis retention_ms);
+  /// Returns the ids of at most `limit` jobs that finished more than
+  /// `retention_ms` ago, have no runs left and whose final state is persisted.
+  std::vector<std::string> ExpiredJobs(millis now, millis retention_ms,
+                                       std::size_t limit) const;
+  /// Drops a job. A job whose key is still in the store must not be dropped:
+  /// the key may be read again, and the job would then be taken for a new one.
+  void DropJob(const std::string& id);
 
   /// Adds a runner, or updates the registration of a known one.
   void AddRunner(const fleet::runner_report& report);
@@ -195,8 +199,8 @@
     std::string data_centre;
     friend auto operator<=>(const runner_site&, const runner_site&) = default;
   };
-  /// A placed run whose start order is deferred.
-  struct deferred_run {
+  /// Identifies a run.
+  struct run_name {
     fleet::task_name task;
     std::string runner;  ///< Id of the runner.
     int run = 0;         ///< Number of the run.
@@ -301,8 +305,12 @@
   /// Adds the start order of a placed run to `out` and emits an event.
   void IssueStart(const task_ref& ref, run_state& run, const order& start,
                   millis now, std::vector<order>& out);
+  /// Returns the runs of a job for which `include` returns true.
+  static std::vector<run_name> ListRuns(
+      const job_state& job,
+      const std::function<bool(const run_state&)>& include);
   /// Returns the runs of a job whose start order is deferred.
-  static std::vector<deferred_run> FindDeferredRuns(job_state& job);
+  static std::vector<run_name> ListDeferredRuns(const job_state& job);
   /// Cancels the placement of the job's runs whose start order is deferred.
   void DropDeferredRuns(job_state& job);
   /// Issues the deferred start orders of jobs whose progress record was written
--- a/src/sched/scheduler_deferred_starts.cc
+++ b/src/sched/scheduler_deferred_starts.cc
@@ -52,28 +52,34 @@
                      start.runner, "", now - ref.job->accepted_at});
 }
 
-std::vector<scheduler::deferred_run> scheduler::FindDeferredRuns(
-    job_state& job) {
-  std::vector<deferred_run> deferred;
-  for (auto& [number, repetition] : job.repetitions) {
+std::vector<scheduler::run_name> scheduler::ListRuns(
+    const job_state& job,
+    const std::function<bool(const run_state&)>& include) {
+  std::vector<run_name> runs;
+  for (const auto& [number, repetition] : job.repetitions) {
     for (std::size_t s = 0; s < repetition.steps.size(); ++s) {
-      std::vector<task_state>& tasks = repetition.steps[s].tasks;
+      const std::vector<task_state>& tasks = repetition.steps[s].tasks;
       for (std::size_t i = 0; i < tasks.size(); ++i) {
         for (const run_state& run : tasks[i].runs) {
-          if (!run.start_deferred) continue;
-          deferred.push_back({{job.record.id, number, static_cast<int>(s),
-                               static_cast<int>(i)},
-                              run.runner,
-                              run.run});
+          if (!include(run)) continue;
+          runs.push_back({{job.record.id, number, static_cast<int>(s),
+                           static_cast<int>(i)},
+                          run.runner,
+                          run.run});
         }
       }
     }
   }
-  return deferred;
+  return runs;
+}
+
+std::vector<scheduler::run_name> scheduler::ListDeferredRuns(
+    const job_state& job) {
+  return ListRuns(job, [](const run_state& run) { return run.start_deferred; });
 }
 
 void scheduler::DropDeferredRuns(job_state& job) {
-  for (const deferred_run& run : FindDeferredRuns(job)) {
+  for (const run_name& run : ListDeferredRuns(job)) {
     DetachRun(run.task, FindTask(run.task), run.runner, run.run);
   }
 }
@@ -82,18 +88,17 @@
   for (const std::string& id : std::exchange(newly_recorded_jobs_, {})) {
     const auto it = jobs_.find(id);
     if (it == jobs_.end() || !RecordCoversStarts(*it->second)) continue;
-    const std::vector<deferred_run> deferred = FindDeferredRuns(*it->second);
+    const std::vector<run_name> deferred = ListDeferredRuns(*it->second);
     // The members of a gang start together or not at all.
-    const bool usable =
-        std::ranges::all_of(deferred, [&](const deferred_run& run) {
-          const runner_state* runner = FindRunner(run.runner);
-          return runner && IsSchedulable(*runner, now);
-        });
+    const bool usable = std::ranges::all_of(deferred, [&](const run_name& run) {
+      const runner_state* runner = FindRunner(run.runner);
+      return runner && IsSchedulable(*runner, now);
+    });
     if (!usable) {
       DropDeferredRuns(*it->second);
       continue;
     }
-    for (const deferred_run& run : deferred) {
+    for (const run_name& run : deferred) {
       const task_ref ref = FindTask(run.task);
       const order start =
           MakeStartOrder(run.task, ref, run.runner, run.run, now);
--- /dev/null
+++ b/tests/node/leader_expiry_test.cc
@@ -0,0 +1,66 @@
+#include <boost/test/unit_test.hpp>
+
+#include "tests/node/leader_fixture.h"
+
+namespace radishwing::node {
+namespace {
+
+constexpr const char* kExpiredJob = "00000000000000a1";
+constexpr const char* kNewJob = "00000000000000a2";
+// Longer than the time for which a finished job is retained.
+constexpr millis kLongAfterRetentionMs = 200000;
+// Longer than a lease in the store, shorter than the time after which a leader
+// without a lease stops.
+constexpr millis kLeaseGapMs = 2000;
+
+struct leader_expiry_fixture : leader_fixture {
+  /// Adds a job while the leader does not know whether it has a lease, then
+  /// renews the lease, so that the leader reads all jobs again.
+  void ReadAllJobsAgain() {
+    time.Advance(kLeaseGapMs);
+    StoreJob(kNewJob);
+    subject->AddJob(kNewJob, JobRecord());
+    subject->RecordLeaseRenewal(time.Now());
+    RunUntil([&] { return !store.Value(ProgressKey(kNewJob)).empty(); });
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(leader_expiry, leader_expiry_fixture)
+
+// Guards against running a finished job again whose keys could not be removed
+// at the end of its retention time.
+BOOST_AUTO_TEST_CASE(job_is_not_run_again_after_its_removal_failed) {
+  StoreSucceededJob(kExpiredJob);
+  BecomeReady();
+  store.SetUnavailable(true);
+  const int refused_before = store.RefusedCommitCount();
+  AdvanceWithLease(kLongAfterRetentionMs);
+  RunUntil([&] { return store.RefusedCommitCount() > refused_before; });
+  store.SetUnavailable(false);
+  ReadAllJobsAgain();
+  const std::string progress = store.Value(ProgressKey(kExpiredJob));
+  BOOST_TEST((progress.empty() || progress == SucceededProgress()));
+  BOOST_TEST(HasNoRun(kExpiredJob));
+}
+
+// Guards against keys that remain in the store forever after a failed removal.
+BOOST_AUTO_TEST_CASE(failed_removal_is_repeated) {
+  StoreSucceededJob(kExpiredJob);
+  BecomeReady();
+  store.SetUnavailable(true);
+  const int refused_before = store.RefusedCommitCount();
+  AdvanceWithLease(kLongAfterRetentionMs);
+  RunUntil([&] { return store.RefusedCommitCount() > refused_before; });
+  store.SetUnavailable(false);
+  RunUntil([&] {
+    AdvanceWithLease(kLeaseGapMs / 4);
+    return store.Value(JobKey(kExpiredJob)).empty();
+  });
+  BOOST_TEST(store.Value(ProgressKey(kExpiredJob)).empty());
+  RunUntil([&] { return !subject->JobStatus(kExpiredJob).known; });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace radishwing::node
--- a/tools/fleet_fake/fake_store.cc
+++ b/tools/fleet_fake/fake_store.cc
@@ -116,8 +116,10 @@
                               http::server::responder respond) {
   ExpireDueLeases();
   const std::string& path = request.target.path;
-  if (unavailable_)
+  if (unavailable_) {
+    if (path == "/kv-txn") ++refused_commit_count_;
     return respond(http::MakeErrorResponse(503, "busy", "refused"));
+  }
   if (path == "/kv-txn") return ApplyCommit(request, respond);
   if (path == "/kv-range") {
     if (!refused_prefix_.empty() &&
--- a/tools/fleet_fake/fake_store.h
+++ b/tools/fleet_fake/fake_store.h
@@ -37,6 +37,8 @@
   std::string Value(const std::string& key) const;
   /// While true, every request fails with 503 without taking effect.
   void SetUnavailable(bool unavailable) { unavailable_ = unavailable; }
+  /// Returns the number of commits refused because of SetUnavailable().
+  int RefusedCommitCount() const { return refused_commit_count_; }
   /// Makes reads of the keys with this prefix fail with 503; an empty prefix
   /// ends that.
   void RefuseReadsOf(const std::string& prefix) { refused_prefix_ = prefix; }
@@ -114,6 +116,7 @@
   int renewal_responses_to_hold_ = 0;
   std::uint64_t renewal_count_ = 0;
   bool unavailable_ = false;
+  int refused_commit_count_ = 0;
   bool second_unavailable_ = false;
   std::string refused_prefix_;  ///< See RefuseReadsOf; empty: none.
   int refused_read_count_ = 0;
