Merge a progress record that rejects a write instead of writing over it

Callers could see a succeeded job run again: a leader that learns of a job without having read its progress (jobs read again, a late notification) took the job for new, met the existing record with its first write (412), took over the revision and wrote over the record.

Cause: ResolveConflict assumed that a progress record which has changed was written by this leader, in a write whose response was lost. Nothing checked it.

Each state of a job in memory now has a name that is stored with the progress. A record with the name of the state is older than the state, as before. Any other record is merged: what either side has as done, failed or finished counts, and the job waits for runners that have not listed their runs. As a first start waits for its record, no task starts before the merge.

Records of older nodes have no name and are merged, which changes nothing if they are the leader's own.

--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -298,12 +298,24 @@
     if (item.key == ShardKey()) {
       if (item.revision != fencing_token) return EndTerm("shard key changed");
     } else if (item.key.starts_with(kProgressPrefix)) {
-      scheduler.SetRecordRevision(item.key.substr(kProgressPrefix.size()),
-                                  item.revision);
+      ResolveProgressConflict(item);
     }
   }
 }
 
+void leader::impl::ResolveProgressConflict(const store::store_item& item) {
+  const std::string id = item.key.substr(kProgressPrefix.size());
+  if (item.revision == 0) return scheduler.ClearRecordRevision(id);
+  const sched::job_state* job = scheduler.FindJob(id);
+  if (!job || job->record_revision == item.revision) return;
+  if (scheduler.MergeProgress(id, item.value, item.revision,
+                              context.now.Now())) {
+    context.log.Warning("jobs",
+                        "progress record merged, job=" + id +
+                            " revision=" + std::to_string(item.revision));
+  }
+}
+
 void leader::impl::OnLeaseRenewed(millis sent_at) {
   lease.RecordRenewal(sent_at);
   if (!jobs_skipped || !lease.IsExclusive(context.now.Now())) return;
--- a/src/node/leader_impl.h
+++ b/src/node/leader_impl.h
@@ -136,9 +136,12 @@
   void OnSaveDone(const std::vector<sched::pending_write>& writes,
                   result<store::commit_outcome> outcome);
   /// Handles a commit that the store rejected because a key has changed. Ends
-  /// the term if the shard has another leader. Otherwise, later commits use the
-  /// current revisions of the progress keys, which `outcome` contains.
+  /// the term if the shard has another leader. Otherwise, takes over the
+  /// progress records that `outcome` contains.
   void ResolveConflict(const store::commit_outcome& outcome);
+  /// Takes over the current progress record of a job, whose write the store has
+  /// rejected.
+  void ResolveProgressConflict(const store::store_item& item);
   /// Records that a call sent at `sent_at` renewed this node's lease. If jobs
   /// were skipped because another node might have been the leader, reads all
   /// jobs again once no other node can be the leader.
--- a/src/sched/job_state.h
+++ b/src/sched/job_state.h
@@ -37,6 +37,9 @@
 /// until the retention time after its end is over.
 struct job_state {
   fleet::job_record record;  ///< The job as accepted.
+  /// Identifies this state among all states of the job that leaders have had in
+  /// memory. The progress record names the state that it was written from.
+  std::string author;
   job_phase phase = job_phase::kPending;
   /// An earlier leader may have started runs of the job on runners whose first
   /// listing to this leader has not arrived. The job waits for these listings.
--- a/src/sched/progress_codec.cc
+++ b/src/sched/progress_codec.cc
@@ -28,6 +28,16 @@
   return rows;
 }
 
+// Returns the string with the name `field` in a progress record, or an empty
+// string if there is none.
+std::string DecodeString(std::string_view text, std::string_view field) {
+  boost::system::error_code error;
+  const json::value wire = json::parse(text, error);
+  if (error || !wire.is_object()) return "";
+  const json::value* value = wire.get_object().if_contains(field);
+  return value && value->is_string() ? value->get_string().c_str() : "";
+}
+
 // Returns true if the record shows that a task of the step has run.
 bool HasBegunTasks(const step_state& step) {
   return std::ranges::any_of(step.tasks, [](const task_state& task) {
@@ -74,18 +84,18 @@
   if (job.IsFinished()) repetitions.clear();
   return json::serialize(
       json::object{{"state", JobPhaseName(job.phase)},
+                   {"author", job.author},
                    {"created", job.created_repetitions},
                    {"data_centres", json::value_from(job.data_centres)},
                    {"repetitions", std::move(repetitions)}});
 }
 
+std::string DecodeAuthor(std::string_view text) {
+  return DecodeString(text, "author");
+}
+
 job_phase DecodePhase(std::string_view text) {
-  boost::system::error_code error;
-  const json::value wire = json::parse(text, error);
-  if (error || !wire.is_object()) return job_phase::kPending;
-  const json::value* state = wire.get_object().if_contains("state");
-  if (!state || !state->is_string()) return job_phase::kPending;
-  return ParseJobPhase(state->get_string().c_str());
+  return ParseJobPhase(DecodeString(text, "state"));
 }
 
 result<success> DecodeProgress(std::string_view text, job_state& job) try {
--- a/src/sched/progress_codec.h
+++ b/src/sched/progress_codec.h
@@ -17,6 +17,10 @@
 /// decoded.
 result<success> DecodeProgress(std::string_view text, job_state& job);
 
+/// Returns the job_state::author of the state that `text` was written from, or
+/// an empty string if `text` does not name it.
+std::string DecodeAuthor(std::string_view text);
+
 /// Decodes only the job's phase from `text`, the output of EncodeProgress. With
 /// this phase, any node can answer a status request while there is no leader.
 /// Returns kPending if `text` cannot be decoded.
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -27,6 +27,8 @@
   auto& slot = jobs_[record.id];
   if (slot) return;
   slot = std::make_unique<job_state>();
+  // No two terms have the same lowest run number.
+  slot->author = std::to_string(min_run_) + "-" + std::to_string(++added_jobs_);
   slot->awaits_listings = restored;
   const millis age = std::max<millis>(0, unix_now - record.accepted_unix_ms);
   slot->accepted_at = now - age;
@@ -238,12 +240,6 @@
   QueueWrite(*it->second);
 }
 
-void scheduler::SetRecordRevision(const std::string& job,
-                                  std::uint64_t revision) {
-  const auto it = jobs_.find(job);
-  if (it != jobs_.end()) it->second->record_revision = revision;
-}
-
 bool scheduler::IsPersisted(const std::string& job,
                             std::uint64_t version) const {
   const job_state* state = FindJob(job);
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -174,8 +174,15 @@
   /// of `job`, and `revision` is the new store revision of the progress record.
   void ReportWriteSuccess(const std::string& job, std::uint64_t version,
                           std::uint64_t revision);
-  /// Sets the revision of the progress record of `job`, as read from the store.
-  void SetRecordRevision(const std::string& job, std::uint64_t revision);
+  /// Takes over the progress record of `job` that made the store reject a
+  /// write; `text` is its text, `revision` its store revision. A record that
+  /// was written from this state of the job is older than the state. Any other
+  /// record is merged into the state: what either has as done, failed or
+  /// finished counts. Returns true if the record was merged.
+  bool MergeProgress(const std::string& job, std::string_view text,
+                     std::uint64_t revision, millis now);
+  /// Records that the store has no progress record of `job`.
+  void ClearRecordRevision(const std::string& job);
   /// Returns true if the store has this version of the progress of `job` or a
   /// later one, or if the job is not known.
   bool IsPersisted(const std::string& job, std::uint64_t version) const;
@@ -277,6 +284,13 @@
   /// Rebuilds `pools_` if a runner was added or removed, and
   /// `schedulable_runners_`.
   void IndexRunners(millis now);
+  /// Merges the repetitions of `stored`, a decoded progress record, into `job`.
+  void MergeRepetitions(job_state& job, const job_state& stored, millis now);
+  void MergeTask(const fleet::task_name& name, const task_state& stored,
+                 step_state& step, millis now);
+  /// Finishes the job if its merged tasks are all done, or if one of them has
+  /// no attempts left.
+  void FinishMergedJob(job_state& job, millis now);
   /// Frees the steps and repetitions of a finished job that has no runs left.
   void ReleaseFinishedJob(job_state& job);
   /// Recomputes the resources that unlisted runs of an earlier leader may use
@@ -392,10 +406,11 @@
 
   /// Number of tasks that may still be started, see SetStartAllowance().
   int start_allowance_ = std::numeric_limits<int>::max();
-  int min_run_;                 ///< Lowest number of a new run.
-  millis max_stop_ms_ = 1000;   ///< See SetMaxStopDuration().
-  fleet::fleet_config config_;  ///< Configuration of queues, pools and teams.
-  run_time_model run_times_;    ///< Ratios of actual to estimated run times.
+  int min_run_;                   ///< Lowest number of a new run.
+  std::uint64_t added_jobs_ = 0;  ///< Number of calls of AddJob so far.
+  millis max_stop_ms_ = 1000;     ///< See SetMaxStopDuration().
+  fleet::fleet_config config_;    ///< Configuration of queues, pools and teams.
+  run_time_model run_times_;      ///< Ratios of actual to estimated run times.
   /// Jobs by id.
   std::unordered_map<std::string, std::unique_ptr<job_state>> jobs_;
   /// Jobs that were not finished at the start of the last pass, and jobs added
--- a/src/sched/scheduler_records.cc
+++ b/src/sched/scheduler_records.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "src/sched/progress_codec.h"
 #include "src/sched/scheduler.h"
 
 // Keeps the jobs in agreement with their records in the store.
@@ -33,4 +34,94 @@
   jobs_.erase(it);
 }
 
+void scheduler::ClearRecordRevision(const std::string& job) {
+  const auto it = jobs_.find(job);
+  if (it != jobs_.end()) it->second->record_revision = 0;
+}
+
+bool scheduler::MergeProgress(const std::string& id, std::string_view text,
+                              std::uint64_t revision, millis now) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end()) return false;
+  job_state& job = *it->second;
+  job.record_revision = revision;
+  if (DecodeAuthor(text) == job.author) return false;
+  job_state stored;
+  stored.record.request = job.record.request;
+  const bool readable = Ok(DecodeProgress(text, stored));
+  // An earlier leader may have started runs of the job.
+  job.awaits_listings = true;
+  job.started |= stored.started;
+  job.data_centres.merge(stored.data_centres);
+  MarkChanged(job);
+  if (!readable) {
+    job.data_centres_unknown = true;
+    job.data_centres_version = job.progress_version;
+  } else if (!stored.IsFinished()) {
+    if (!job.IsFinished()) MergeRepetitions(job, stored, now);
+  } else if (job.IsFinished()) {
+    job.phase = stored.phase;
+  } else {
+    FinishJob(job, stored.phase, now);
+  }
+  return true;
+}
+
+void scheduler::MergeRepetitions(job_state& job, const job_state& stored,
+                                 millis now) {
+  job.created_repetitions =
+      std::max(job.created_repetitions, stored.created_repetitions);
+  for (const auto& [number, from] : stored.repetitions) {
+    const auto [slot, inserted] = job.repetitions.try_emplace(number, from);
+    if (inserted) continue;
+    for (std::size_t s = 0; s < from.steps.size(); ++s) {
+      for (std::size_t i = 0; i < from.steps[s].tasks.size(); ++i) {
+        MergeTask(
+            {job.record.id, number, static_cast<int>(s), static_cast<int>(i)},
+            from.steps[s].tasks[i], slot->second.steps[s], now);
+      }
+    }
+  }
+  UpdateCriticalPath(job);
+  FinishMergedJob(job, now);
+}
+
+void scheduler::MergeTask(const fleet::task_name& name,
+                          const task_state& stored, step_state& step,
+                          millis now) {
+  task_state& task = step.tasks[static_cast<std::size_t>(name.index)];
+  for (const int run : stored.failed_runs) {
+    if (std::ranges::find(task.failed_runs, run) == task.failed_runs.end()) {
+      task.failed_runs.push_back(run);
+    }
+  }
+  task.last_run = std::max(task.last_run, stored.last_run);
+  if (task.checkpoint.empty()) task.checkpoint = stored.checkpoint;
+  if (!stored.done || task.done) return;
+  task.done = true;
+  ++step.done_count;
+  for (run_state& run : task.runs) RequestStop(name, run, "copy_done", now);
+}
+
+void scheduler::FinishMergedJob(job_state& job, millis now) {
+  std::vector<int> numbers;
+  for (const auto& [number, repetition] : job.repetitions) {
+    numbers.push_back(number);
+    for (std::size_t s = 0; s < repetition.steps.size(); ++s) {
+      if (job.record.request.steps[s].long_running) continue;
+      const bool exhausted = std::ranges::any_of(
+          repetition.steps[s].tasks, [&](const task_state& task) {
+            return !task.done && static_cast<int>(task.failed_runs.size()) >=
+                                     job.record.max_attempts;
+          });
+      if (exhausted) return FinishJob(job, job_phase::kFailed, now);
+    }
+  }
+  for (const int number : numbers) {
+    task_ref ref{.job = &job, .repetition = &job.repetitions.at(number)};
+    FinishRepetitionIfDone(ref, now);
+    if (job.IsFinished()) return;
+  }
+}
+
 }  // namespace radishwing::sched
