Condition the first progress record on the job's key, and removals on its revision

A leader could run a removed job again if it learned of it from a read or a notification that was older than the removal: the job's progress record is gone too then, so the job looks new. The reverse could lose a job: a removal whose response was lost and that the store carries out late deleted a job that had been accepted under the same id meanwhile, and a leader that still had the finished job of that id ignored the new one.

The first write of a job's progress now requires the job's key at the revision at which the leader learned of it, and no task starts before that write. If the key is gone, the job is dropped; if it was created again, the new job is added. A removal requires the same revision.

A progress commit now holds at most 10 jobs instead of 15, a removal 7 instead of 10, as the store accepts 32 entries.

--- a/src/node/client_api.cc
+++ b/src/node/client_api.cc
@@ -63,10 +63,10 @@
         peers(peers),
         local_leader(std::move(local_leader)),
         notifier(context, peers, this->local_leader),
-        intake(context,
-               [this](const std::string& id, const std::string& record) {
-                 notifier.NotifyJobStored(id, record);
-               }) {}
+        intake(context, [this](const std::string& id, const std::string& record,
+                               std::uint64_t revision) {
+          notifier.NotifyJobStored(id, record, revision);
+        }) {}
 
   /// Returns a responder that logs and counts a response before it passes the
   /// response to `respond`. `call`, the kind of the request, must be a string
@@ -295,7 +295,7 @@
         if (!job) return respond(UnknownJobResponse());
         self->context.store->Get(
             ProgressKey(id),
-            [weak, id, cancelled, record = job->value,
+            [weak, id, cancelled, record = job->value, revision = job->revision,
              respond](const result<store::store_item>& progress) {
               if (!Ok(progress))
                 return respond(MakeRetryLaterResponse("store_unreachable"));
@@ -305,7 +305,7 @@
               } else if (const auto self = weak.lock()) {
                 // The job may have no progress record because the leader did
                 // not get the notification, so the notification is repeated.
-                self->notifier.NotifyJobStored(id, record);
+                self->notifier.NotifyJobStored(id, record, revision);
               }
               if (cancelled && phase < sched::job_phase::kSucceeded) {
                 phase = sched::job_phase::kCancelled;
--- a/src/node/job_intake.cc
+++ b/src/node/job_intake.cc
@@ -24,7 +24,9 @@
   struct pending_job {
     std::string id;      ///< Id of the job.
     std::string record;  ///< Value of the job's key in the store.
-    completion done;     ///< Called with the outcome of the submission.
+    /// Revision of the job's key; 0 before the job is known to be stored.
+    std::uint64_t revision = 0;
+    completion done;  ///< Called with the outcome of the submission.
     /// An earlier commit of the job got no response, so the store may have
     /// applied it.
     bool may_be_stored = false;
@@ -79,7 +81,10 @@
                                 result<store::commit_outcome> outcome) {
   --commits_in_flight;
   if (Ok(outcome) && Value(outcome).committed) {
-    for (pending_job& job : *jobs) Complete(job, submission_outcome::kAccepted);
+    for (pending_job& job : *jobs) {
+      job.revision = Value(outcome).revision;
+      Complete(job, submission_outcome::kAccepted);
+    }
   } else if (Ok(outcome)) {
     ResolveConflict(jobs, Value(outcome));
   } else if (Error(outcome).kind == failure_kind::kUnavailable) {
@@ -108,6 +113,7 @@
         });
     if (existing != outcome.current.end()) {
       job.record = existing->value;
+      job.revision = existing->revision;
       Complete(job, submission_outcome::kAccepted);
     } else if (conflict_reported) {
       waiting_jobs.push_front(std::move(job));
@@ -126,14 +132,19 @@
       [weak = weak_from_this(), shared_job](result<store::store_item> item) {
         const auto self = weak.lock();
         if (!self) return;
-        const bool exists = Ok(item) && Value(item).revision > 0;
-        self->Complete(*shared_job, exists ? submission_outcome::kAccepted
-                                           : submission_outcome::kUnknown);
+        if (!Ok(item) || Value(item).revision == 0) {
+          return self->Complete(*shared_job, submission_outcome::kUnknown);
+        }
+        shared_job->record = Value(item).value;
+        shared_job->revision = Value(item).revision;
+        self->Complete(*shared_job, submission_outcome::kAccepted);
       });
 }
 
 void job_intake::impl::Complete(pending_job& job, submission_outcome outcome) {
-  if (outcome == submission_outcome::kAccepted) on_stored(job.id, job.record);
+  if (outcome == submission_outcome::kAccepted) {
+    on_stored(job.id, job.record, job.revision);
+  }
   job.done(outcome);
 }
 
@@ -146,8 +157,9 @@
   const std::uint64_t leader_fencing_token =
       impl_->context.members.Leader().fencing_token;
   std::string text = EncodeJobRecord(record, leader_fencing_token);
-  impl_->waiting_jobs.push_back(
-      {std::move(record.id), std::move(text), std::move(done)});
+  impl_->waiting_jobs.push_back({.id = std::move(record.id),
+                                 .record = std::move(text),
+                                 .done = std::move(done)});
   impl_->SendCommits();
 }
 
--- a/src/node/job_intake.h
+++ b/src/node/job_intake.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -21,10 +22,11 @@
 class job_intake {
  public:
   using completion = std::function<void(submission_outcome)>;
-  /// Called for each job that is stored; `record` is the value of the job's key
-  /// in the store.
+  /// Called for each job that is stored; `record` and `revision` are the value
+  /// and the revision of the job's key in the store.
   using stored_hook =
-      std::function<void(const std::string& id, const std::string& record)>;
+      std::function<void(const std::string& id, const std::string& record,
+                         std::uint64_t revision)>;
 
   job_intake(node_context& context, stored_hook on_stored);
   ~job_intake();
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -21,13 +21,14 @@
 // Delay before changed progress is saved, so that run ends that are reported
 // close together share one commit.
 constexpr millis kSaveDelayMs = 15;
-// Limit of concurrent progress commits. With 15 jobs per commit and a response
+// Limit of concurrent progress commits. With 10 jobs per commit and a response
 // time of the store of a few ms, 3 commits suffice for the run ends of some
 // hundred runners.
 constexpr int kMaxSavesInFlight = 3;
 // The store accepts 32 entries per commit. The precondition on the shard's key
-// takes one; the precondition and the write of each job take two.
-constexpr std::size_t kMaxJobsPerCommit = 15;
+// takes one; each job takes at most three: its write and the preconditions on
+// its record and, for the first write, on its key.
+constexpr std::size_t kMaxJobsPerCommit = 10;
 // Size of the range of run numbers that each term uses, so that no two terms
 // use the same number. A task is started fewer times than this in one term.
 constexpr int kRunsPerTerm = 64;
@@ -253,6 +254,9 @@
     for (const sched::pending_write& write : writes) {
       const std::string key = ProgressKey(write.job);
       commit.preconditions.push_back({key, write.record_revision});
+      if (write.job_revision > 0) {
+        commit.preconditions.push_back({JobKey(write.job), write.job_revision});
+      }
       commit.writes.push_back({key, write.text, 0});
     }
     ++self->saves_in_flight;
@@ -299,10 +303,25 @@
       if (item.revision != fencing_token) return EndTerm("shard key changed");
     } else if (item.key.starts_with(kProgressPrefix)) {
       ResolveProgressConflict(item);
+    } else if (item.key.starts_with(kJobPrefix)) {
+      ResolveJobConflict(item);
+      if (ended) return;
     }
   }
 }
 
+void leader::impl::ResolveJobConflict(const store::store_item& item) {
+  const std::string id = item.key.substr(kJobPrefix.size());
+  const sched::job_state* job = scheduler.FindJob(id);
+  if (!job || job->record.stored_revision == item.revision) return;
+  context.log.Warning(
+      "jobs", "job key changed, job=" + id +
+                  " revision=" + std::to_string(job->record.stored_revision) +
+                  " current_revision=" + std::to_string(item.revision));
+  scheduler.DropJob(id);
+  ApplyJobEntry(item);
+}
+
 void leader::impl::ResolveProgressConflict(const store::store_item& item) {
   const std::string id = item.key.substr(kProgressPrefix.size());
   if (item.revision == 0) return scheduler.ClearRecordRevision(id);
@@ -395,13 +414,14 @@
   if (impl_->hosts) impl_->hosts->AddWave(wave);
 }
 
-void leader::AddJob(std::string_view id, std::string_view record) {
+void leader::AddJob(std::string_view id, std::string_view record,
+                    std::uint64_t revision) {
   // The job is already stored, so loading the jobs finds it.
   if (!impl_->jobs_loaded) return;
   store::store_item item;
   item.key = JobKey(id);
   item.value = std::string(record);
-  item.revision = 1;
+  item.revision = revision;
   impl_->ApplyJobEntry(item);
 }
 
--- a/src/node/leader.h
+++ b/src/node/leader.h
@@ -45,9 +45,11 @@
   void ApplyConfig();
   /// Adds a maintenance wave; ignores one whose number is already known.
   void AddMaintenanceWave(const fleet::wave_request& wave);
-  /// Adds a job that is already stored; `record` is the value of the job's key
-  /// in the store. Ignores a job that the leader already knows.
-  void AddJob(std::string_view id, std::string_view record);
+  /// Adds a job that is already stored; `record` and `revision` are the value
+  /// and the revision of the job's key in the store. Ignores a job that the
+  /// leader already knows.
+  void AddJob(std::string_view id, std::string_view record,
+              std::uint64_t revision);
   /// Cancels a job whose cancel request is already stored. The job itself may
   /// be added later.
   void CancelJob(const std::string& id);
--- a/src/node/leader_expiry.cc
+++ b/src/node/leader_expiry.cc
@@ -13,8 +13,8 @@
 // within seconds of the response.
 constexpr millis kDuplicateSubmitMarginMs = 60000;
 // The store accepts 32 entries per commit. The precondition on the shard's key
-// takes one, each job takes three.
-constexpr std::size_t kMaxJobsPerRemoval = 10;
+// takes one, each job takes four.
+constexpr std::size_t kMaxJobsPerRemoval = 7;
 // Delay before a failed removal is repeated.
 constexpr millis kRemovalRetryDelayMs = 500;
 
@@ -33,6 +33,10 @@
   store::store_commit commit;
   commit.preconditions.push_back({ShardKey(), fencing_token});
   for (const std::string& id : jobs) {
+    // A removal without a response may be carried out later, when another job
+    // has been stored under the same id.
+    commit.preconditions.push_back(
+        {JobKey(id), scheduler.FindJob(id)->record.stored_revision});
     commit.removals.push_back(JobKey(id));
     commit.removals.push_back(CancelKey(id));
     commit.removals.push_back(ProgressKey(id));
--- a/src/node/leader_impl.h
+++ b/src/node/leader_impl.h
@@ -136,9 +136,12 @@
   void OnSaveDone(const std::vector<sched::pending_write>& writes,
                   result<store::commit_outcome> outcome);
   /// Handles a commit that the store rejected because a key has changed. Ends
-  /// the term if the shard has another leader. Otherwise, takes over the
-  /// progress records that `outcome` contains.
+  /// the term if the shard has another leader. Otherwise, takes over the job
+  /// keys and the progress records that `outcome` contains.
   void ResolveConflict(const store::commit_outcome& outcome);
+  /// Drops a job whose key, `item`, was removed or created again since the
+  /// leader learned of the job; adds the job that the key now holds.
+  void ResolveJobConflict(const store::store_item& item);
   /// Takes over the current progress record of a job, whose write the store has
   /// rejected.
   void ResolveProgressConflict(const store::store_item& item);
--- a/src/node/leader_load.cc
+++ b/src/node/leader_load.cc
@@ -201,7 +201,14 @@
     scheduler.CancelJob(id, now);
     return SchedulePass();
   }
-  if (scheduler.FindJob(id)) return;
+  if (const sched::job_state* known = scheduler.FindJob(id)) {
+    // The key of a finished job may have been removed and then created again.
+    if (!known->IsFinished() ||
+        known->record.stored_revision >= entry.revision) {
+      return;
+    }
+    scheduler.DropJob(id);
+  }
   if (!lease.IsExclusive(now)) {
     // Another node may be the leader and may have started this job. After this
     // node's lease is renewed, all jobs are read again.
@@ -217,6 +224,7 @@
   // The node that accepted the job knew a leader of a later term.
   if (Value(job).leader_fencing_token > fencing_token)
     return EndTerm("fenced by job");
+  Value(job).record.stored_revision = entry.revision;
   const auto progress = loaded_progress.find(id);
   // A job without a progress record was never started, because a leader stores
   // the record before it starts the first task.
--- a/src/node/leader_notifier.cc
+++ b/src/node/leader_notifier.cc
@@ -22,6 +22,7 @@
   std::string id;          ///< Id of the job.
   /// Value of the job's key in the store; empty for a cancel request.
   std::string record;
+  std::uint64_t revision = 0;  ///< Revision of that key.
   int attempts_left = kMaxAttempts;
 };
 
@@ -47,17 +48,20 @@
   if (leader* local = local_leader()) {
     return notification.is_cancel
                ? local->CancelJob(notification.id)
-               : local->AddJob(notification.id, notification.record);
+               : local->AddJob(notification.id, notification.record,
+                               notification.revision);
   }
   --notification.attempts_left;
   const std::string& address = context.members.Leader().address;
   if (address.empty()) {
     return RetryLater(std::move(notification), kRetryDelayMs);
   }
-  const std::string path =
-      notification.is_cancel ? "/peer/cancel?id=" : "/peer/job?id=";
+  const std::string target =
+      notification.is_cancel
+          ? "/peer/cancel?id=" + notification.id
+          : "/peer/job?id=" + notification.id +
+                "&revision=" + std::to_string(notification.revision);
   const std::string body = notification.record;
-  const std::string target = path + notification.id;
   peers.Call(
       address, target, body, kSendTimeoutMs,
       [weak = weak_from_this(), notification = std::move(notification)](
@@ -101,10 +105,12 @@
 leader_notifier::~leader_notifier() = default;
 
 void leader_notifier::NotifyJobStored(const std::string& id,
-                                      const std::string& record) {
+                                      const std::string& record,
+                                      std::uint64_t revision) {
   leader_notification notification;
   notification.id = id;
   notification.record = record;
+  notification.revision = revision;
   impl_->Send(std::move(notification));
 }
 
--- a/src/node/leader_notifier.h
+++ b/src/node/leader_notifier.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -21,9 +22,10 @@
                   std::function<leader*()> local_leader);
   ~leader_notifier();
 
-  /// Notifies the leader of a stored job; `record` is the value of the
-  /// job's key in the store.
-  void NotifyJobStored(const std::string& id, const std::string& record);
+  /// Notifies the leader of a stored job; `record` and `revision` are the value
+  /// and the revision of the job's key in the store.
+  void NotifyJobStored(const std::string& id, const std::string& record,
+                       std::uint64_t revision);
   /// Notifies the leader of a stored cancel request.
   void NotifyCancelStored(const std::string& id);
 
--- a/src/node/peer_service.cc
+++ b/src/node/peer_service.cc
@@ -1,6 +1,7 @@
 #include "src/node/peer_service.h"
 
 #include <boost/json.hpp>
+#include <cstdlib>
 #include <memory>
 #include <utility>
 #include <vector>
@@ -163,7 +164,11 @@
   const std::string id(request.target.QueryParameter("id"));
   http::server_response response;
   if (path == "/peer/job") {
-    local->AddJob(id, request.body);
+    // A node of an older version names no revision. The leader finds the job
+    // when it next reads the changes of jobs.
+    const std::string revision(request.target.QueryParameter("revision"));
+    local->AddJob(id, request.body,
+                  std::strtoull(revision.c_str(), nullptr, 10));
   } else if (path == "/peer/cancel") {
     local->CancelJob(id);
   } else if (path == "/peer/state") {
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -208,6 +208,7 @@
     job.write_urgent = false;
     job.write_in_flight = true;
     writes.push_back({job.record.id, job.progress_version, job.record_revision,
+                      job.record_revision == 0 ? job.record.stored_revision : 0,
                       EncodeProgress(job)});
   }
   write_queue_.insert(write_queue_.begin(),
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -35,6 +35,10 @@
   std::uint64_t progress_version = 0;  ///< Version of the progress in `text`.
   /// Store revision that the job's progress record must have for the write.
   std::uint64_t record_revision = 0;
+  /// Store revision that the job's key must have for the write; 0: none. Set if
+  /// the write creates the record, so that no record is created for a job whose
+  /// keys have been removed.
+  std::uint64_t job_revision = 0;
   std::string text;  ///< Output of EncodeProgress.
 };
 
--- a/tests/node/leader_expiry_test.cc
+++ b/tests/node/leader_expiry_test.cc
@@ -18,8 +18,7 @@
   /// renews the lease, so that the leader reads all jobs again.
   void ReadAllJobsAgain() {
     time.Advance(kLeaseGapMs);
-    StoreJob(kNewJob);
-    subject->AddJob(kNewJob, JobRecord());
+    subject->AddJob(kNewJob, JobRecord(), StoreJob(kNewJob));
     subject->RecordLeaseRenewal(time.Now());
     RunUntil([&] { return !store.Value(ProgressKey(kNewJob)).empty(); });
   }
@@ -60,6 +59,24 @@
   RunUntil([&] { return !subject->JobStatus(kExpiredJob).known; });
 }
 
+// Guards against losing a job that was accepted under the id of an expired one:
+// a removal whose response was lost is carried out after the job was stored.
+BOOST_AUTO_TEST_CASE(late_removal_keeps_a_job_that_was_stored_again) {
+  StoreSucceededJob(kExpiredJob);
+  BecomeReady();
+  store.DelayCommitsOf(JobKey(kExpiredJob));
+  AdvanceWithLease(kLongAfterRetentionMs);
+  RunUntil([&] { return store.DelayedCommitCount() > 0; });
+  store.DelayCommitsOf("");
+  RunUntil([&] {
+    AdvanceWithLease(kLeaseGapMs / 4);
+    return store.Value(JobKey(kExpiredJob)).empty();
+  });
+  StoreJob(kExpiredJob);
+  store.ApplyDelayedCommits();
+  BOOST_TEST(!store.Value(JobKey(kExpiredJob)).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/node/leader_fixture.h
+++ b/tests/node/leader_fixture.h
@@ -52,8 +52,10 @@
     return EncodeJobRecord(record, 0);
   }
 
-  /// Stores a job as a node that accepts it does.
-  void StoreJob(const std::string& id) { store.Put(JobKey(id), JobRecord()); }
+  /// Stores a job as a node that accepts it does. Returns the key's revision.
+  std::uint64_t StoreJob(const std::string& id) {
+    return store.Put(JobKey(id), JobRecord());
+  }
 
   /// Stores a job that an earlier leader has recorded as succeeded.
   void StoreSucceededJob(const std::string& id) {
--- a/tests/node/leader_jobs_test.cc
+++ b/tests/node/leader_jobs_test.cc
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr const char* kJob = "00000000000000a1";
+constexpr const char* kOtherJob = "00000000000000a2";
 
 BOOST_FIXTURE_TEST_SUITE(leader_jobs, leader_fixture)
 
@@ -13,8 +14,9 @@
 // job without having read its progress record.
 BOOST_AUTO_TEST_CASE(job_with_a_progress_record_is_not_taken_for_new) {
   BecomeReady();
-  StoreSucceededJob(kJob);
-  subject->AddJob(kJob, JobRecord());
+  const std::uint64_t revision = StoreJob(kJob);
+  store.Put(ProgressKey(kJob), SucceededProgress());
+  subject->AddJob(kJob, JobRecord(), revision);
   const auto succeeded = [&] {
     return subject->JobStatus(kJob).phase == sched::job_phase::kSucceeded;
   };
@@ -23,6 +25,33 @@
   BOOST_TEST(HasNoRun(kJob));
 }
 
+// Guards against running a removed job again when the leader learns of it from
+// a read or a notification that is older than the removal.
+BOOST_AUTO_TEST_CASE(job_whose_key_was_removed_is_not_run) {
+  BecomeReady();
+  const std::uint64_t revision = StoreJob(kJob);
+  store.Remove(JobKey(kJob));
+  subject->AddJob(kJob, JobRecord(), revision);
+  subject->AddJob(kOtherJob, JobRecord(), StoreJob(kOtherJob));
+  RunUntil([&] { return !store.Value(ProgressKey(kOtherJob)).empty(); });
+  BOOST_TEST(store.Value(ProgressKey(kJob)).empty());
+  BOOST_TEST(!subject->JobStatus(kJob).known);
+  RunUntil([&] { return !HasNoRun(kOtherJob); });
+  BOOST_TEST(HasNoRun(kJob));
+}
+
+// Guards against a job that never runs because the leader still has a finished
+// job with the same id, whose keys were removed by a commit without a response.
+BOOST_AUTO_TEST_CASE(job_stored_again_after_its_removal_runs) {
+  StoreSucceededJob(kJob);
+  BecomeReady();
+  store.Remove(JobKey(kJob));
+  store.Remove(ProgressKey(kJob));
+  subject->AddJob(kJob, JobRecord(), StoreJob(kJob));
+  RunUntil([&] { return !HasNoRun(kJob); });
+  BOOST_TEST(!store.Value(ProgressKey(kJob)).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tools/fleet_fake/fake_store.cc
+++ b/tools/fleet_fake/fake_store.cc
@@ -1,5 +1,6 @@
 #include "tools/fleet_fake/fake_store.h"
 
+#include <algorithm>
 #include <boost/beast/core/detail/base64.hpp>
 #include <stdexcept>
 #include <utility>
@@ -61,9 +62,11 @@
           {"lease", value.lease_id}};
 }
 
-void fake_store::Put(const std::string& key, const std::string& value) {
+std::uint64_t fake_store::Put(const std::string& key,
+                              const std::string& value) {
   ++revision_;
   WriteItem(key, value, 0);
+  return revision_;
 }
 
 void fake_store::Remove(const std::string& key) {
@@ -120,7 +123,7 @@
     if (path == "/kv-txn") ++refused_commit_count_;
     return respond(http::MakeErrorResponse(503, "busy", "refused"));
   }
-  if (path == "/kv-txn") return ApplyCommit(request, respond);
+  if (path == "/kv-txn") return ServeCommit(request, respond);
   if (path == "/kv-range") {
     if (!refused_prefix_.empty() &&
         request.target.QueryParameter("prefix") == refused_prefix_) {
@@ -163,9 +166,41 @@
   respond(std::move(response));
 }
 
-void fake_store::ApplyCommit(const http::server_request& request,
+void fake_store::ServeCommit(const http::server_request& request,
                              const http::server::responder& respond) {
-  const json::object body = json::parse(request.body).as_object();
+  const json::object commit = json::parse(request.body).as_object();
+  http::server_response response;
+  if (!delayed_key_.empty() && Changes(commit, delayed_key_)) {
+    delayed_commits_.push_back(commit);
+    response.action = http::response_action::kNeverRespond;
+    return respond(std::move(response));
+  }
+  response = ApplyCommit(commit);
+  if (response.status == 200 && commit_responses_to_drop_ > 0) {
+    --commit_responses_to_drop_;
+    response.action = http::response_action::kCloseConnection;
+  }
+  respond(std::move(response));
+}
+
+void fake_store::ApplyDelayedCommits() {
+  for (const json::object& commit : std::exchange(delayed_commits_, {})) {
+    ApplyCommit(commit);
+  }
+}
+
+bool fake_store::Changes(const json::object& commit, const std::string& key) {
+  const auto writes_key = [&](const json::value& write) {
+    return write.as_object().at("key").as_string() == key;
+  };
+  const auto removes_key = [&](const json::value& removed) {
+    return removed.as_string() == key;
+  };
+  return std::ranges::any_of(commit.at("writes").as_array(), writes_key) ||
+         std::ranges::any_of(commit.at("remove").as_array(), removes_key);
+}
+
+http::server_response fake_store::ApplyCommit(const json::object& body) {
   json::array current_items;
   bool preconditions_hold = true;
   for (const json::value& entry : body.at("expected-rev").as_array()) {
@@ -179,8 +214,8 @@
     current_items.push_back(EncodeItem(key, current_item));
   }
   if (!preconditions_hold) {
-    return respond(http::MakeJsonResponse(
-        412, json::object{{"items", std::move(current_items)}}));
+    return http::MakeJsonResponse(
+        412, json::object{{"items", std::move(current_items)}});
   }
   ++commit_count_;
   ++revision_;
@@ -193,13 +228,7 @@
   for (const json::value& key : body.at("remove").as_array()) {
     DeleteKey(std::string(key.as_string()));
   }
-  http::server_response response =
-      http::MakeJsonResponse(200, json::object{{"revision", revision_}});
-  if (commit_responses_to_drop_ > 0) {
-    --commit_responses_to_drop_;
-    response.action = http::response_action::kCloseConnection;
-  }
-  respond(std::move(response));
+  return http::MakeJsonResponse(200, json::object{{"revision", revision_}});
 }
 
 void fake_store::SendRange(const http::server_request& request,
--- a/tools/fleet_fake/fake_store.h
+++ b/tools/fleet_fake/fake_store.h
@@ -29,8 +29,9 @@
   void SetSecondAddressUnavailable(bool unavailable) {
     second_unavailable_ = unavailable;
   }
-  /// Writes a key directly, as an operator or a runner would.
-  void Put(const std::string& key, const std::string& value);
+  /// Writes a key directly, as an operator or a runner would. Returns its new
+  /// revision.
+  std::uint64_t Put(const std::string& key, const std::string& value);
   /// Removes a key directly.
   void Remove(const std::string& key);
   /// Returns the value of `key`, or an empty string if it does not exist.
@@ -47,6 +48,14 @@
   /// Makes the store apply the next `count` commits but close the connections
   /// without a response.
   void DropCommitResponses(int count) { commit_responses_to_drop_ = count; }
+  /// Delays the commits that write or remove `key`: the store does not respond
+  /// to them and applies them only in ApplyDelayedCommits(). An empty key ends
+  /// the delay for new commits.
+  void DelayCommitsOf(const std::string& key) { delayed_key_ = key; }
+  /// Returns the number of commits that ApplyDelayedCommits() will apply.
+  std::size_t DelayedCommitCount() const { return delayed_commits_.size(); }
+  /// Applies the delayed commits whose preconditions still hold.
+  void ApplyDelayedCommits();
   /// Makes the store renew the lease of the next `count` renewals but never
   /// respond to them.
   void HoldRenewalResponses(int count) { renewal_responses_to_hold_ = count; }
@@ -81,8 +90,13 @@
 
   void ServeRequest(const http::server_request& request,
                     http::server::responder respond);
-  void ApplyCommit(const http::server_request& request,
+  void ServeCommit(const http::server_request& request,
                    const http::server::responder& respond);
+  /// Applies a commit if its preconditions hold, and returns the response.
+  http::server_response ApplyCommit(const boost::json::object& commit);
+  /// Returns true if the commit writes or removes `key`.
+  static bool Changes(const boost::json::object& commit,
+                      const std::string& key);
   void SendRange(const http::server_request& request,
                  const http::server::responder& respond);
   /// Responds when a key has changed or the wait time of the request is over.
@@ -113,6 +127,8 @@
   std::uint64_t next_lease_id_ = 100;
   std::size_t commit_count_ = 0;
   int commit_responses_to_drop_ = 0;
+  std::string delayed_key_;  ///< See DelayCommitsOf; empty: none.
+  std::vector<boost::json::object> delayed_commits_;
   int renewal_responses_to_hold_ = 0;
   std::uint64_t renewal_count_ = 0;
   bool unavailable_ = false;
