Cancel a restored job whose cancel request arrived first after its restore

A leader that receives a cancel before it has loaded the job kept the request, as it should, and finished the job when it was added, which frees the job's steps. RestoreProgress then set the stored phase again: an unfinished job without steps, until the job's cancel key was read.

The request is now applied after the progress has been restored. scheduler_orders/cancel_before_a_restored_job_is_remembered failed before.

--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -41,8 +41,12 @@
   slot->remaining_critical_path_ms = slot->critical_path_ms;
   CreateRepetitions(*slot, unix_now);
   active_jobs_.push_back(slot.get());
-  const std::string id = slot->record.id;
-  if (early_cancels_.erase(id) > 0) CancelJob(id, now);
+  // RestoreProgress sets the phase of a restored job.
+  if (!restored) ApplyEarlyCancel(*slot, now);
+}
+
+void scheduler::ApplyEarlyCancel(job_state& job, millis now) {
+  if (early_cancels_.erase(job.record.id) > 0) CancelJob(job.record.id, now);
 }
 
 result<success> scheduler::RestoreProgress(const std::string& id,
@@ -62,6 +66,7 @@
     job.data_centres_version = job.progress_version;
   }
   UpdateCriticalPath(job);
+  ApplyEarlyCancel(job, now);
   return restored;
 }
 
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -71,7 +71,7 @@
   void SetMaxStopDuration(millis duration) { max_stop_ms_ = duration; }
 
   /// Adds an accepted job. `restored` is true if an earlier leader may have
-  /// started it.
+  /// started it; RestoreProgress has to follow.
   void AddJob(fleet::job_record record, bool restored, millis now,
               millis unix_now);
   /// Restores the progress of a job from the text of its progress record in the
@@ -295,6 +295,8 @@
   /// Finishes the job if its merged tasks are all done, or if one of them has
   /// no attempts left.
   void FinishMergedJob(job_state& job, millis now);
+  /// Cancels the job if its cancel request arrived before it.
+  void ApplyEarlyCancel(job_state& job, millis now);
   /// Frees the steps and repetitions of a finished job that has no runs left.
   void ReleaseFinishedJob(job_state& job);
   /// Recomputes the resources that unlisted runs of an earlier leader may use
--- a/tests/sched/scheduler_order_test.cc
+++ b/tests/sched/scheduler_order_test.cc
@@ -92,6 +92,16 @@
   BOOST_TEST(subject.FindRunner("r1")->tasks.empty());
 }
 
+// Guards against starting a job that was stored by an earlier leader and whose
+// cancel request arrived before the job.
+BOOST_AUTO_TEST_CASE(cancel_before_a_restored_job_is_remembered) {
+  AddRunner("r1");
+  subject.CancelJob("a", now);
+  AddJob("a", {Step(1)}, true);
+  BOOST_TEST((subject.FindJob("a")->phase == job_phase::kCancelled));
+  BOOST_TEST(Plan().empty());
+}
+
 // Guards against starting a job whose cancel request arrived before the job.
 BOOST_AUTO_TEST_CASE(cancel_before_the_job_is_remembered) {
   AddRunner("r1");
