Let the store decide between the acceptance of a job and its cancel

Cause: the submission got no response from the store, nor did its relayed copies, and was answered 504. The cancel read the job's key, found none and was answered 410 without writing anything. Seconds later the store carried out the write of the job, and the leader ran it. Evidence, from the nodes' logs of one job: submit 504 after 1,487 ms, cancel 410 in the next millisecond, tasks started 5.1 s later. No further log was needed: these lines name the job, the answers and the start.

A cancel of a job that is not stored now stores the cancel request, on the condition that the job is still absent, before it is answered 410. The commit of a job requires that there is no cancel request, so a late copy of it is rejected by the store, whichever node sent it and whatever any process remembers. If the job was stored meanwhile, the cancel is repeated as that of a stored job and answered 200. A submission that finds a cancel request is accepted as cancelled: 200, its record says so, and no leader runs it. Weighed against 503: that would make the caller send the job again, and would be wrong as soon as the request is removed.

A commit of submissions holds at most 10 jobs instead of 16, as the store accepts 32 entries.

--- a/src/base/json_fields.h
+++ b/src/base/json_fields.h
@@ -30,6 +30,9 @@
   boost::json::object Object(std::string_view key);
   boost::json::array Array(std::string_view key);
 
+  /// Returns true if the object has the field `key`, of any type.
+  bool Contains(std::string_view key) const { return object_.contains(key); }
+
   /// Marks the object as invalid because of the field `key`. Only the first
   /// call has an effect.
   void Reject(std::string_view key);
--- a/src/fleet/job_record.h
+++ b/src/fleet/job_record.h
@@ -30,6 +30,8 @@
   millis accepted_unix_ms = 0;  ///< Unix time of the job's acceptance.
   std::string body;             ///< Body of the HTTP request that submitted it.
   job_request request;          ///< The job as decoded from `body`.
+  /// The job was cancelled before it was accepted, so it never runs.
+  bool cancelled = false;
   /// Revision of the job's key in the store; 0 if the job is not stored yet.
   std::uint64_t stored_revision = 0;
 };
--- a/src/node/client_api.cc
+++ b/src/node/client_api.cc
@@ -23,6 +23,9 @@
 // be accepted. The remaining time allows for the latency of the request and for
 // late responses of the store to watches.
 constexpr double kMaxConfigAgeShare = 0.7;
+// Attempts to store a cancel request. An attempt fails if the job is stored or
+// removed at the same time, which happens once to a job.
+constexpr int kMaxCancelAttempts = 3;
 // Length of a job id in hexadecimal digits.
 constexpr std::size_t kJobIdLength = 16;
 // Value of the Retry-After header of responses with status 503.
@@ -88,7 +91,17 @@
   /// Responds with the job's state according to the stored records, for a job
   /// that no reachable leader knows.
   void RespondWithStoredState(const std::string& id, responder respond);
-  void Cancel(const std::string& id, responder respond);
+  /// Cancels the job `id`. If there is no such job, stores the cancel request
+  /// all the same, because the store may still carry out an earlier submission.
+  /// `attempts_left` limits the attempts if the job is stored or removed
+  /// meanwhile.
+  void Cancel(const std::string& id, int attempts_left, responder respond);
+  /// Handles the store's response to the commit of a cancel request. The commit
+  /// required the job's key to have the revision `job_revision`.
+  void OnCancelCommit(const std::string& id, std::uint64_t job_revision,
+                      int attempts_left,
+                      const result<store::commit_outcome>& outcome,
+                      const responder& respond);
   void RespondWithPendingCount(const std::string& queue, responder respond);
 
   node_context& context;
@@ -152,7 +165,7 @@
   if (call == "submit") {
     Submit(queue, team, id, request.body, std::move(respond));
   } else if (call == "cancel") {
-    Cancel(id, std::move(respond));
+    Cancel(id, kMaxCancelAttempts, std::move(respond));
   } else if (call == "state") {
     RespondWithState(id, std::move(respond));
   } else {
@@ -315,34 +328,50 @@
       });
 }
 
-void client_api::impl::Cancel(const std::string& id, responder respond) {
-  context.store->Get(JobKey(id), [weak = weak_from_this(), id,
+void client_api::impl::Cancel(const std::string& id, int attempts_left,
+                              responder respond) {
+  context.store->Get(JobKey(id), [weak = weak_from_this(), id, attempts_left,
                                   respond = std::move(respond)](
                                      const result<store::store_item>& item) {
     const auto self = weak.lock();
     if (!self) return;
-    if (!Ok(item)) return respond(MakeRetryLaterResponse("store_unreachable"));
-    if (Value(item).revision == 0) return respond(UnknownJobResponse());
+    if (!Ok(item)) {
+      return respond(MakeRetryLaterResponse("store_unreachable"));
+    }
+    const std::uint64_t job_revision = Value(item).revision;
     store::store_commit commit;
+    commit.preconditions = {{JobKey(id), job_revision}};
     commit.writes = {{CancelKey(id), "{}", 0}};
     self->context.store->Commit(
-        commit, [weak, id, respond](result<store::commit_outcome> outcome) {
+        commit, [weak, id, job_revision, attempts_left,
+                 respond](const result<store::commit_outcome>& outcome) {
           const auto self = weak.lock();
           if (!self) return;
-          if (Ok(outcome) && Value(outcome).committed) {
-            self->notifier.NotifyCancelStored(id);
-            return respond(http::MakeJsonResponse(200, boost::json::object{}));
-          }
-          if (!Ok(outcome) &&
-              Error(outcome).kind == failure_kind::kUnavailable) {
-            return respond(MakeRetryLaterResponse("store_unreachable"));
-          }
-          respond(http::MakeErrorResponse(504, "outcome_unknown",
-                                          "the job may be cancelled"));
+          self->OnCancelCommit(id, job_revision, attempts_left, outcome,
+                               respond);
         });
   });
 }
 
+void client_api::impl::OnCancelCommit(
+    const std::string& id, std::uint64_t job_revision, int attempts_left,
+    const result<store::commit_outcome>& outcome, const responder& respond) {
+  if (!Ok(outcome)) {
+    if (Error(outcome).kind == failure_kind::kUnavailable) {
+      return respond(MakeRetryLaterResponse("store_unreachable"));
+    }
+    return respond(http::MakeErrorResponse(504, "outcome_unknown",
+                                           "the job may be cancelled"));
+  }
+  if (!Value(outcome).committed) {
+    if (attempts_left > 1) return Cancel(id, attempts_left - 1, respond);
+    return respond(MakeRetryLaterResponse("job_changed"));
+  }
+  if (job_revision == 0) return respond(UnknownJobResponse());
+  notifier.NotifyCancelStored(id);
+  respond(http::MakeJsonResponse(200, boost::json::object{}));
+}
+
 void client_api::impl::RespondWithPendingCount(const std::string& queue,
                                                responder respond) {
   const auto make_response = [](std::string_view count) {
--- a/src/node/job_intake.cc
+++ b/src/node/job_intake.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <deque>
+#include <span>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -11,21 +13,32 @@
 namespace radishwing::node {
 namespace {
 
-// The store accepts 32 entries per commit; each job takes two: a precondition
-// and a write.
-constexpr std::size_t kMaxJobsPerCommit = 16;
+// The store accepts 32 entries per commit; each job takes three: a write and
+// the preconditions on the job's key and on the key of its cancellation.
+constexpr std::size_t kMaxJobsPerCommit = 10;
 // Limit of concurrent commits. The store responds to each within a few ms, so a
 // job that waits for an earlier commit is delayed only slightly.
 constexpr int kMaxCommitsInFlight = 3;
 
+// Returns the item with the given key, or null.
+const store::store_item* FindItem(std::span<const store::store_item> items,
+                                  std::string_view key) {
+  const auto it = std::ranges::find(items, key, &store::store_item::key);
+  return it == items.end() ? nullptr : &*it;
+}
+
 }  // namespace
 
 struct job_intake::impl : std::enable_shared_from_this<job_intake::impl> {
   struct pending_job {
-    std::string id;      ///< Id of the job.
+    fleet::job_record job;
+    std::uint64_t leader_fencing_token = 0;  ///< See stored_job.
     std::string record;  ///< Value of the job's key in the store.
     /// Revision of the job's key; 0 before the job is known to be stored.
     std::uint64_t revision = 0;
+    /// Revision of the key of the job's cancellation; 0: it does not exist. A
+    /// job that was cancelled before is accepted as cancelled.
+    std::uint64_t cancel_revision = 0;
     completion done;  ///< Called with the outcome of the submission.
     /// An earlier commit of the job got no response, so the store may have
     /// applied it.
@@ -58,14 +71,19 @@
     while (!waiting_jobs.empty() && jobs->size() < kMaxJobsPerCommit) {
       // A commit may contain a key only once, so a second submission of the
       // same job waits for the next commit.
-      if (std::ranges::find(*jobs, waiting_jobs.front().id, &pending_job::id) !=
-          jobs->end()) {
+      if (std::ranges::any_of(*jobs, [&](const pending_job& job) {
+            return job.job.id == waiting_jobs.front().job.id;
+          })) {
         break;
       }
       pending_job job = std::move(waiting_jobs.front());
       waiting_jobs.pop_front();
-      const std::string key = JobKey(job.id);
+      const std::string key = JobKey(job.job.id);
+      job.job.cancelled = job.cancel_revision > 0;
+      job.record = EncodeJobRecord(job.job, job.leader_fencing_token);
       commit.preconditions.push_back({key, 0});
+      commit.preconditions.push_back(
+          {CancelKey(job.job.id), job.cancel_revision});
       commit.writes.push_back({key, job.record, 0});
       jobs->push_back(std::move(job));
     }
@@ -102,25 +120,33 @@
 // and retries the others.
 void job_intake::impl::ResolveConflict(const batch& jobs,
                                        const store::commit_outcome& outcome) {
-  const bool conflict_reported = std::ranges::any_of(
-      outcome.current,
-      [](const store::store_item& item) { return item.revision > 0; });
+  bool conflict_reported = false;
+  std::vector<pending_job> unresolved;
   for (pending_job& job : *jobs) {
-    const std::string key = JobKey(job.id);
-    const auto existing = std::ranges::find_if(
-        outcome.current, [&](const store::store_item& item) {
-          return item.key == key && item.revision > 0;
-        });
-    if (existing != outcome.current.end()) {
+    const store::store_item* existing =
+        FindItem(outcome.current, JobKey(job.job.id));
+    if (existing && existing->revision > 0) {
+      conflict_reported = true;
       job.record = existing->value;
       job.revision = existing->revision;
       Complete(job, submission_outcome::kAccepted);
-    } else if (conflict_reported) {
-      waiting_jobs.push_front(std::move(job));
-    } else {
-      // The store rejected the commit but reported no existing key, so it is
-      // not known whether this job is stored.
+      continue;
+    }
+    const store::store_item* cancel =
+        FindItem(outcome.current, CancelKey(job.job.id));
+    if (cancel && cancel->revision != job.cancel_revision) {
+      conflict_reported = true;
+      job.cancel_revision = cancel->revision;
+    }
+    unresolved.push_back(std::move(job));
+  }
+  for (pending_job& job : unresolved) {
+    // If the store rejected the commit but reported no changed key, it is not
+    // known whether this job is stored.
+    if (!conflict_reported) {
       ReadBack(std::move(job));
+    } else {
+      waiting_jobs.push_front(std::move(job));
     }
   }
 }
@@ -128,7 +154,7 @@
 void job_intake::impl::ReadBack(pending_job job) {
   auto shared_job = std::make_shared<pending_job>(std::move(job));
   context.store->Get(
-      JobKey(shared_job->id),
+      JobKey(shared_job->job.id),
       [weak = weak_from_this(), shared_job](result<store::store_item> item) {
         const auto self = weak.lock();
         if (!self) return;
@@ -143,7 +169,7 @@
 
 void job_intake::impl::Complete(pending_job& job, submission_outcome outcome) {
   if (outcome == submission_outcome::kAccepted) {
-    on_stored(job.id, job.record, job.revision);
+    on_stored(job.job.id, job.record, job.revision);
   }
   job.done(outcome);
 }
@@ -156,10 +182,11 @@
 void job_intake::Submit(fleet::job_record record, completion done) {
   const std::uint64_t leader_fencing_token =
       impl_->context.members.Leader().fencing_token;
-  std::string text = EncodeJobRecord(record, leader_fencing_token);
-  impl_->waiting_jobs.push_back({.id = std::move(record.id),
-                                 .record = std::move(text),
-                                 .done = std::move(done)});
+  impl::pending_job job;
+  job.job = std::move(record);
+  job.leader_fencing_token = leader_fencing_token;
+  job.done = std::move(done);
+  impl_->waiting_jobs.push_back(std::move(job));
   impl_->SendCommits();
 }
 
--- a/src/node/job_record_codec.cc
+++ b/src/node/job_record_codec.cc
@@ -10,7 +10,7 @@
 
 std::string EncodeJobRecord(const fleet::job_record& record,
                             std::uint64_t leader_fencing_token) {
-  return json::serialize(json::object{
+  json::object fields{
       {"queue", record.queue},
       {"pool", record.pool},
       {"team", record.team},
@@ -21,7 +21,9 @@
       {"ticket_valid_ms", record.ticket_valid_ms},
       {"accepted", record.accepted_unix_ms},
       {"leader", leader_fencing_token},
-      {"body", record.body}});
+      {"body", record.body}};
+  if (record.cancelled) fields["cancelled"] = true;
+  return json::serialize(fields);
 }
 
 result<stored_job> DecodeJobRecord(std::string_view id, std::string_view text) {
@@ -43,6 +45,8 @@
   record.accepted_unix_ms = fields.Signed("accepted");
   job.leader_fencing_token = fields.Unsigned("leader");
   record.body = fields.String("body");
+  // Nodes of older versions write records without this field.
+  if (fields.Contains("cancelled")) record.cancelled = fields.Bool("cancelled");
   if (!fields.Valid()) return fields.Failure();
   auto request = platform::DecodeJob(record.body);
   if (!Ok(request)) return Error(request);
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -46,7 +46,9 @@
 }
 
 void scheduler::ApplyEarlyCancel(job_state& job, millis now) {
-  if (early_cancels_.erase(job.record.id) > 0) CancelJob(job.record.id, now);
+  if (early_cancels_.erase(job.record.id) > 0 || job.record.cancelled) {
+    CancelJob(job.record.id, now);
+  }
 }
 
 result<success> scheduler::RestoreProgress(const std::string& id,
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -295,7 +295,8 @@
   /// Finishes the job if its merged tasks are all done, or if one of them has
   /// no attempts left.
   void FinishMergedJob(job_state& job, millis now);
-  /// Cancels the job if its cancel request arrived before it.
+  /// Cancels the job if it was cancelled before it was accepted, or if its
+  /// cancel request arrived before it.
   void ApplyEarlyCancel(job_state& job, millis now);
   /// Frees the steps and repetitions of a finished job that has no runs left.
   void ReleaseFinishedJob(job_state& job);
--- a/tools/fleet_fake/fake_store.cc
+++ b/tools/fleet_fake/fake_store.cc
@@ -175,6 +175,9 @@
     response.action = http::response_action::kNeverRespond;
     return respond(std::move(response));
   }
+  if (before_awaited_commit_ && Changes(commit, awaited_key_)) {
+    std::exchange(before_awaited_commit_, nullptr)();
+  }
   response = ApplyCommit(commit);
   if (response.status == 200 && commit_responses_to_drop_ > 0) {
     --commit_responses_to_drop_;
--- a/tools/fleet_fake/fake_store.h
+++ b/tools/fleet_fake/fake_store.h
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -56,6 +57,13 @@
   std::size_t DelayedCommitCount() const { return delayed_commits_.size(); }
   /// Applies the delayed commits whose preconditions still hold.
   void ApplyDelayedCommits();
+  /// Calls `action` once, before the next commit that writes or removes `key`
+  /// is carried out.
+  void BeforeNextCommitOf(const std::string& key,
+                          std::function<void()> action) {
+    awaited_key_ = key;
+    before_awaited_commit_ = std::move(action);
+  }
   /// Makes the store renew the lease of the next `count` renewals but never
   /// respond to them.
   void HoldRenewalResponses(int count) { renewal_responses_to_hold_ = count; }
@@ -129,6 +137,8 @@
   int commit_responses_to_drop_ = 0;
   std::string delayed_key_;  ///< See DelayCommitsOf; empty: none.
   std::vector<boost::json::object> delayed_commits_;
+  std::string awaited_key_;                      ///< See BeforeNextCommitOf.
+  std::function<void()> before_awaited_commit_;  ///< Null: none.
   int renewal_responses_to_hold_ = 0;
   std::uint64_t renewal_count_ = 0;
   bool unavailable_ = false;
