Remove cancel requests whose job never comes, and remember all until then

The leader remembered at most 10,000 cancel requests without a job and ignored more, so a job whose request was ignored would run although it had been cancelled. Such requests stayed in the store forever; since a cancel of an unknown job is stored too, they would pile up.

The leader now remembers each request that the store has, and removes it from both after the retention time of finished jobs, on the condition that it is unchanged and that its job is still absent. That is longer by far than a write without a response can be delayed. A request that is written again is retained anew. A request that is older than the job's own record does not cancel the job: the record would say so.

--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -122,7 +122,7 @@
         self->CompleteOverdueHandOver();
         self->DropUnregisteredRunners();
         self->SaveRunnerSet();
-        self->RemoveExpiredJobs();
+        self->RemoveExpiredKeys();
         if (self->ready && self->MaySendOrders()) self->hosts->Tick();
         self->SchedulePass();
         self->ScheduleTick();
@@ -303,6 +303,8 @@
       if (item.revision != fencing_token) return EndTerm("shard key changed");
     } else if (item.key.starts_with(kProgressPrefix)) {
       ResolveProgressConflict(item);
+    } else if (item.key.ends_with(kCancelSuffix)) {
+      ResolveCancelConflict(item);
     } else if (item.key.starts_with(kJobPrefix)) {
       ResolveJobConflict(item);
       if (ended) return;
@@ -310,10 +312,18 @@
   }
 }
 
+void leader::impl::ResolveCancelConflict(const store::store_item& item) {
+  if (item.revision > 0) return ApplyJobEntry(item);
+  std::string id = item.key.substr(kJobPrefix.size());
+  id.resize(id.size() - kCancelSuffix.size());
+  scheduler.EarlyCancels().Remove(id);
+}
+
 void leader::impl::ResolveJobConflict(const store::store_item& item) {
   const std::string id = item.key.substr(kJobPrefix.size());
   const sched::job_state* job = scheduler.FindJob(id);
-  if (!job || job->record.stored_revision == item.revision) return;
+  if (!job) return ApplyJobEntry(item);
+  if (job->record.stored_revision == item.revision) return;
   context.log.Warning(
       "jobs", "job key changed, job=" + id +
                   " revision=" + std::to_string(job->record.stored_revision) +
--- a/src/node/leader_impl.h
+++ b/src/node/leader_impl.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -139,6 +140,9 @@
   /// the term if the shard has another leader. Otherwise, takes over the job
   /// keys and the progress records that `outcome` contains.
   void ResolveConflict(const store::commit_outcome& outcome);
+  /// Takes over the current state of a cancel request, whose removal the store
+  /// has rejected.
+  void ResolveCancelConflict(const store::store_item& item);
   /// Drops a job whose key, `item`, was removed or created again since the
   /// leader learned of the job; adds the job that the key now holds.
   void ResolveJobConflict(const store::store_item& item);
@@ -155,12 +159,17 @@
   void ApplyJobSnapshot(const std::vector<store::store_item>& entries);
   /// Logs that all jobs will be read again because of `reason`.
   void LogRepeatedJobRead(std::string_view reason);
-  /// Deletes the stored keys of some jobs whose retention time has passed.
-  void RemoveExpiredJobs();
-  /// Handles the store's response to the removal of the keys of `jobs`. Drops
-  /// the jobs only if the store has confirmed the removal.
-  void OnRemovalDone(const std::vector<std::string>& jobs,
-                     const result<store::commit_outcome>& outcome);
+  /// Removes keys from the store whose retention time has passed: those of some
+  /// finished jobs, or some cancel requests without a job.
+  void RemoveExpiredKeys();
+  void RemoveJobs(const std::vector<std::string>& jobs);
+  void RemoveCancels(const std::vector<sched::early_cancels::request>& cancels);
+  /// Commits a removal of keys. Calls `on_removed` once the store has confirmed
+  /// it; until then, what the keys stand for must stay in memory.
+  void CommitRemoval(store::store_commit commit,
+                     std::function<void()> on_removed);
+  void OnRemovalDone(const result<store::commit_outcome>& outcome,
+                     const std::function<void()>& on_removed);
   /// Returns true if this node's lease permits orders, the term has not ended
   /// and no handover has begun.
   bool MaySendOrders() const;
@@ -213,7 +222,7 @@
   /// after the callback was called.
   std::function<void()> on_handover;
   millis handover_started_at = 0;
-  bool removal_in_flight = false;  ///< A commit removes the keys of jobs.
+  bool removal_in_flight = false;  ///< See CommitRemoval().
   millis next_removal_at = 0;      ///< Earliest time of the next such commit.
   /// Tracks the runners that are known to be in the stored runner set.
   sched::recorded_runners runner_set_record;
--- a/src/node/leader_load.cc
+++ b/src/node/leader_load.cc
@@ -198,7 +198,7 @@
   const millis now = context.now.Now();
   if (id.ends_with(kCancelSuffix)) {
     id.resize(id.size() - kCancelSuffix.size());
-    scheduler.CancelJob(id, now);
+    scheduler.CancelJob(id, now, entry.revision);
     return SchedulePass();
   }
   if (const sched::job_state* known = scheduler.FindJob(id)) {
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -7,15 +7,6 @@
 #include "src/sched/progress_codec.h"
 
 namespace radishwing::sched {
-namespace {
-
-// Maximum number of stored cancel requests for jobs that are not known yet.
-// More requests can arrive only if clients cancel jobs that the scheduler
-// dropped long ago.
-constexpr std::size_t kMaxEarlyCancels = 10000;
-
-}  // namespace
-
 scheduler::scheduler(int min_run) : min_run_(min_run) {}
 
 void scheduler::SetConfig(const fleet::fleet_config& config) {
@@ -46,9 +37,9 @@
 }
 
 void scheduler::ApplyEarlyCancel(job_state& job, millis now) {
-  if (early_cancels_.erase(job.record.id) > 0 || job.record.cancelled) {
-    CancelJob(job.record.id, now);
-  }
+  const bool cancelled =
+      early_cancels_.Take(job.record.id, job.record.stored_revision);
+  if (cancelled || job.record.cancelled) CancelJob(job.record.id, now);
 }
 
 result<success> scheduler::RestoreProgress(const std::string& id,
@@ -99,13 +90,10 @@
   write_queue_.push_back(job.record.id);
 }
 
-void scheduler::CancelJob(const std::string& id, millis now) {
+void scheduler::CancelJob(const std::string& id, millis now,
+                          std::uint64_t revision) {
   const auto it = jobs_.find(id);
-  if (it == jobs_.end()) {
-    // The cancel request arrived before the job.
-    if (early_cancels_.size() < kMaxEarlyCancels) early_cancels_.insert(id);
-    return;
-  }
+  if (it == jobs_.end()) return early_cancels_.Add(id, revision, now);
   if (it->second->IsFinished()) return;
   FinishJob(*it->second, job_phase::kCancelled, now);
 }
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -19,6 +19,7 @@
 #include "src/fleet/runner_listing.h"
 #include "src/fleet/runner_report.h"
 #include "src/sched/advice_request.h"
+#include "src/sched/early_cancels.h"
 #include "src/sched/job_state.h"
 #include "src/sched/order.h"
 #include "src/sched/pool_demand.h"
@@ -79,8 +80,11 @@
   result<success> RestoreProgress(const std::string& id, std::string_view text,
                                   std::uint64_t revision, millis now);
   /// Cancels a job. If the job is not known yet, the scheduler cancels it as
-  /// soon as AddJob adds it.
-  void CancelJob(const std::string& id, millis now);
+  /// soon as AddJob adds it. `revision` is the revision of the key of the
+  /// cancel request, or 0 if it is not known.
+  void CancelJob(const std::string& id, millis now, std::uint64_t revision = 0);
+  /// Returns the cancel requests whose jobs are not known.
+  early_cancels& EarlyCancels() { return early_cancels_; }
   /// Returns the job with the given id, or null if it is not known.
   const job_state* FindJob(const std::string& id) const;
   /// Returns the number of jobs of which no task has started, by queue. Queues
@@ -423,8 +427,7 @@
   /// Jobs that were not finished at the start of the last pass, and jobs added
   /// since.
   std::vector<job_state*> active_jobs_;
-  /// Ids of jobs whose cancel request arrived before the job.
-  std::set<std::string> early_cancels_;
+  early_cancels early_cancels_;
   /// Ids of jobs with progress to persist, the oldest change first. Contains
   /// each job at most once, and no job that has a write in flight.
   std::deque<std::string> write_queue_;
--- a/tests/sched/scheduler_order_test.cc
+++ b/tests/sched/scheduler_order_test.cc
@@ -92,6 +92,20 @@
   BOOST_TEST(subject.FindRunner("r1")->tasks.empty());
 }
 
+// Guards against starting a cancelled job because many cancel requests have
+// arrived whose jobs never came.
+BOOST_AUTO_TEST_CASE(cancel_is_remembered_after_many_others_without_a_job) {
+  constexpr int kOtherCancels = 20000;
+  for (int i = 0; i < kOtherCancels; ++i) {
+    subject.CancelJob("other" + std::to_string(i), now);
+  }
+  AddRunner("r1");
+  subject.CancelJob("a", now);
+  AddJob("a", {Step(1)});
+  BOOST_TEST((subject.FindJob("a")->phase == job_phase::kCancelled));
+  BOOST_TEST(Plan().empty());
+}
+
 // Guards against starting a job that was stored by an earlier leader and whose
 // cancel request arrived before the job.
 BOOST_AUTO_TEST_CASE(cancel_before_a_restored_job_is_remembered) {
