Soak with writes that the store carries out late, and with clients that cancel

The store of the soak now also leaves up to 19 commits without a response and carries them out 1 to 4 s later. Clients cancel half of the jobs whose submission got no clear answer, and send the submission of a job that was cancelled with 410 once more. A job that runs although its cancel was answered 410 fails the soak.

--- a/tools/demo_fleet.cc
+++ b/tools/demo_fleet.cc
@@ -1,4 +1,5 @@
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
@@ -35,6 +36,8 @@
 // Accepted jobs count as lost if they have not succeeded within this time after
 // the last submission.
 constexpr millis kCompletionTimeoutMs = 30000;
+// A cancel without a clear answer is repeated this often.
+constexpr int kMaxCancelAttempts = 20;
 constexpr int kMaxSubmitAttempts = 6;
 constexpr const char* kApiKey = "demo-key";
 
@@ -52,9 +55,10 @@
   /// Jobs for which every submission attempt failed, and the last attempt
   /// received status 429 or 503.
   int refused = 0;
-  /// Jobs for which every submission attempt failed, and the last attempt
-  /// received another status or no response.
+  /// Jobs for which every submission or cancel attempt failed, and the last
+  /// attempt received another status or no response.
   int unknown = 0;
+  int cancelled = 0;  ///< Jobs that were cancelled.
 };
 
 std::string EncodeFleetConfig() {
@@ -100,9 +104,10 @@
     next_fault_ms_ = now + 300 + static_cast<millis>(random_() % 1200);
     store_.SetUnavailable(false);
     store_.SetWatchesMuted(false);
+    store_.DelayCommits(0, 0);
     for (auto& runner : runners_) runner->SetUnresponsive(false);
     fleet_fake::fake_runner& runner = *runners_[random_() % runners_.size()];
-    const auto kind = random_() % 8;
+    const auto kind = random_() % 9;
     std::cout << "fault " << kind << " for " << next_fault_ms_ - now << " ms\n";
     // Kind 7 injects no fault.
     if (kind == 0) store_.SetUnavailable(true);
@@ -112,15 +117,23 @@
     if (kind == 4) store_.ExpireAllLeases();
     if (kind == 5) runner.SetUnresponsive(true);
     if (kind == 6) runner.DropStartResponses(3);
+    if (kind == 8) {
+      store_.DelayCommits(static_cast<int>(random_() % 20),
+                          1000 + static_cast<millis>(random_() % 3000));
+    }
   }
 
   /// Ends all faults.
   void ClearFaults() {
     store_.SetUnavailable(false);
     store_.SetWatchesMuted(false);
+    store_.DelayCommits(0, 0);
     for (auto& runner : runners_) runner->SetUnresponsive(false);
   }
 
+  /// Returns true if the store will still carry out commits of earlier faults.
+  bool HasDelayedCommits() const { return store_.DelayedCommitCount() > 0; }
+
  private:
   fleet_fake::fake_store& store_;
   std::vector<std::unique_ptr<fleet_fake::fake_runner>>& runners_;
@@ -157,7 +170,8 @@
     if (faults) faults->ClearFaults();
     const millis deadline = clock_.Now() + kCompletionTimeoutMs;
     while (clock_.Now() < deadline &&
-           !(unfinished_.empty() && pending_submissions_ == 0)) {
+           !(unfinished_.empty() && pending_submissions_ == 0 &&
+             !(faults && faults->HasDelayedCommits()))) {
       for (const auto& [id, done] : std::map(unfinished_)) PollJob(id);
       RunIoFor(kPollIntervalMs);
     }
@@ -166,6 +180,16 @@
   const submission_counts& Counts() const { return counts_; }
   /// Returns the number of accepted jobs that have not succeeded.
   std::size_t LostJobCount() const { return unfinished_.size(); }
+  /// Returns the number of jobs that have run although their cancel was
+  /// answered with 410, so that they were not stored before.
+  std::size_t CountRunsOfCancelledJobs(
+      const fleet_fake::run_recorder& recorder) const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(cancelled_, [&](const std::string& id) {
+          const auto task = recorder.tasks.lower_bound(id);
+          return task != recorder.tasks.end() && task->first.starts_with(id);
+        }));
+  }
 
  private:
   void RunIoFor(millis time) { io_.run_for(std::chrono::milliseconds(time)); }
@@ -196,9 +220,12 @@
     SendRequest(verb::post, id, EncodeJob(),
                 [this, id, attempts_left](unsigned status, const std::string&) {
                   --pending_submissions_;
+                  const bool unknown = status == 0 || status == 504;
                   if (status == 200) {
                     ++counts_.accepted;
                     unfinished_[id] = false;
+                  } else if (unknown && random_() % 2 == 0) {
+                    Cancel(id, kMaxCancelAttempts);
                   } else if (attempts_left > 1) {
                     RetryLater(id, attempts_left - 1);
                   } else if (status == 503 || status == 429) {
@@ -211,16 +238,53 @@
 
   /// Submits the job `id` again after a delay.
   void RetryLater(const std::string& id, int attempts_left) {
+    RunLater([this, id, attempts_left] { Submit(id, attempts_left); });
+  }
+
+  /// Calls `action` after a delay.
+  void RunLater(std::function<void()> action) {
     ++pending_submissions_;
     auto timer = std::make_shared<boost::asio::steady_timer>(
         io_, std::chrono::milliseconds(kPollIntervalMs * 3));
     timer->async_wait(
-        [this, timer, id, attempts_left](boost::system::error_code) {
+        [this, timer, action = std::move(action)](boost::system::error_code) {
           --pending_submissions_;
-          Submit(id, attempts_left);
+          action();
         });
   }
 
+  /// Cancels the job `id`, whose submission has an unknown outcome. Repeats the
+  /// cancel until the answer is clear.
+  void Cancel(const std::string& id, int attempts_left) {
+    ++pending_submissions_;
+    SendRequest(verb::delete_, id, "",
+                [this, id, attempts_left](unsigned status, const std::string&) {
+                  --pending_submissions_;
+                  if (status == 200) {
+                    ++counts_.cancelled;
+                  } else if (status == 410) {
+                    ++counts_.cancelled;
+                    cancelled_.push_back(id);
+                    SubmitCancelledJob(id);
+                  } else if (attempts_left > 1) {
+                    RunLater([this, id, attempts_left] {
+                      Cancel(id, attempts_left - 1);
+                    });
+                  } else {
+                    ++counts_.unknown;
+                  }
+                });
+  }
+
+  /// Submits a cancelled job once more, as a delayed copy of its first
+  /// submission would.
+  void SubmitCancelledJob(const std::string& id) {
+    ++pending_submissions_;
+    SendRequest(
+        verb::post, id, EncodeJob(),
+        [this](unsigned, const std::string&) { --pending_submissions_; });
+  }
+
   /// Requests the state of the job `id`. Removes the job from unfinished_ if it
   /// has succeeded.
   void PollJob(const std::string& id) {
@@ -239,7 +303,9 @@
   /// Accepted jobs that are not known to have succeeded, by id. The values are
   /// not used.
   std::map<std::string, bool> unfinished_;
-  /// Number of submissions that await a response or a retry.
+  /// Ids of jobs whose cancel was answered with 410.
+  std::vector<std::string> cancelled_;
+  /// Number of submissions and cancels that await a response or a retry.
   int pending_submissions_ = 0;
   submission_counts counts_;
 };
@@ -276,10 +342,14 @@
   fault_injector faults(store, runners, options.seed);
   load.Run(options.inject_faults ? &faults : nullptr);
   const submission_counts& counts = load.Counts();
+  const std::size_t cancelled_runs = load.CountRunsOfCancelledJobs(recorder);
   std::cout << "demo: " << counts.accepted << " answered, " << counts.refused
             << " refused, " << counts.unknown << " unknown, "
-            << load.LostJobCount() << " lost, "
-            << recorder.DuplicatedTaskCount() << " doubled" << std::endl;
-  return load.LostJobCount() == 0 && recorder.DuplicatedTaskCount() == 0 ? 0
-                                                                         : 1;
+            << counts.cancelled << " cancelled, " << load.LostJobCount()
+            << " lost, " << recorder.DuplicatedTaskCount() << " doubled, "
+            << cancelled_runs << " run although cancelled" << std::endl;
+  const bool correct = load.LostJobCount() == 0 &&
+                       recorder.DuplicatedTaskCount() == 0 &&
+                       cancelled_runs == 0;
+  return correct ? 0 : 1;
 }
--- a/tools/fleet_fake/fake_store.cc
+++ b/tools/fleet_fake/fake_store.cc
@@ -1,7 +1,10 @@
 #include "tools/fleet_fake/fake_store.h"
 
 #include <algorithm>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/detail/base64.hpp>
+#include <chrono>
+#include <memory>
 #include <stdexcept>
 #include <utility>
 
@@ -170,8 +173,13 @@
                              const http::server::responder& respond) {
   const json::object commit = json::parse(request.body).as_object();
   http::server_response response;
-  if (!delayed_key_.empty() && Changes(commit, delayed_key_)) {
-    delayed_commits_.push_back(commit);
+  const bool is_held = !delayed_key_.empty() && Changes(commit, delayed_key_);
+  if (is_held || commits_to_delay_ > 0) {
+    if (is_held) {
+      delayed_commits_.push_back(commit);
+    } else {
+      ApplyCommitLater(commit);
+    }
     response.action = http::response_action::kNeverRespond;
     return respond(std::move(response));
   }
@@ -186,6 +194,19 @@
   respond(std::move(response));
 }
 
+void fake_store::ApplyCommitLater(const json::object& commit) {
+  --commits_to_delay_;
+  ++timed_commit_count_;
+  auto timer = std::make_shared<boost::asio::steady_timer>(
+      io_, std::chrono::milliseconds(commit_delay_ms_));
+  timer->async_wait([this, timer, commit](boost::system::error_code error) {
+    if (error) return;
+    --timed_commit_count_;
+    ExpireDueLeases();
+    ApplyCommit(commit);
+  });
+}
+
 void fake_store::ApplyDelayedCommits() {
   for (const json::object& commit : std::exchange(delayed_commits_, {})) {
     ApplyCommit(commit);
--- a/tools/fleet_fake/fake_store.h
+++ b/tools/fleet_fake/fake_store.h
@@ -53,10 +53,18 @@
   /// to them and applies them only in ApplyDelayedCommits(). An empty key ends
   /// the delay for new commits.
   void DelayCommitsOf(const std::string& key) { delayed_key_ = key; }
-  /// Returns the number of commits that ApplyDelayedCommits() will apply.
-  std::size_t DelayedCommitCount() const { return delayed_commits_.size(); }
+  /// Returns the number of delayed commits that have not been carried out.
+  std::size_t DelayedCommitCount() const {
+    return delayed_commits_.size() + timed_commit_count_;
+  }
   /// Applies the delayed commits whose preconditions still hold.
   void ApplyDelayedCommits();
+  /// Makes the store carry out the next `count` commits only after `delay`, if
+  /// their preconditions hold by then, and never respond to them.
+  void DelayCommits(int count, millis delay) {
+    commits_to_delay_ = count;
+    commit_delay_ms_ = delay;
+  }
   /// Calls `action` once, before the next commit that writes or removes `key`
   /// is carried out.
   void BeforeNextCommitOf(const std::string& key,
@@ -100,6 +108,8 @@
                     http::server::responder respond);
   void ServeCommit(const http::server_request& request,
                    const http::server::responder& respond);
+  /// Carries out a commit after the delay that DelayCommits() has set.
+  void ApplyCommitLater(const boost::json::object& commit);
   /// Applies a commit if its preconditions hold, and returns the response.
   http::server_response ApplyCommit(const boost::json::object& commit);
   /// Returns true if the commit writes or removes `key`.
@@ -137,7 +147,10 @@
   int commit_responses_to_drop_ = 0;
   std::string delayed_key_;  ///< See DelayCommitsOf; empty: none.
   std::vector<boost::json::object> delayed_commits_;
-  std::string awaited_key_;                      ///< See BeforeNextCommitOf.
+  int commits_to_delay_ = 0;  ///< See DelayCommits.
+  millis commit_delay_ms_ = 0;
+  std::size_t timed_commit_count_ = 0;  ///< Commits that wait for their delay.
+  std::string awaited_key_;             ///< See BeforeNextCommitOf.
   std::function<void()> before_awaited_commit_;  ///< Null: none.
   int renewal_responses_to_hold_ = 0;
   std::uint64_t renewal_count_ = 0;
