Limit progress commits by their entries, and follow a full one at once

A commit is now filled up to the entries that the store accepts: only the first write of a job's progress takes three instead of two. If a commit is full, the next follows at once instead of after 15 ms, within the same limit of three concurrent commits; what it writes has waited for the delay too.

--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -21,14 +21,15 @@
 // Delay before changed progress is saved, so that run ends that are reported
 // close together share one commit.
 constexpr millis kSaveDelayMs = 15;
-// Limit of concurrent progress commits. With 10 jobs per commit and a response
+// Limit of concurrent progress commits. With 15 jobs per commit and a response
 // time of the store of a few ms, 3 commits suffice for the run ends of some
 // hundred runners.
 constexpr int kMaxSavesInFlight = 3;
 // The store accepts 32 entries per commit. The precondition on the shard's key
-// takes one; each job takes at most three: its write and the preconditions on
-// its record and, for the first write, on its key.
-constexpr std::size_t kMaxJobsPerCommit = 10;
+// takes one; each job takes two or, for the first write of its progress, three.
+constexpr std::size_t kMaxJobsPerCommit = 15;
+constexpr std::size_t kMaxJobEntriesPerCommit = 31;
+constexpr std::size_t kMaxEntriesPerJob = 3;
 // Size of the range of run numbers that each term uses, so that no two terms
 // use the same number. A task is started fewer times than this in one term.
 constexpr int kRunsPerTerm = 64;
@@ -234,38 +235,55 @@
   if (save_pending || saves_in_flight >= kMaxSavesInFlight || ended) return;
   save_pending = true;
   save_timer.expires_after(std::chrono::milliseconds(kSaveDelayMs));
-  save_timer.async_wait([weak = weak_from_this()](
-                            boost::system::error_code error) {
-    const auto self = weak.lock();
-    if (error || !self || self->ended) return;
-    self->save_pending = false;
-    const millis deferral =
-        self->handing_over ? 0 : self->context.MeasuredLink().WriteDeferral();
-    const auto writes = self->scheduler.TakeWrites(
-        kMaxJobsPerCommit, self->context.now.Now(), deferral);
+  save_timer.async_wait(
+      [weak = weak_from_this()](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (error || !self || self->ended) return;
+        self->save_pending = false;
+        self->CommitQueuedProgress();
+      });
+}
+
+void leader::impl::CommitQueuedProgress() {
+  const millis deferral =
+      handing_over ? 0 : context.MeasuredLink().WriteDeferral();
+  bool more_queued = true;
+  while (more_queued && saves_in_flight < kMaxSavesInFlight) {
+    const auto writes =
+        scheduler.TakeWrites(kMaxJobsPerCommit, context.now.Now(), deferral,
+                             kMaxJobEntriesPerCommit);
     if (writes.empty()) {
-      if (self->saves_in_flight == 0 && self->on_handover) {
-        std::exchange(self->on_handover, nullptr)();
+      if (saves_in_flight == 0 && on_handover) {
+        std::exchange(on_handover, nullptr)();
       }
       return;
     }
-    store::store_commit commit;
-    commit.preconditions.push_back({ShardKey(), self->fencing_token});
-    for (const sched::pending_write& write : writes) {
-      const std::string key = ProgressKey(write.job);
-      commit.preconditions.push_back({key, write.record_revision});
-      if (write.job_revision > 0) {
-        commit.preconditions.push_back({JobKey(write.job), write.job_revision});
-      }
-      commit.writes.push_back({key, write.text, 0});
+    std::size_t entries = 0;
+    for (const auto& write : writes) entries += write.EntryCount();
+    // The progress that a full commit leaves over has waited for the delay too.
+    more_queued = entries + kMaxEntriesPerJob > kMaxJobEntriesPerCommit;
+    CommitProgress(writes);
+  }
+  SaveProgress();
+}
+
+void leader::impl::CommitProgress(
+    const std::vector<sched::pending_write>& writes) {
+  store::store_commit commit;
+  commit.preconditions.push_back({ShardKey(), fencing_token});
+  for (const sched::pending_write& write : writes) {
+    const std::string key = ProgressKey(write.job);
+    commit.preconditions.push_back({key, write.record_revision});
+    if (write.job_revision > 0) {
+      commit.preconditions.push_back({JobKey(write.job), write.job_revision});
     }
-    ++self->saves_in_flight;
-    self->context.store->Commit(
-        commit, [weak, writes](result<store::commit_outcome> outcome) {
-          const auto locked = weak.lock();
-          if (locked && !locked->ended) locked->OnSaveDone(writes, outcome);
-        });
-    self->SaveProgress();
+    commit.writes.push_back({key, write.text, 0});
+  }
+  ++saves_in_flight;
+  context.store->Commit(commit, [weak = weak_from_this(), writes](
+                                    result<store::commit_outcome> outcome) {
+    const auto self = weak.lock();
+    if (self && !self->ended) self->OnSaveDone(writes, outcome);
   });
 }
 
@@ -339,6 +357,7 @@
   if (!job || job->record_revision == item.revision) return;
   if (scheduler.MergeProgress(id, item.value, item.revision,
                               context.now.Now())) {
+    context.metrics.CountMergedRecord();
     context.log.Warning("jobs",
                         "progress record merged, job=" + id +
                             " revision=" + std::to_string(item.revision));
--- a/src/node/leader_expiry.cc
+++ b/src/node/leader_expiry.cc
@@ -90,6 +90,9 @@
 void leader::impl::OnRemovalDone(const result<store::commit_outcome>& outcome,
                                  const std::function<void()>& on_removed) {
   removal_in_flight = false;
+  context.metrics.CountRemoval(!Ok(outcome)               ? "failed"
+                               : Value(outcome).committed ? "removed"
+                                                          : "conflict");
   if (!Ok(outcome)) {
     context.log.Warning("jobs", "removal of expired keys failed, error=" +
                                     Error(outcome).message);
--- a/src/node/leader_impl.h
+++ b/src/node/leader_impl.h
@@ -132,6 +132,10 @@
                                std::deque<pending_ack>& ends);
   /// Writes the progress of changed jobs to the store after a short delay.
   void SaveProgress();
+  /// Writes the progress that is queued, in several commits if it does not fit
+  /// into one, as far as the limit of concurrent commits permits.
+  void CommitQueuedProgress();
+  void CommitProgress(const std::vector<sched::pending_write>& writes);
   /// Handles the store's response to a commit of `writes`, the progress of some
   /// jobs.
   void OnSaveDone(const std::vector<sched::pending_write>& writes,
--- a/src/node/node_metrics.cc
+++ b/src/node/node_metrics.cc
@@ -57,6 +57,12 @@
                            .Add({}, kDurationBuckets)),
       orders_(CounterFamily(registry_, "radishwing_node_orders_total",
                             "Orders to runners and hosts by kind and outcome")),
+      removals_(CounterFamily(registry_, "radishwing_node_removals_total",
+                              "Removals of expired keys by outcome")),
+      merged_records_(
+          CounterFamily(registry_, "radishwing_node_merged_records_total",
+                        "Progress records merged into the leader's state")
+              .Add({})),
       takeover_seconds_(
           HistogramFamily(registry_, "radishwing_node_takeover_seconds",
                           "Time from leadership to the first scheduling")
@@ -158,6 +164,12 @@
       .Increment();
 }
 
+void node_metrics::CountRemoval(std::string_view outcome) {
+  removals_.Add({{"outcome", std::string(outcome)}}).Increment();
+}
+
+void node_metrics::CountMergedRecord() { merged_records_.Increment(); }
+
 void node_metrics::RecordTakeover(millis took) {
   takeover_seconds_.Observe(ToSeconds(took));
 }
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -49,6 +49,11 @@
   void SetWaveHosts(std::string_view wave, std::string_view state, int hosts);
   /// Counts an order to a runner or a host.
   void CountOrder(std::string_view kind, std::string_view outcome);
+  /// Counts a commit that removes expired keys from the store, by its outcome.
+  void CountRemoval(std::string_view outcome);
+  /// Counts a progress record in the store that was merged into the leader's
+  /// state of the job.
+  void CountMergedRecord();
   /// Records the time from the election until the leader was ready, `took`.
   void RecordTakeover(millis took);
   /// Sets whether this node leads the shard.
@@ -81,6 +86,8 @@
   prometheus::Family<prometheus::Counter>& job_ends_;
   prometheus::Histogram& job_age_seconds_;
   prometheus::Family<prometheus::Counter>& orders_;
+  prometheus::Family<prometheus::Counter>& removals_;
+  prometheus::Counter& merged_records_;
   prometheus::Histogram& takeover_seconds_;
   prometheus::Family<prometheus::Counter>& submission_outcomes_;
   prometheus::Family<prometheus::Counter>& host_moves_;
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -187,24 +187,32 @@
 }
 
 std::vector<pending_write> scheduler::TakeWrites(std::size_t limit, millis now,
-                                                 millis deferral) {
+                                                 millis deferral,
+                                                 std::size_t max_entries) {
   std::vector<pending_write> writes;
   std::deque<std::string> deferred;
+  std::size_t entries = 0;
   while (!write_queue_.empty() && writes.size() < limit) {
-    std::string id = std::move(write_queue_.front());
-    write_queue_.pop_front();
+    std::string id = write_queue_.front();
     job_state& job = *jobs_.at(id);
     if (job.write_considered_at < 0) job.write_considered_at = now;
     if (!job.write_urgent && now - job.write_considered_at < deferral) {
+      write_queue_.pop_front();
       deferred.push_back(std::move(id));
       continue;
     }
+    pending_write write{std::move(id), job.progress_version,
+                        job.record_revision, 0, ""};
+    if (job.record_revision == 0)
+      write.job_revision = job.record.stored_revision;
+    entries += write.EntryCount();
+    if (entries > max_entries) break;
+    write_queue_.pop_front();
     job.write_queued = false;
     job.write_urgent = false;
     job.write_in_flight = true;
-    writes.push_back({job.record.id, job.progress_version, job.record_revision,
-                      job.record_revision == 0 ? job.record.stored_revision : 0,
-                      EncodeProgress(job)});
+    write.text = EncodeProgress(job);
+    writes.push_back(std::move(write));
   }
   write_queue_.insert(write_queue_.begin(),
                       std::make_move_iterator(deferred.begin()),
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -41,6 +41,10 @@
   /// keys have been removed.
   std::uint64_t job_revision = 0;
   std::string text;  ///< Output of EncodeProgress.
+
+  /// Returns the number of entries of a commit that the write takes: itself and
+  /// its preconditions.
+  std::size_t EntryCount() const { return job_revision > 0 ? 3 : 2; }
 };
 
 /// The end of a run. As soon as version `progress_version` of the job's
@@ -169,12 +173,14 @@
   /// true. Returns true if no run is left on the runner.
   bool Evacuate(const std::string& id, bool stop_batch_tasks, millis now);
 
-  /// Returns at most `limit` writes of changed jobs, the oldest change first.
+  /// Returns writes of changed jobs, the oldest change first: at most `limit`,
+  /// which take at most `max_entries` entries of a commit.
   /// Skips jobs with a write in flight, so the caller must report the result of
   /// each write. Jobs for which only tasks have ended wait for further ends
   /// until `deferral` after a call has first passed over them.
-  std::vector<pending_write> TakeWrites(std::size_t limit, millis now = 0,
-                                        millis deferral = 0);
+  std::vector<pending_write> TakeWrites(
+      std::size_t limit, millis now = 0, millis deferral = 0,
+      std::size_t max_entries = std::numeric_limits<int>::max());
   /// Reports that the write of `job` failed or got no answer, so that the
   /// scheduler queues it again.
   void ReportWriteFailure(const std::string& job);
--- a/tests/sched/scheduler_fixture.h
+++ b/tests/sched/scheduler_fixture.h
@@ -45,8 +45,10 @@
 
   /// Adds a job that fails when a task has `attempts` failed runs. If
   /// `restored` is true, also restores a progress record without repetitions.
+  /// `stored_revision` is the revision of the job's key.
   void AddJob(const std::string& id, std::vector<fleet::task_step> steps,
-              bool restored = false, int attempts = 2) {
+              bool restored = false, int attempts = 2,
+              std::uint64_t stored_revision = 0) {
     fleet::job_record record;
     record.id = id;
     record.queue = "queue";
@@ -56,6 +58,7 @@
     record.stretch = 2;
     record.target_ms = 600;
     record.accepted_unix_ms = now;
+    record.stored_revision = stored_revision;
     record.request.steps = std::move(steps);
     subject.AddJob(std::move(record), restored, now, now);
     if (!restored) return;
--- a/tests/sched/scheduler_writes_test.cc
+++ b/tests/sched/scheduler_writes_test.cc
@@ -101,6 +101,25 @@
   BOOST_TEST(TakeWrittenJobs(5) == std::vector<std::string>{"a"});
 }
 
+// Guards against a commit with more entries than the store accepts: the first
+// write of a job's progress takes one more than the later ones.
+BOOST_AUTO_TEST_CASE(writes_fit_into_the_entries_of_a_commit) {
+  AddRunner("r1");
+  for (const std::string id : {"a", "b", "c", "d"}) {
+    AddJob(id, {Step(1)}, false, 2, 50);
+  }
+  subject.Plan(now, now);
+  const auto first = subject.TakeWrites(10, now, 0, 8);
+  BOOST_REQUIRE_EQUAL(first.size(), 2u);
+  BOOST_TEST(first[0].job_revision == 50u);
+  subject.ReportWriteSuccess("a", first[0].progress_version, 60);
+  subject.CancelJob("a", now);
+  const auto second = subject.TakeWrites(10, now, 0, 8);
+  BOOST_REQUIRE_EQUAL(second.size(), 3u);
+  BOOST_TEST(second[2].job == "a");
+  BOOST_TEST(second[2].job_revision == 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
