--- a/src/node/client_api.cc
+++ b/src/node/client_api.cc
@@ -24,7 +24,7 @@
 // late responses of the store to watches.
 constexpr double kMaxConfigAgeShare = 0.7;
 // Attempts to store a cancel request. An attempt fails if the job is stored or
-// removed at the same time, which happens once to a job.
+// removed at the same time.
 constexpr int kMaxCancelAttempts = 3;
 // Length of a job id in hexadecimal digits.
 constexpr std::size_t kJobIdLength = 16;
--- a/src/node/leader_impl.h
+++ b/src/node/leader_impl.h
@@ -100,7 +100,8 @@
   /// Handles the store's response to the commit of the runner set.
   void OnRunnerSetSaveDone(const result<store::commit_outcome>& outcome);
 
-  // Scheduling and saving progress: leader.cc; advice: leader_advice.cc.
+  // Scheduling: leader.cc; saving progress: leader_records.cc; removing expired
+  // keys: leader_expiry.cc; advice: leader_advice.cc.
   /// Runs a scheduling pass after a short delay, unless one is already due. The
   /// pass covers all events until then.
   void SchedulePass();
--- a/src/node/leader_load.cc
+++ b/src/node/leader_load.cc
@@ -165,23 +165,23 @@
 
 void leader::impl::ApplyJobSnapshot(
     const std::vector<store::store_item>& entries) {
-  const std::size_t known_before = scheduler.JobCount();
+  int found = 0;
   for (const store::store_item& entry : entries) {
     const std::string id = entry.key.substr(kJobPrefix.size());
     const bool was_known = scheduler.FindJob(id) != nullptr;
     ApplyJobEntry(entry);
     if (ended) return;
     if (jobs_loaded && !was_known && scheduler.FindJob(id)) {
+      ++found;
       context.log.Warning("jobs",
                           "job found by a repeated read, job=" + id +
                               " revision=" + std::to_string(entry.revision));
     }
   }
   if (jobs_loaded) {
-    context.log.Info(
-        "jobs",
-        "all jobs read again, jobs=" + std::to_string(scheduler.JobCount()) +
-            " new=" + std::to_string(scheduler.JobCount() - known_before));
+    context.log.Info("jobs", "all jobs read again, jobs=" +
+                                 std::to_string(scheduler.JobCount()) +
+                                 " new=" + std::to_string(found));
   }
   // The leader must not get ready until the skipped jobs are loaded. Otherwise,
   // when a runner lists runs of these jobs, the runs would be stopped as runs
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -180,7 +180,7 @@
   /// until `deferral` after a call has first passed over them.
   std::vector<pending_write> TakeWrites(
       std::size_t limit, millis now = 0, millis deferral = 0,
-      std::size_t max_entries = std::numeric_limits<int>::max());
+      std::size_t max_entries = std::numeric_limits<std::size_t>::max());
   /// Reports that the write of `job` failed or got no answer, so that the
   /// scheduler queues it again.
   void ReportWriteFailure(const std::string& job);
