--- a/tests/node/leader_expiry_test.cc
+++ b/tests/node/leader_expiry_test.cc
@@ -15,6 +15,16 @@
 constexpr millis kLeaseGapMs = 2000;
 
 struct leader_expiry_fixture : leader_fixture {
+  /// Lets the retention time pass and waits until a removal has failed because
+  /// the store was unavailable.
+  void FailRemoval() {
+    store.SetUnavailable(true);
+    const int refused_before = store.RefusedCommitCount();
+    AdvanceWithLease(kLongAfterRetentionMs);
+    RunUntil([&] { return store.RefusedCommitCount() > refused_before; });
+    store.SetUnavailable(false);
+  }
+
   /// Adds a job while the leader does not know whether it has a lease, then
   /// renews the lease, so that the leader reads all jobs again.
   void ReadAllJobsAgain() {
@@ -39,11 +49,7 @@
 BOOST_AUTO_TEST_CASE(job_is_not_run_again_after_its_removal_failed) {
   StoreSucceededJob(kExpiredJob);
   BecomeReady();
-  store.SetUnavailable(true);
-  const int refused_before = store.RefusedCommitCount();
-  AdvanceWithLease(kLongAfterRetentionMs);
-  RunUntil([&] { return store.RefusedCommitCount() > refused_before; });
-  store.SetUnavailable(false);
+  FailRemoval();
   ReadAllJobsAgain();
   const std::string progress = store.Value(ProgressKey(kExpiredJob));
   BOOST_TEST((progress.empty() || progress == SucceededProgress()));
@@ -54,11 +60,7 @@
 BOOST_AUTO_TEST_CASE(failed_removal_is_repeated) {
   StoreSucceededJob(kExpiredJob);
   BecomeReady();
-  store.SetUnavailable(true);
-  const int refused_before = store.RefusedCommitCount();
-  AdvanceWithLease(kLongAfterRetentionMs);
-  RunUntil([&] { return store.RefusedCommitCount() > refused_before; });
-  store.SetUnavailable(false);
+  FailRemoval();
   RunUntil([&] {
     AdvanceWithLease(kLeaseGapMs / 4);
     return store.Value(JobKey(kExpiredJob)).empty();
