--- a/src/node/membership.cc
+++ b/src/node/membership.cc
@@ -379,7 +379,11 @@
     return BecomeLeader(Value(outcome).revision);
   }
   for (const store::store_item& item : Value(outcome).current) {
-    if (item.key == ShardKey()) context.members.Apply(item);
+    // Only the watch reports the end of a leader's term, in the right order
+    // with the next election.
+    if (item.key == ShardKey() && item.revision > 0) {
+      context.members.Apply(item);
+    }
   }
   UpdateRole();
 }
--- a/tests/node/leader_jobs_test.cc
+++ b/tests/node/leader_jobs_test.cc
@@ -40,6 +40,20 @@
   BOOST_TEST(HasNoRun(kJob));
 }
 
+// Guards against repeating a commit forever, which blocks the other jobs of the
+// commit, when the store's response does not name the keys that are gone.
+BOOST_AUTO_TEST_CASE(removed_job_does_not_block_others_if_its_key_is_omitted) {
+  store.OmitAbsentItems();
+  BecomeReady();
+  const std::uint64_t revision = StoreJob(kJob);
+  store.Remove(JobKey(kJob));
+  subject->AddJob(kJob, JobRecord(), revision);
+  subject->AddJob(kOtherJob, JobRecord(), StoreJob(kOtherJob));
+  RunUntil([&] { return !HasNoRun(kOtherJob); });
+  BOOST_TEST(HasNoRun(kJob));
+  BOOST_TEST(!subject->JobStatus(kJob).known);
+}
+
 // Guards against a job that never runs because the leader still has a finished
 // job with the same id, whose keys were removed by a commit without a response.
 BOOST_AUTO_TEST_CASE(job_stored_again_after_its_removal_runs) {
--- a/tools/fleet_fake/fake_store.cc
+++ b/tools/fleet_fake/fake_store.cc
@@ -235,6 +235,7 @@
     if (it != items_.end()) current_item = it->second;
     if (current_item.revision != NumberField(row, "revision"))
       preconditions_hold = false;
+    if (current_item.revision == 0 && omits_absent_items_) continue;
     current_items.push_back(EncodeItem(key, current_item));
   }
   if (!preconditions_hold) {
--- a/tools/fleet_fake/fake_store.h
+++ b/tools/fleet_fake/fake_store.h
@@ -65,6 +65,9 @@
     commits_to_delay_ = count;
     commit_delay_ms_ = delay;
   }
+  /// Makes responses to commits whose preconditions do not hold omit the keys
+  /// that do not exist.
+  void OmitAbsentItems() { omits_absent_items_ = true; }
   /// Calls `action` once, before the next commit that writes or removes `key`
   /// is carried out.
   void BeforeNextCommitOf(const std::string& key,
@@ -160,6 +163,7 @@
   std::string refused_prefix_;  ///< See RefuseReadsOf; empty: none.
   int refused_read_count_ = 0;
   bool watches_muted_ = false;
+  bool omits_absent_items_ = false;
 };
 
 }  // namespace radishwing::fleet_fake
