Let a request be limited to connections established before a given one

A server can start again at the same address. A sender that knows which process answered on a connection had no way to keep a request off connections that may lead to another process. Connections are numbered in the order in which they are established; a limited request without such a connection fails unsent.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -55,6 +55,10 @@
   });
 }
 
+std::uint64_t client::EstablishedConnections() const {
+  return impl_->established_connections;
+}
+
 std::size_t client::OpenConnections() const { return impl_->open_connections; }
 
 }  // namespace radishwing::http
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -46,6 +47,10 @@
   /// once.
   void Send(client_request request, completion completion);
 
+  /// Number of connections established so far. Connections are numbered from 1
+  /// in the order in which they are established, so all that are open now have
+  /// at most this number.
+  std::uint64_t EstablishedConnections() const;
   /// Number of open connections, including idle ones.
   std::size_t OpenConnections() const;
 
--- a/src/http/client_exchange.h
+++ b/src/http/client_exchange.h
@@ -19,6 +19,8 @@
 
   boost::asio::ip::tcp::socket socket;
   boost::beast::flat_buffer read_buffer;
+  /// See client::EstablishedConnections; 0 before it is established.
+  std::uint64_t number = 0;
   /// Time at which the last response on this connection was complete.
   std::chrono::steady_clock::time_point idle_since;
   /// True if the connection has carried an earlier request.
--- a/src/http/client_impl.cc
+++ b/src/http/client_impl.cc
@@ -86,6 +86,8 @@
   ArmTimer(exchange);
   if (exchange->connection) {
     WriteRequest(exchange);
+  } else if (exchange->request.max_connection) {
+    FailUnsent(exchange, "no established connection may carry the request");
   } else {
     Connect(exchange);
   }
@@ -96,9 +98,12 @@
   const millis max_idle = request.idempotent
                               ? options.max_idle_ms
                               : options.max_idle_for_non_idempotent_ms;
-  while (!idle_connections.empty()) {
-    connection_ptr connection = idle_connections.back();
-    idle_connections.pop_back();
+  for (std::size_t i = idle_connections.size(); i-- > 0;) {
+    connection_ptr connection = idle_connections[i];
+    if (request.max_connection && connection->number > *request.max_connection)
+      continue;
+    idle_connections.erase(idle_connections.begin() +
+                           static_cast<std::ptrdiff_t>(i));
     const auto idle_time = steady_clock::now() - connection->idle_since;
     if (idle_time <= milliseconds(max_idle) && IsReusable(connection->socket)) {
       connection->reused = true;
@@ -125,6 +130,7 @@
                                 " failed: " + error.message());
           return;
         }
+        connection->number = ++self->established_connections;
         boost::system::error_code ignored;
         connection->socket.set_option(boost::asio::ip::tcp::no_delay(true),
                                       ignored);
@@ -139,17 +145,19 @@
           exchange.request.still_permitted());
 }
 
+void client::impl::FailUnsent(const exchange_ptr& exchange,
+                              std::string_view reason) {
+  boost::asio::post(
+      io, [self = shared_from_this(), exchange, reason = std::string(reason)] {
+        if (!self->stopped && exchange->completion) {
+          self->RetryOrFail(exchange, failure_kind::kUnavailable, reason);
+        }
+      });
+}
+
 void client::impl::WriteRequest(const exchange_ptr& exchange) {
   if (!MayStillSend(*exchange)) {
-    // Posted, because completing the exchange starts the next queued one, which
-    // may end in the same way.
-    boost::asio::post(io, [self = shared_from_this(), exchange] {
-      if (!self->stopped && exchange->completion) {
-        self->RetryOrFail(exchange, failure_kind::kUnavailable,
-                          "the request may not be sent any more");
-      }
-    });
-    return;
+    return FailUnsent(exchange, "the request may not be sent any more");
   }
   exchange->may_have_sent = true;
   exchange->parser.emplace();
--- a/src/http/client_impl.h
+++ b/src/http/client_impl.h
@@ -34,8 +34,8 @@
   /// connection may carry it.
   void StartAttempt(const exchange_ptr& exchange);
   /// Removes and returns the most recently used idle connection that may carry
-  /// `request`, or returns null if there is none. Closes every more recently
-  /// used idle connection, because none of them may carry `request`.
+  /// `request`, or returns null if there is none. Closes the more recently used
+  /// ones that are broken or have been idle for too long.
   connection_ptr TakeIdleConnection(const client_request& request);
   /// Opens a connection for the exchange, then writes the request.
   void Connect(const exchange_ptr& exchange);
@@ -72,6 +72,10 @@
   /// which the server has not received yet are discarded and cannot be executed
   /// later.
   void ResetConnection(const connection_ptr& connection);
+  /// Ends an exchange whose request may not be sent, from the event loop:
+  /// completing it here would start the next queued exchange, which may end in
+  /// the same way.
+  void FailUnsent(const exchange_ptr& exchange, std::string_view reason);
   /// Returns false if the time limit of a request is over or its sender may not
   /// send it any more.
   static bool MayStillSend(const client_exchange& exchange);
@@ -87,6 +91,8 @@
   std::vector<connection_ptr> idle_connections;
   /// Number of open connections, including idle ones.
   std::size_t open_connections = 0;
+  /// Number of connections established so far.
+  std::uint64_t established_connections = 0;
   bool stopped = false;  ///< True once Stop was called.
 };
 
--- a/src/http/client_request.h
+++ b/src/http/client_request.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <boost/beast/http/verb.hpp>
+#include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,6 +34,10 @@
   /// connection establishment. When it expires, the client closes the
   /// connection.
   millis attempt_timeout_ms = 1000;
+  /// If set, the request is sent only on a connection whose number is at most
+  /// this one, see client::EstablishedConnections. Without such a connection,
+  /// it fails with kUnavailable.
+  std::optional<std::uint64_t> max_connection;
   /// Called right before an attempt sends its first byte; null: always
   /// permitted. If it returns false, the request ends without that attempt. A
   /// request that waited in the queue, or whose process was paused, is thus not
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -223,6 +223,22 @@
   BOOST_TEST(end_of_connection == boost::asio::error::connection_reset);
 }
 
+// Guards against a request that must reach a process known to the sender, but
+// is sent on a new connection, which may lead to another one.
+BOOST_AUTO_TEST_CASE(http_client_limited_request_uses_only_known_connections) {
+  StartServer();
+  client_request limited{.max_connection = 1};
+  const auto before = SendRequest(limited);
+  BOOST_TEST((Error(before).kind == failure_kind::kUnavailable));
+  BOOST_TEST(handled_requests == 0);
+  BOOST_REQUIRE(Ok(SendRequest({})));
+  BOOST_TEST(test_client->EstablishedConnections() == 1u);
+  BOOST_TEST(Ok(SendRequest(limited)));
+  limited.max_connection = 0;
+  BOOST_TEST(!Ok(SendRequest(limited)));
+  BOOST_TEST(test_client->OpenConnections() == 1u);
+}
+
 // Guards against a key with special characters that the server decodes as a
 // different key.
 BOOST_AUTO_TEST_CASE(http_target_escapes_round_trip) {
