Keep what belongs to one incarnation of a runner from the next one

A poll carried the cursor of acknowledged ends, and an extension of the lease on the old clock, to whichever incarnation answered; the new one then forgot its first ends before it had listed them. When the address of a runner changed, its client was dropped without completing the calls under way, so the runner was never polled again and its orders never ended.

Cursor and lease now go only to connections on which the current incarnation is known to answer; a start on another connection counts with the longest lease that a runner grants. What belongs to an incarnation is replaced whole, and orders under way complete with an unknown outcome. An address that the runner has not answered at can't end its lease.

--- a/src/node/runner_link.cc
+++ b/src/node/runner_link.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <map>
 #include <utility>
 
 #include "src/sched/term_lease.h"
@@ -40,10 +41,37 @@
         hooks(std::move(hooks)),
         poll_timer(context.io) {}
 
+  using order_completion = std::function<void(fleet::order_outcome)>;
+
+  /// What this node knows of one incarnation of the runner.
+  struct incarnation {
+    /// Unix time at which the runner's process started; 0: not reported yet.
+    millis process_start_unix_ms = 0;
+    /// Highest sequence number of an acknowledged run end; 0: none.
+    std::uint64_t acknowledged_end_number = 0;
+    /// Time in ms on the runner's clock, from the response received at
+    /// `clock_read_at`; -1: no response yet.
+    millis runner_clock = -1;
+    millis clock_read_at = 0;  ///< Time on this node's clock.
+  };
+
   /// Creates the runner's client if there is none; returns false if the
   /// runner's address is invalid.
   bool Connect();
+  /// Drops all connections to the runner. Completes the orders under way with
+  /// an unknown outcome; the response to a poll under way is ignored.
+  void Disconnect();
+  /// Registers an order under way. Returns the function to call with its
+  /// outcome, which has no effect if the order was completed before.
+  order_completion TrackOrder(order_completion done);
+  void SendStart(const sched::order& order, order_completion done);
+  /// Sends a start order on any connection, or only on one on which the current
+  /// incarnation is known to answer.
+  void SendStartOn(const sched::order& order, bool known_incarnation,
+                   order_completion done);
   void Poll();
+  /// Begins with a new incarnation, whose first listing is `listing`.
+  void ReplaceIncarnation(const fleet::runner_listing& listing);
   void OnPollResponse(const platform::poll_response& response, millis sent_at);
   void OnPollFailed(fleet::order_outcome outcome);
   void SetReachable(bool now_reachable);
@@ -52,8 +80,9 @@
   void DiscardRunsIfLeaseExpired();
   /// Extends the leader's lease on the runner for a request that is sent now.
   /// Returns the end of the lease on the runner's clock, or 0 if that clock is
-  /// not known yet.
-  millis ExtendLease();
+  /// not known yet. Another incarnation than the current one would grant its
+  /// longest lease, as its clock shows less.
+  millis ExtendLease(bool known_incarnation);
   void PollLater(millis delay);
   /// Polls now, or as soon as the spacing of polls permits it.
   void ResumePolling();
@@ -68,19 +97,22 @@
   millis lease_until;
   runner_link_hooks hooks;
   boost::asio::steady_timer poll_timer;
-  /// Highest sequence number of an acknowledged run end; 0: none.
-  std::uint64_t acknowledged_end_number = 0;
-  /// Time in ms on the runner's clock, from the response received at
-  /// `clock_read_at`; -1: no response yet.
-  millis runner_clock = -1;
-  millis clock_read_at = 0;  ///< Time on this node's clock.
-  /// Unix time at which the runner's process started; 0: not reported yet.
-  millis process_start_unix_ms = 0;
+  incarnation current;
+  /// The connections of `client` up to this number lead to `current`.
+  std::uint64_t known_connections = 0;
+  /// Orders under way, by the number that TrackOrder gave them.
+  std::map<std::uint64_t, order_completion> orders_in_flight;
+  std::uint64_t tracked_orders = 0;
+  /// The registration has shown another address than the one on which the
+  /// runner answered last, so that another runner may use the new one.
+  bool address_doubtful = false;
   millis next_poll_at = 0;       ///< Earliest time of the next poll.
   bool reachable = false;        ///< The runner responded to the last poll.
   bool listing_applied = false;  ///< The leader applied the last listing.
   bool busy = false;             ///< Tasks run or may run on the runner.
   bool poll_in_flight = false;
+  /// Number of calls of Disconnect(); tells outdated polls apart.
+  std::uint64_t disconnects = 0;
   /// The discard_runs hook has returned true since the lease was extended last.
   bool runs_discarded = false;
   bool stopped = false;  ///< The runner_link has been destroyed.
@@ -100,22 +132,50 @@
   return true;
 }
 
-millis runner_link::impl::ExtendLease() {
-  if (runner_clock < 0) return 0;
+void runner_link::impl::Disconnect() {
+  ++disconnects;
+  poll_in_flight = false;
+  poll_timer.cancel();
+  client.reset();
+  known_connections = 0;
+  for (auto& [number, done] : std::exchange(orders_in_flight, {})) {
+    done(fleet::order_outcome::kUnknown);
+  }
+}
+
+runner_link::impl::order_completion runner_link::impl::TrackOrder(
+    order_completion done) {
+  const std::uint64_t number = ++tracked_orders;
+  orders_in_flight[number] = std::move(done);
+  return [weak = weak_from_this(), number](fleet::order_outcome outcome) {
+    const auto self = weak.lock();
+    if (!self || self->stopped) return;
+    auto order = self->orders_in_flight.extract(number);
+    if (order.empty()) return;
+    if (outcome == fleet::order_outcome::kFenced) return self->hooks.fenced();
+    order.mapped()(outcome);
+  };
+}
+
+millis runner_link::impl::ExtendLease(bool known_incarnation) {
+  if (current.runner_clock < 0) return 0;
   const millis now = context.now.Now();
   const millis lease_ms =
       std::min(sched::kRunnerLeaseMs,
                context.settings.max_lease_ms - sched::kRunnerLeaseMarginMs);
-  // If the runner's clock is slow, the lease lasts longer than `lease_ms`. The
-  // estimated time on the runner's clock is then also too high. Both errors are
-  // the same fraction of a period: the first one of the lease, the second one
-  // of the time since the clock was read.
+  const millis longest_ms =
+      known_incarnation ? lease_ms : context.settings.max_lease_ms;
+  // If the runner's clock is slow, the lease lasts longer than `longest_ms`.
+  // The estimated time on the runner's clock is then also too high. Both errors
+  // are the same fraction of a period: the first one of the lease, the second
+  // one of the time since the clock was read.
+  const millis since_read = now - current.clock_read_at;
   const millis drift =
-      (lease_ms + (now - clock_read_at)) * sched::kClockDriftPermille / 1000;
-  lease_until = std::max(lease_until,
-                         now + lease_ms + drift + sched::kRunnerLeaseMarginMs);
+      (longest_ms + since_read) * sched::kClockDriftPermille / 1000;
+  lease_until = std::max(
+      lease_until, now + longest_ms + drift + sched::kRunnerLeaseMarginMs);
   runs_discarded = false;
-  return runner_clock + (now - clock_read_at) + lease_ms;
+  return current.runner_clock + since_read + lease_ms;
 }
 
 void runner_link::impl::PollLater(millis delay) {
@@ -140,30 +200,49 @@
   poll_in_flight = true;
   platform::poll_request request;
   request.fencing_token = fencing_token;
-  request.ack_cursor = acknowledged_end_number;
   // A poll that gets no response may still reach the runner. If polls extended
   // the lease of an unreachable runner, the tasks of that runner would never be
   // started elsewhere.
-  request.lease_until_ms = reachable ? ExtendLease() : 0;
+  const bool known_incarnation = reachable && known_connections > 0;
+  if (known_incarnation) {
+    request.ack_cursor = current.acknowledged_end_number;
+    request.lease_until_ms = ExtendLease(true);
+    request.max_connection = known_connections;
+  }
   // Until a listing has been applied, the leader does not know what runs on the
   // runner, so the runner must respond at once.
-  const bool immediate = !reachable || !listing_applied;
+  const bool immediate = !known_incarnation || !listing_applied;
   request.wait_ms = immediate ? 0 : busy ? kPollWaitMs : kIdlePollWaitMs;
   const millis sent_at = context.now.Now();
-  client->Poll(request, [weak = weak_from_this(),
-                         sent_at](const platform::poll_response& response) {
+  client->Poll(request, [weak = weak_from_this(), sent_at, known_incarnation,
+                         generation = disconnects](
+                            const platform::poll_response& response) {
     const auto self = weak.lock();
-    if (!self || self->stopped) return;
+    if (!self || self->stopped || generation != self->disconnects) return;
     self->poll_in_flight = false;
+    if (known_incarnation &&
+        response.outcome == fleet::order_outcome::kNotSent) {
+      // Every connection to this incarnation is busy or closed.
+      self->known_connections = 0;
+      return self->Poll();
+    }
     self->OnPollResponse(response, sent_at);
   });
 }
 
+void runner_link::impl::ReplaceIncarnation(
+    const fleet::runner_listing& listing) {
+  Disconnect();
+  current = {};
+  current.process_start_unix_ms = listing.started_unix_ms;
+  hooks.restarted(report.id);
+}
+
 void runner_link::impl::OnPollResponse(const platform::poll_response& response,
                                        millis sent_at) {
   using fleet::order_outcome;
   if (response.outcome == order_outcome::kFenced) return hooks.fenced();
-  if (response.outcome == order_outcome::kWrongInstance) {
+  if (response.outcome == order_outcome::kWrongInstance && !address_doubtful) {
     SetReachable(false);
     lease_until = 0;
     DiscardRunsIfLeaseExpired();
@@ -173,16 +252,21 @@
     return OnPollFailed(response.outcome);
   }
   const fleet::runner_listing& listing = response.listing;
-  if (process_start_unix_ms != 0 &&
-      listing.started_unix_ms != process_start_unix_ms) {
-    acknowledged_end_number = 0;
-    hooks.restarted(report.id);
+  const bool first_response = current.process_start_unix_ms == 0;
+  if (!first_response &&
+      listing.started_unix_ms != current.process_start_unix_ms) {
+    ReplaceIncarnation(listing);
+    if (stopped) return;
+  } else {
+    // A connection that was established before this response leads to the
+    // incarnation that sent it, or to an earlier one.
+    known_connections = client->EstablishedConnections();
   }
-  const bool first_response = process_start_unix_ms == 0;
-  process_start_unix_ms = listing.started_unix_ms;
+  address_doubtful = false;
+  current.process_start_unix_ms = listing.started_unix_ms;
   next_poll_at = context.now.Now() + hooks.poll_spacing();
-  runner_clock = listing.runner_clock_ms;
-  clock_read_at = context.now.Now();
+  current.runner_clock = listing.runner_clock_ms;
+  current.clock_read_at = context.now.Now();
   SetReachable(true);
   const listing_result listing_outcome =
       hooks.apply_listing(report.id, listing, sent_at);
@@ -244,15 +328,24 @@
 }
 
 void runner_link::UpdateReport(const fleet::runner_report& report) {
-  if (report.address != impl_->report.address) impl_->client.reset();
+  const bool moved = report.address != impl_->report.address;
+  const bool restarted =
+      report.started_unix_ms != 0 &&
+      impl_->current.process_start_unix_ms != 0 &&
+      report.started_unix_ms != impl_->current.process_start_unix_ms;
   impl_->report = report;
+  if (!moved && !restarted) return;
+  impl_->address_doubtful |= moved;
+  impl_->Disconnect();
+  impl_->SetReachable(false);
+  impl_->Poll();
 }
 
 void runner_link::SetBusy(bool busy) { impl_->busy = busy; }
 
 void runner_link::Acknowledge(std::uint64_t end_number) {
-  impl_->acknowledged_end_number =
-      std::max(impl_->acknowledged_end_number, end_number);
+  impl_->current.acknowledged_end_number =
+      std::max(impl_->current.acknowledged_end_number, end_number);
 }
 
 void runner_link::ResumePolling() {
@@ -269,38 +362,52 @@
                        std::function<void(fleet::order_outcome)> done) {
   const bool start = order.kind == sched::order_kind::kStart;
   if (!impl_->hooks.may_send_orders() || !impl_->Connect() ||
-      impl_->runner_clock < 0 || (start && !impl_->reachable)) {
+      impl_->current.runner_clock < 0 || (start && !impl_->reachable)) {
     return done(fleet::order_outcome::kNotSent);
   }
-  auto on_outcome = [weak = std::weak_ptr<impl>(impl_),
-                     done = std::move(done)](fleet::order_outcome outcome) {
-    const auto self = weak.lock();
-    if (!self || self->stopped) return;
-    if (outcome == fleet::order_outcome::kFenced) return self->hooks.fenced();
-    done(outcome);
-  };
   switch (order.kind) {
-    case sched::order_kind::kStart: {
-      platform::start_request request;
-      request.task = order.task;
-      request.run = order.run;
-      request.spec = order.spec;
-      request.checkpoint = order.checkpoint;
-      request.ticket = order.ticket;
-      request.lease_until_ms = impl_->ExtendLease();
-      request.fencing_token = impl_->fencing_token;
-      impl_->client->Start(request, std::move(on_outcome));
-      return;
-    }
+    case sched::order_kind::kStart:
+      return impl_->SendStart(order, std::move(done));
     case sched::order_kind::kStop:
-      impl_->client->Stop(order.task, order.run, impl_->fencing_token,
-                          std::move(on_outcome));
-      return;
+      return impl_->client->Stop(order.task, order.run, impl_->fencing_token,
+                                 impl_->TrackOrder(std::move(done)));
     case sched::order_kind::kPace:
-      impl_->client->Pace(order.task, order.run, order.pace_percent,
-                          impl_->fencing_token, std::move(on_outcome));
-      return;
+      return impl_->client->Pace(order.task, order.run, order.pace_percent,
+                                 impl_->fencing_token,
+                                 impl_->TrackOrder(std::move(done)));
   }
 }
 
+void runner_link::impl::SendStart(const sched::order& order,
+                                  order_completion done) {
+  order_completion on_outcome = TrackOrder(std::move(done));
+  const auto on_known_outcome =
+      [weak = weak_from_this(), order, on_outcome,
+       generation = disconnects](fleet::order_outcome outcome) {
+        const auto self = weak.lock();
+        if (!self || self->stopped) return;
+        if (outcome != fleet::order_outcome::kNotSent ||
+            generation != self->disconnects || !self->hooks.may_send_orders()) {
+          return on_outcome(outcome);
+        }
+        self->SendStartOn(order, false, on_outcome);
+      };
+  SendStartOn(order, true, on_known_outcome);
+}
+
+void runner_link::impl::SendStartOn(const sched::order& order,
+                                    bool known_incarnation,
+                                    order_completion done) {
+  platform::start_request request;
+  request.task = order.task;
+  request.run = order.run;
+  request.spec = order.spec;
+  request.checkpoint = order.checkpoint;
+  request.ticket = order.ticket;
+  request.lease_until_ms = ExtendLease(known_incarnation);
+  request.fencing_token = fencing_token;
+  if (known_incarnation) request.max_connection = known_connections;
+  client->Start(request, std::move(done));
+}
+
 }  // namespace radishwing::node
--- a/src/node/runner_link.h
+++ b/src/node/runner_link.h
@@ -42,6 +42,12 @@
 
 /// The leader's connection to one runner. Polls the runner continuously,
 /// extends the leader's lease on it and sends orders to it.
+///
+/// A runner may start again under its id. What belongs to one incarnation is
+/// never sent to another: acknowledgements and extensions of the lease go only
+/// to connections on which the current incarnation is known to answer. Orders
+/// under way when an incarnation ends, or its address changes, complete with an
+/// unknown outcome.
 class runner_link {
  public:
   /// By `predecessor_lease_end`, the leases of earlier leaders on the runner
@@ -53,7 +59,9 @@
 
   /// Returns the runner's registration.
   const fleet::runner_report& Report() const;
-  /// Replaces the runner's registration, and reconnects if the address changed.
+  /// Replaces the runner's registration. If it has another address or shows
+  /// another incarnation, the runner counts as unreachable until it has
+  /// answered on a new connection.
   void UpdateReport(const fleet::runner_report& report);
   /// Sets whether tasks run or may run on the runner. A runner that is not busy
   /// is polled less often.
