Leave the last good registration in force after an invalid entry

An entry that can't be read, names a pool that is not configured, or is not from the known incarnation or a later one, is counted, logged once and ignored; after three heartbeats without a valid one the runner gets no new tasks. The runner set in the store is rewritten when only an address changes.

--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -108,6 +108,7 @@
           return self->EndTerm("lease not renewed");
         }
         self->CompleteOverdueHandOver();
+        self->CordonUnconfirmedRunners();
         self->DropUnregisteredRunners();
         self->SaveRunnerSet();
         self->RemoveExpiredKeys();
--- a/src/node/leader_impl.h
+++ b/src/node/leader_impl.h
@@ -68,6 +68,15 @@
   void ApplyRunnerSnapshot(const std::vector<store::store_item>& entries);
   /// Adds a runner, or updates its registration.
   void UpdateRunner(const fleet::runner_report& report);
+  /// Returns false if the entry names a pool that is not configured, or if it
+  /// is not from the known incarnation of the runner or a later one.
+  bool IsPlausible(const fleet::runner_report& report) const;
+  /// Counts and logs an invalid entry, which another writer may have written.
+  /// The last valid registration of the runner stays in force.
+  void IgnoreRunnerEntry(const std::string& id, std::uint64_t revision);
+  /// Excludes the runners from new tasks whose entries have been invalid for
+  /// several heartbeats.
+  void CordonUnconfirmedRunners();
   /// Excludes a runner without a valid store entry from new tasks.
   void CordonUnregisteredRunner(const std::string& id);
   /// Connects to a runner. By `predecessor_lease_end`, the leases of earlier
@@ -200,6 +209,9 @@
   /// Time at which the leader first noticed that a runner has no store entry,
   /// keyed by runner id.
   std::map<std::string, millis> unregistered_since;
+  /// By the id of a linked runner, the time since which its store entry has
+  /// been invalid.
+  std::map<std::string, millis> ignored_entries;
   std::unique_ptr<store_watch> runner_watch;
   std::unique_ptr<store_watch> job_watch;
   /// Progress records that were read from the store, keyed by job id. Cleared
@@ -235,6 +247,7 @@
   std::uint64_t runner_set_revision = 0;
   /// The store has confirmed the most recent write of the runner set.
   bool runner_set_confirmed = false;
+  std::string runner_set_text;  ///< The most recently written runner set.
   /// A runner was added or removed after the most recent write of the runner
   /// set, or that write failed.
   bool runner_set_dirty = true;
--- a/src/node/leader_runners.cc
+++ b/src/node/leader_runners.cc
@@ -16,6 +16,9 @@
 // A runner without a store entry is dropped after this delay, provided that no
 // task can run on it.
 constexpr millis kRemovalDelayMs = 3000;
+// Number of heartbeats after which a runner whose entry another writer has
+// overwritten, and which has not restored it, counts as unregistered.
+constexpr int kMissedHeartbeats = 3;
 
 }  // namespace
 
@@ -37,17 +40,54 @@
 void leader::impl::ApplyRunnerEntry(const store::store_item& entry) {
   const std::string id = entry.key.substr(platform::kRunnerKeyPrefix.size());
   if (id.empty()) return;
-  if (entry.revision == 0) return CordonUnregisteredRunner(id);
-  const auto report = platform::DecodeRunnerRecord(id, entry.value);
-  if (!report) {
-    context.log.Warning("runner",
-                        "invalid runner entry, runner=" + id +
-                            " revision=" + std::to_string(entry.revision));
+  if (entry.revision == 0) {
+    ignored_entries.erase(id);
     return CordonUnregisteredRunner(id);
   }
+  const auto report = platform::DecodeRunnerRecord(id, entry.value);
+  if (!report || !IsPlausible(*report)) {
+    return IgnoreRunnerEntry(id, entry.revision);
+  }
+  ignored_entries.erase(id);
   UpdateRunner(*report);
 }
 
+bool leader::impl::IsPlausible(const fleet::runner_report& report) const {
+  const auto it = links.find(report.id);
+  const bool known_pool =
+      !context.config || context.config->FindPool(report.pool);
+  if (it == links.end()) return known_pool;
+  const fleet::runner_report& known = it->second->Report();
+  // Only a runner that starts again changes its pool or address.
+  if (report.started_unix_ms > known.started_unix_ms) {
+    return known_pool || report.pool == known.pool;
+  }
+  if (report.started_unix_ms > 0 &&
+      report.started_unix_ms < known.started_unix_ms) {
+    return false;
+  }
+  const bool unchanged =
+      report.pool == known.pool && report.address == known.address;
+  return unchanged || (known_pool && !it->second->Reachable());
+}
+
+void leader::impl::IgnoreRunnerEntry(const std::string& id,
+                                     std::uint64_t revision) {
+  context.metrics.CountIgnoredRunnerEntry();
+  const bool first = ignored_entries.try_emplace(id, context.now.Now()).second;
+  if (!links.contains(id)) ignored_entries.erase(id);
+  if (!first) return;
+  context.log.Warning("runner", "invalid runner entry, runner=" + id +
+                                    " revision=" + std::to_string(revision));
+}
+
+void leader::impl::CordonUnconfirmedRunners() {
+  const millis limit = kMissedHeartbeats * context.settings.heartbeat_ms;
+  for (const auto& [id, since] : ignored_entries) {
+    if (context.now.Now() - since >= limit) CordonUnregisteredRunner(id);
+  }
+}
+
 void leader::impl::UpdateRunner(const fleet::runner_report& report) {
   if (unregistered_since.erase(report.id) > 0) {
     scheduler.SetCordoned(report.id, false);
@@ -68,7 +108,12 @@
     AddLink(report, 0);
     SaveRunnerSet();
   } else {
+    const bool moved = it->second->Report().address != report.address;
     it->second->UpdateReport(report);
+    if (moved) {
+      runner_set_dirty = true;
+      SaveRunnerSet();
+    }
   }
   SchedulePass();
 }
@@ -161,6 +206,7 @@
   pending_acks.erase(id);
   scheduler.RemoveRunner(id, context.now.Now());
   unregistered_since.erase(id);
+  ignored_entries.erase(id);
   runner_set_dirty = true;
   SaveRunnerSet();
   SchedulePass();
@@ -218,8 +264,10 @@
         json::array{id, report.pool, report.address, report.data_centre});
     ids.insert(id);
   }
+  std::string text = json::serialize(rows);
   runner_set_dirty = false;
-  if (ids == runner_set_record.CertainRunners() && runner_set_confirmed) return;
+  if (text == runner_set_text && runner_set_confirmed) return;
+  runner_set_text = text;
   runner_set_record.NoteWriteSent(ids);
   runner_set_confirmed = false;
   scheduler.SetRecordedRunners(runner_set_record.CertainRunners());
@@ -229,7 +277,7 @@
   // that write after this one.
   commit.preconditions = {{ShardKey(), fencing_token},
                           {RunnerSetKey(), runner_set_revision}};
-  commit.writes = {{RunnerSetKey(), json::serialize(rows), 0}};
+  commit.writes = {{RunnerSetKey(), std::move(text), 0}};
   runner_set_save_in_flight = true;
   context.store->Commit(
       commit,
--- a/src/node/node_metrics.cc
+++ b/src/node/node_metrics.cc
@@ -63,6 +63,11 @@
           CounterFamily(registry_, "radishwing_node_merged_records_total",
                         "Progress records merged into the leader's state")
               .Add({})),
+      ignored_runner_entries_(
+          CounterFamily(registry_,
+                        "radishwing_node_ignored_runner_entries_total",
+                        "Invalid entries of runners in the store")
+              .Add({})),
       takeover_seconds_(
           HistogramFamily(registry_, "radishwing_node_takeover_seconds",
                           "Time from leadership to the first scheduling")
@@ -170,6 +175,10 @@
 
 void node_metrics::CountMergedRecord() { merged_records_.Increment(); }
 
+void node_metrics::CountIgnoredRunnerEntry() {
+  ignored_runner_entries_.Increment();
+}
+
 void node_metrics::RecordTakeover(millis took) {
   takeover_seconds_.Observe(ToSeconds(took));
 }
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -54,6 +54,8 @@
   /// Counts a progress record in the store that was merged into the leader's
   /// state of the job.
   void CountMergedRecord();
+  /// Counts an invalid entry of a runner in the store.
+  void CountIgnoredRunnerEntry();
   /// Records the time from the election until the leader was ready, `took`.
   void RecordTakeover(millis took);
   /// Sets whether this node leads the shard.
@@ -88,6 +90,7 @@
   prometheus::Family<prometheus::Counter>& orders_;
   prometheus::Family<prometheus::Counter>& removals_;
   prometheus::Counter& merged_records_;
+  prometheus::Counter& ignored_runner_entries_;
   prometheus::Histogram& takeover_seconds_;
   prometheus::Family<prometheus::Counter>& submission_outcomes_;
   prometheus::Family<prometheus::Counter>& host_moves_;
