--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -225,7 +225,8 @@
 
 // Guards against a request that must reach a process known to the sender, but
 // is sent on a new connection, which may lead to another one.
-BOOST_AUTO_TEST_CASE(http_client_limited_request_uses_only_known_connections) {
+BOOST_FIXTURE_TEST_CASE(http_client_limited_request_uses_only_known_connections,
+                        http_fixture) {
   StartServer();
   client_request limited{.max_connection = 1};
   const auto before = SendRequest(limited);
