--- a/src/http/client_impl.cc
+++ b/src/http/client_impl.cc
@@ -230,6 +230,7 @@
   }
   response.body = std::move(message.body());
   connection_ptr connection = std::exchange(exchange->connection, nullptr);
+  response.connection = connection->number;
   if (message.keep_alive() && connection->read_buffer.size() == 0) {
     connection->idle_since = steady_clock::now();
     idle_connections.push_back(connection);
--- a/src/http/client_response.h
+++ b/src/http/client_response.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -12,6 +13,8 @@
   unsigned status = 0;  ///< HTTP status code.
   std::vector<header_field> headers;
   std::string body;
+  /// Number of the connection, see client::EstablishedConnections.
+  std::uint64_t connection = 0;
 };
 
 }  // namespace radishwing::http
--- a/src/node/leader_impl.h
+++ b/src/node/leader_impl.h
@@ -209,8 +209,8 @@
   /// Time at which the leader first noticed that a runner has no store entry,
   /// keyed by runner id.
   std::map<std::string, millis> unregistered_since;
-  /// By the id of a linked runner, the time since which its store entry has
-  /// been invalid.
+  /// By runner id, the time since which the runner's store entry has been
+  /// invalid.
   std::map<std::string, millis> ignored_entries;
   std::unique_ptr<store_watch> runner_watch;
   std::unique_ptr<store_watch> job_watch;
--- a/src/node/leader_runners.cc
+++ b/src/node/leader_runners.cc
@@ -56,18 +56,24 @@
   const auto it = links.find(report.id);
   const bool known_pool =
       !context.config || context.config->FindPool(report.pool);
+  if (report.data_centre.empty()) return false;
   if (it == links.end()) return known_pool;
   const fleet::runner_report& known = it->second->Report();
-  // Only a runner that starts again changes its pool or address.
+  // A runner omits no field that it has written before.
+  if ((report.started_unix_ms == 0 && known.started_unix_ms > 0) ||
+      (report.labels.empty() && !known.labels.empty()) ||
+      (report.capacity == fleet::resources{} &&
+       known.capacity != fleet::resources{})) {
+    return false;
+  }
+  // Only a runner that starts again changes its pool, address or data centre.
   if (report.started_unix_ms > known.started_unix_ms) {
     return known_pool || report.pool == known.pool;
   }
-  if (report.started_unix_ms > 0 &&
-      report.started_unix_ms < known.started_unix_ms) {
-    return false;
-  }
-  const bool unchanged =
-      report.pool == known.pool && report.address == known.address;
+  if (report.started_unix_ms < known.started_unix_ms) return false;
+  const bool unchanged = report.pool == known.pool &&
+                         report.address == known.address &&
+                         report.data_centre == known.data_centre;
   return unchanged || (known_pool && !it->second->Reachable());
 }
 
@@ -75,7 +81,6 @@
                                      std::uint64_t revision) {
   context.metrics.CountIgnoredRunnerEntry();
   const bool first = ignored_entries.try_emplace(id, context.now.Now()).second;
-  if (!links.contains(id)) ignored_entries.erase(id);
   if (!first) return;
   context.log.Warning("runner", "invalid runner entry, runner=" + id +
                                     " revision=" + std::to_string(revision));
@@ -108,12 +113,9 @@
     AddLink(report, 0);
     SaveRunnerSet();
   } else {
-    const bool moved = it->second->Report().address != report.address;
     it->second->UpdateReport(report);
-    if (moved) {
-      runner_set_dirty = true;
-      SaveRunnerSet();
-    }
+    runner_set_dirty = true;
+    SaveRunnerSet();
   }
   SchedulePass();
 }
@@ -145,10 +147,10 @@
     scheduler.SetReachable(id, reachable);
     SchedulePass();
   };
-  hooks.restarted = [this](const std::string& id) {
+  hooks.restarted = [this](const std::string& id, millis sent_at) {
     context.log.Info("runner", "runner restarted, runner=" + id);
     pending_acks.erase(id);
-    scheduler.ResetRestartedRunner(id, context.now.Now());
+    scheduler.ResetRestartedRunner(id, sent_at, context.now.Now());
     SchedulePass();
   };
   hooks.discard_runs = [this](const std::string& id) {
--- a/src/node/runner_link.cc
+++ b/src/node/runner_link.cc
@@ -55,6 +55,15 @@
     millis clock_read_at = 0;  ///< Time on this node's clock.
   };
 
+  /// A poll under way.
+  struct sent_poll {
+    millis sent_at = 0;
+    /// The poll went to the current incarnation only, and extended its lease.
+    bool limited = false;
+    /// Number of connections that were established before the poll.
+    std::uint64_t connections = 0;
+  };
+
   /// Creates the runner's client if there is none; returns false if the
   /// runner's address is invalid.
   bool Connect();
@@ -64,6 +73,8 @@
   /// Registers an order under way. Returns the function to call with its
   /// outcome, which has no effect if the order was completed before.
   order_completion TrackOrder(order_completion done);
+  /// Sends a start order on a connection on which the current incarnation is
+  /// known to answer. Without one, sends it on any connection.
   void SendStart(const sched::order& order, order_completion done);
   /// Sends a start order on any connection, or only on one on which the current
   /// incarnation is known to answer.
@@ -71,8 +82,9 @@
                    order_completion done);
   void Poll();
   /// Begins with a new incarnation, whose first listing is `listing`.
-  void ReplaceIncarnation(const fleet::runner_listing& listing);
-  void OnPollResponse(const platform::poll_response& response, millis sent_at);
+  void ReplaceIncarnation(const fleet::runner_listing& listing, millis sent_at);
+  void OnPollResponse(const platform::poll_response& response,
+                      const sent_poll& poll);
   void OnPollFailed(fleet::order_outcome outcome);
   void SetReachable(bool now_reachable);
   /// Calls the discard_runs hook if the leader's lease on the runner has
@@ -90,7 +102,7 @@
   node_context& context;
   std::uint64_t fencing_token;
   fleet::runner_report report;  ///< The runner's registration.
-  /// Null until Connect() is called, and again after the address changed.
+  /// Null until Connect() is called, and again after Disconnect().
   std::unique_ptr<platform::runner_client> client;
   /// Time on this node's clock by which all runs on the runner have ended,
   /// unless the lease is extended.
@@ -111,6 +123,8 @@
   bool listing_applied = false;  ///< The leader applied the last listing.
   bool busy = false;             ///< Tasks run or may run on the runner.
   bool poll_in_flight = false;
+  /// The last accepted poll was not limited to known connections.
+  bool last_poll_unlimited = false;
   /// Number of calls of Disconnect(); tells outdated polls apart.
   std::uint64_t disconnects = 0;
   /// The discard_runs hook has returned true since the lease was extended last.
@@ -213,34 +227,36 @@
   // runner, so the runner must respond at once.
   const bool immediate = !known_incarnation || !listing_applied;
   request.wait_ms = immediate ? 0 : busy ? kPollWaitMs : kIdlePollWaitMs;
-  const millis sent_at = context.now.Now();
-  client->Poll(request, [weak = weak_from_this(), sent_at, known_incarnation,
-                         generation = disconnects](
-                            const platform::poll_response& response) {
-    const auto self = weak.lock();
-    if (!self || self->stopped || generation != self->disconnects) return;
-    self->poll_in_flight = false;
-    if (known_incarnation &&
-        response.outcome == fleet::order_outcome::kNotSent) {
-      // Every connection to this incarnation is busy or closed.
-      self->known_connections = 0;
-      return self->Poll();
-    }
-    self->OnPollResponse(response, sent_at);
-  });
+  const sent_poll poll{context.now.Now(), known_incarnation,
+                       client->EstablishedConnections()};
+  client->Poll(request,
+               [weak = weak_from_this(), poll, generation = disconnects](
+                   const platform::poll_response& response) {
+                 const auto self = weak.lock();
+                 if (!self || self->stopped || generation != self->disconnects)
+                   return;
+                 self->poll_in_flight = false;
+                 self->OnPollResponse(response, poll);
+               });
 }
 
-void runner_link::impl::ReplaceIncarnation(
-    const fleet::runner_listing& listing) {
+void runner_link::impl::ReplaceIncarnation(const fleet::runner_listing& listing,
+                                           millis sent_at) {
   Disconnect();
   current = {};
   current.process_start_unix_ms = listing.started_unix_ms;
-  hooks.restarted(report.id);
+  hooks.restarted(report.id, sent_at);
 }
 
 void runner_link::impl::OnPollResponse(const platform::poll_response& response,
-                                       millis sent_at) {
+                                       const sent_poll& poll) {
   using fleet::order_outcome;
+  if (poll.limited && response.outcome == order_outcome::kNotSent) {
+    // Every connection to this incarnation is busy or closed.
+    known_connections = 0;
+    // A runner that closes each connection must not be polled without a pause.
+    return last_poll_unlimited ? PollLater(kRetryDelayMs) : Poll();
+  }
   if (response.outcome == order_outcome::kFenced) return hooks.fenced();
   if (response.outcome == order_outcome::kWrongInstance && !address_doubtful) {
     SetReachable(false);
@@ -255,13 +271,15 @@
   const bool first_response = current.process_start_unix_ms == 0;
   if (!first_response &&
       listing.started_unix_ms != current.process_start_unix_ms) {
-    ReplaceIncarnation(listing);
+    ReplaceIncarnation(listing, poll.sent_at);
     if (stopped) return;
   } else {
-    // A connection that was established before this response leads to the
-    // incarnation that sent it, or to an earlier one.
-    known_connections = client->EstablishedConnections();
+    // A connection that was established before the poll leads to the
+    // incarnation that answered, or to an earlier one.
+    known_connections =
+        std::max({known_connections, poll.connections, response.connection});
   }
+  last_poll_unlimited = !poll.limited;
   address_doubtful = false;
   current.process_start_unix_ms = listing.started_unix_ms;
   next_poll_at = context.now.Now() + hooks.poll_spacing();
@@ -269,7 +287,7 @@
   current.clock_read_at = context.now.Now();
   SetReachable(true);
   const listing_result listing_outcome =
-      hooks.apply_listing(report.id, listing, sent_at);
+      hooks.apply_listing(report.id, listing, poll.sent_at);
   if (stopped) return;
   listing_applied = listing_outcome != listing_result::kNotReady;
   switch (listing_outcome) {
@@ -278,6 +296,8 @@
     case listing_result::kAcksPending:
       return PollLater(kMaxDeferralMs);
     case listing_result::kNotReady:
+      // The pauses between two extensions of the lease must not add up.
+      if (!poll.limited && !first_response) return PollLater(0);
       return PollLater(first_response ? kSecondLoadingPollDelayMs
                                       : kLoadingPollIntervalMs);
   }
@@ -330,9 +350,8 @@
 void runner_link::UpdateReport(const fleet::runner_report& report) {
   const bool moved = report.address != impl_->report.address;
   const bool restarted =
-      report.started_unix_ms != 0 &&
       impl_->current.process_start_unix_ms != 0 &&
-      report.started_unix_ms != impl_->current.process_start_unix_ms;
+      report.started_unix_ms > impl_->current.process_start_unix_ms;
   impl_->report = report;
   if (!moved && !restarted) return;
   impl_->address_doubtful |= moved;
@@ -381,13 +400,17 @@
 void runner_link::impl::SendStart(const sched::order& order,
                                   order_completion done) {
   order_completion on_outcome = TrackOrder(std::move(done));
+  if (known_connections == 0) {
+    return SendStartOn(order, false, std::move(on_outcome));
+  }
   const auto on_known_outcome =
       [weak = weak_from_this(), order, on_outcome,
        generation = disconnects](fleet::order_outcome outcome) {
         const auto self = weak.lock();
         if (!self || self->stopped) return;
-        if (outcome != fleet::order_outcome::kNotSent ||
-            generation != self->disconnects || !self->hooks.may_send_orders()) {
+        const bool may_send = generation == self->disconnects &&
+                              self->reachable && self->hooks.may_send_orders();
+        if (outcome != fleet::order_outcome::kNotSent || !may_send) {
           return on_outcome(outcome);
         }
         self->SendStartOn(order, false, on_outcome);
--- a/src/node/runner_link.h
+++ b/src/node/runner_link.h
@@ -25,8 +25,9 @@
   /// The runner became reachable or unreachable.
   std::function<void(const std::string& runner, bool reachable)>
       reachability_changed;
-  /// The runner's process was restarted.
-  std::function<void(const std::string& runner)> restarted;
+  /// The runner's process was restarted, according to the response to a poll
+  /// that was sent at `sent_at`.
+  std::function<void(const std::string& runner, millis sent_at)> restarted;
   /// Treats all runs on the runner as ended, because the leader's lease on it
   /// has expired or another runner uses its address. If another node may be the
   /// leader and extend that lease, the hook changes nothing and returns false;
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -163,7 +163,8 @@
   pools_stale_ = true;
 }
 
-void scheduler::ResetRestartedRunner(const std::string& id, millis now) {
+void scheduler::ResetRestartedRunner(const std::string& id, millis sent_at,
+                                     millis now) {
   unlisted_runners_.erase(id);
   const auto it = runners_.find(id);
   if (it == runners_.end()) return;
@@ -176,10 +177,17 @@
     if (!ref.task) continue;
     const auto run = std::ranges::find(ref.task->runs, id, &run_state::runner);
     if (run == ref.task->runs.end()) continue;
-    if (run->start_unanswered || run->order_in_flight) {
+    // The new incarnation may have accepted the start after its listing.
+    const bool maybe_accepted =
+        run->phase == run_phase::kRunning && run->confirmed_at >= sent_at;
+    if (run->start_unanswered || run->order_in_flight || maybe_accepted) {
       // The new incarnation may still carry out the start.
       run->start_unanswered = true;
       RequestStop(name, *run, "runner_reborn", now);
+      // A stop that the earlier incarnation confirmed does not hold for it.
+      run->stop_confirmed = false;
+      run->confirmed_at = 0;
+      run->retry_at = now;
       continue;
     }
     AbandonRun(name, ref, *run, "runner_reborn", now);
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -120,10 +120,11 @@
   void SetRecordedRunners(std::set<std::string> runners);
   /// Removes a runner on which nothing runs or can start any more.
   void RemoveRunner(const std::string& id, millis now);
-  /// Resets the state of a runner that has restarted and drops its runs. If the
-  /// new incarnation may still carry out the start order of a run, the
+  /// Resets the state of a runner that has restarted and drops its runs. A
+  /// listing that was requested at `sent_at` has shown the restart. If the new
+  /// incarnation may have a run, or may still carry out its start order, the
   /// scheduler queues a stop order for that run instead of dropping it.
-  void ResetRestartedRunner(const std::string& id, millis now);
+  void ResetRestartedRunner(const std::string& id, millis sent_at, millis now);
   /// Returns the runner with the given id, or null if it is not known.
   const runner_state* FindRunner(const std::string& id) const;
 
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -234,7 +234,9 @@
   BOOST_TEST(handled_requests == 0);
   BOOST_REQUIRE(Ok(SendRequest({})));
   BOOST_TEST(test_client->EstablishedConnections() == 1u);
-  BOOST_TEST(Ok(SendRequest(limited)));
+  const auto response = SendRequest(limited);
+  BOOST_REQUIRE(Ok(response));
+  BOOST_TEST(Value(response).connection == 1u);
   limited.max_connection = 0;
   BOOST_TEST(!Ok(SendRequest(limited)));
   BOOST_TEST(test_client->OpenConnections() == 1u);
--- a/tests/node/runner_link_test.cc
+++ b/tests/node/runner_link_test.cc
@@ -1,5 +1,6 @@
 #include "src/node/runner_link.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
 #include <optional>
@@ -16,7 +17,8 @@
   struct received_poll {
     std::uint64_t cursor = 0;
     bool extends_lease = false;
-    millis born = 0;  ///< Incarnation that received it.
+    millis received_at = 0;  ///< On the monotonic clock.
+    millis born = 0;         ///< Incarnation that received it.
   };
 
   runner_link_fixture() {
@@ -43,7 +45,8 @@
     }
     const auto body = boost::json::parse(request.body).as_object();
     polls.push_back({body.at("ack-cursor").to_number<std::uint64_t>(),
-                     body.contains("deadline-ms"), born});
+                     body.contains("deadline-ms"), clock::Monotonic().Now(),
+                     born});
     respond(http::MakeJsonResponse(200, {{"clock-ms", 500},
                                          {"born", born},
                                          {"running", boost::json::array{}},
@@ -61,11 +64,11 @@
 
   void StartLink() {
     runner_link_hooks hooks;
-    hooks.apply_listing = [](const auto&, const auto&, millis) {
-      return listing_result::kAllAcknowledged;
+    hooks.apply_listing = [this](const auto&, const auto&, millis) {
+      return listing;
     };
     hooks.reachability_changed = [](const auto&, bool) {};
-    hooks.restarted = [this](const auto&) { ++restarts; };
+    hooks.restarted = [this](const auto&, millis) { ++restarts; };
     hooks.discard_runs = [this](const auto&) {
       ++discards;
       return true;
@@ -98,6 +101,7 @@
   int received_starts = 0;
   int restarts = 0;
   int discards = 0;
+  listing_result listing = listing_result::kAllAcknowledged;
   bool drop_starts = false;
   bool wrong_instance = false;
   std::optional<fleet::order_outcome> outcome;
@@ -167,6 +171,8 @@
   BOOST_TEST(!subject->LeaseExpired());
 }
 
+// Guards against a task that starts on a new incarnation whose kind is not
+// known yet.
 BOOST_AUTO_TEST_CASE(no_start_before_a_later_incarnation_has_answered) {
   StartLink();
   born = 2000;
@@ -179,6 +185,25 @@
   RunUntil([&] { return outcome == fleet::order_outcome::kAccepted; });
 }
 
+// Guards against runs that lapse on a healthy runner because a connection was
+// closed between two polls of a leader that is loading.
+BOOST_AUTO_TEST_CASE(closed_connection_does_not_interrupt_the_lease) {
+  test_server_options.idle_timeout_ms = 1500;
+  StartServer();
+  listing = listing_result::kNotReady;
+  StartLink();
+  const auto extensions = [&] {
+    return std::ranges::count_if(polls, &received_poll::extends_lease);
+  };
+  RunUntil([&] { return extensions() >= 3; });
+  millis last = 0;
+  for (const received_poll& poll : polls) {
+    if (!poll.extends_lease) continue;
+    if (last > 0) BOOST_TEST(poll.received_at - last < 4000);
+    last = poll.received_at;
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/sched/scheduler_advice_test.cc
+++ b/tests/sched/scheduler_advice_test.cc
@@ -74,7 +74,7 @@
 // an earlier incarnation of the runner.
 BOOST_AUTO_TEST_CASE(ticket_is_dropped_when_the_runner_restarts) {
   AllowOnly("r2");
-  subject.ResetRestartedRunner("r2", now);
+  subject.ResetRestartedRunner("r2", now, now);
   ReportListing("r2", {});
   BOOST_TEST(Plan().empty());
 }
--- a/tests/sched/scheduler_rules_test.cc
+++ b/tests/sched/scheduler_rules_test.cc
@@ -102,6 +102,43 @@
   BOOST_TEST(Plan().empty());
 }
 
+// Guards against a task that runs twice: a new incarnation of the runner
+// accepted its start after the listing that showed the restart.
+BOOST_AUTO_TEST_CASE(
+    start_accepted_after_a_restart_was_listed_is_stopped_first) {
+  AddRunner("r1");
+  AddRunner("r2");
+  AddJob("a", {Step(1)});
+  const order start = Plan().at(0);
+  const millis listing_sent_at = now;
+  now += 5;
+  subject.ApplyOrderOutcome(start, fleet::order_outcome::kAccepted, now);
+  subject.ResetRestartedRunner(start.runner, listing_sent_at, now);
+  ReportListing(start.runner, {});
+  const auto orders = Plan();
+  BOOST_REQUIRE(orders.size() == 1);
+  BOOST_TEST((orders[0].kind == order_kind::kStop));
+}
+
+// Guards against a stop that the earlier incarnation confirmed and that is
+// taken for confirmed by the new one.
+BOOST_AUTO_TEST_CASE(stop_is_repeated_after_a_restart) {
+  AddRunner("r1");
+  AddJob("a", {Step(1)});
+  const order start = Plan().at(0);
+  subject.ApplyOrderOutcome(start, fleet::order_outcome::kUnknown, now);
+  subject.CancelJob("a", now);
+  for (const order& stop : PlanAndAccept()) {
+    BOOST_TEST((stop.kind == order_kind::kStop));
+  }
+  now += 1000;
+  subject.ResetRestartedRunner("r1", now, now);
+  now += 100;
+  const auto orders = Plan();
+  BOOST_REQUIRE(orders.size() == 1);
+  BOOST_TEST((orders[0].kind == order_kind::kStop));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
