Add radishwingctl config check, for a configuration before it is sent

Operators sent configurations whose faults showed only in service: a queue behind another one with the same host and prefix, a pool that does not exist, a key that two teams have. The command reports errors with line and column, entries that no call or job can ever match, limits that contradict each other and, against a file or the store's configuration, what changes and what that means for running work. Damaged and deeply nested input is refused with its place.

--- a/src/ctl/app.cc
+++ b/src/ctl/app.cc
@@ -2,6 +2,7 @@
 
 #include <CLI/CLI.hpp>
 
+#include "src/ctl/config_command.h"
 #include "src/ctl/explain_command.h"
 #include "src/ctl/fleet_commands.h"
 #include "src/ctl/settings_commands.h"
@@ -16,6 +17,7 @@
   std::string store_address;
   std::string job_id;
   std::vector<std::string> files;  ///< Paths of log files or settings files.
+  config_check_options config;
 };
 
 /// Adds a command that reads the store. If the parsed command line contains
@@ -82,6 +84,29 @@
       ->callback([&] { selected = ShowSchema; });
 }
 
+/// Adds the commands on the operator's configuration.
+void AddConfigCommands(CLI::App& app, app_options& options, command& selected) {
+  CLI::App* config =
+      app.add_subcommand("config", "Check a configuration before it is sent");
+  config->require_subcommand(1);
+  CLI::App* check = config->add_subcommand(
+      "check", "Errors, entries that never match, changes");
+  check->add_option("file", options.config.file, "Configuration to be sent")
+      ->required();
+  check->add_option("--against", options.config.current_file,
+                    "Configuration in force; else the store's");
+  check
+      ->add_option("--store", options.store_address,
+                   "Platform store, as ip:port")
+      ->envname("RADISHWING_STORE");
+  check->add_flag("--json", options.config.as_json, "Print a JSON object");
+  check->callback([&] {
+    selected = [&options](const command_context& context) {
+      return CheckConfigFile(context, options.config);
+    };
+  });
+}
+
 }  // namespace
 
 int RunApp(const std::vector<std::string>& arguments,
@@ -96,6 +121,7 @@
   command selected;
   AddStoreCommands(app, options, selected);
   AddFileCommands(app, options, selected);
+  AddConfigCommands(app, options, selected);
   // CLI11 takes the arguments in reverse order.
   std::vector<std::string> reversed(arguments.rbegin(), arguments.rend());
   try {
--- a/tests/ctl/app_test.cc
+++ b/tests/ctl/app_test.cc
@@ -26,6 +26,16 @@
       .string();
 }
 
+/// A configuration in a temporary file.
+struct config_text {
+  explicit config_text(const std::string& text)
+      : path(TemporaryFile("config")) {
+    std::ofstream(path) << text;
+  }
+  ~config_text() { std::filesystem::remove(path); }
+  std::string path;
+};
+
 /// Runs radishwingctl commands on a store that is held in memory.
 struct app_fixture {
   app_fixture() {
@@ -161,6 +171,64 @@
   std::filesystem::remove(file);
 }
 
+BOOST_AUTO_TEST_CASE(config_check_names_entries_that_never_match) {
+  const config_text file(R"({"version":8,
+"routes":[{"name":"a","host":"h","prefix":"/q/","backend":"p","attempts":0},
+{"name":"b","host":"h","prefix":"/q/","backend":"none"},
+{"name":"c","host":"h:80","prefix":"/c/","backend":"off"}],
+"services":[{"name":"p"},{"name":"off","standby":true}],
+"tenants":[{"name":"t","api-keys":["k"],"weight":0},
+{"name":"u","api-keys":["k"],"weight":0,"cap":{"cpu":-1}}]})");
+  BOOST_TEST(Run({"config", "check", file.path}) ==
+             static_cast<int>(exit_code::kFindings));
+  for (const char* expected :
+       {":2:11: routes[0]: queue \"a\" permits no attempt",
+        ":3:1: routes[1]: queue \"b\" never gets a call: queue \"a\"",
+        "pool \"none\", which does not exist", ":4:1: routes[2]:",
+        "standby pool \"off\"", ":7:1: tenants[1]: team \"u\" has a key",
+        "negative limit", "the weights of all teams are 0"}) {
+    BOOST_TEST(err.str().find(expected) != std::string::npos, expected);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(config_check_tells_what_changes_for_running_work) {
+  items["op/config"] =
+      R"({"version":7,"services":[{"name":"p"}],)"
+      R"("routes":[{"name":"a","host":"h","prefix":"/q/","backend":"p"},)"
+      R"({"name":"old","host":"h","prefix":"/o/","backend":"p"}],)"
+      R"("tenants":[{"name":"t","api-keys":["k","l"],"cap":{"cpu":900}}]})";
+  const config_text file(
+      R"({"version":7,"services":[{"name":"p"}],)"
+      R"("routes":[{"name":"a","host":"h","prefix":"/q/","backend":"p",)"
+      R"("priority":1}],)"
+      R"("tenants":[{"name":"t","api-keys":["k"],"cap":{"cpu":500}}]})");
+  BOOST_TEST(Run({"config", "check", file.path, "--store", "store"}) ==
+             static_cast<int>(exit_code::kFindings));
+  BOOST_TEST(err.str().find("7 is not above 7") != std::string::npos);
+  BOOST_TEST(OutputContains("queue \"old\": gone; calls get 404"));
+  BOOST_TEST(OutputContains("queue \"a\": priority lowered from 0 to 1"));
+  BOOST_TEST(OutputContains("team \"t\": 1 of 2 keys gone"));
+  BOOST_TEST(OutputContains("lowered from 900 to 500; no running task"));
+  BOOST_TEST(Run({"config", "check", file.path, "--against", file.path,
+                  "--json"}) == static_cast<int>(exit_code::kFindings));
+  BOOST_TEST(OutputContains("\"changes\":[]"));
+}
+
+BOOST_AUTO_TEST_CASE(config_check_refuses_damaged_input_with_its_place) {
+  const config_text damaged("{\"version\":1,\n\"routes\":[}");
+  BOOST_TEST(Run({"config", "check", damaged.path}) ==
+             static_cast<int>(exit_code::kFindings));
+  BOOST_TEST(err.str().find(":2:") != std::string::npos);
+  const config_text deep(std::string(100000, '['));
+  BOOST_TEST(Run({"config", "check", deep.path}) ==
+             static_cast<int>(exit_code::kFindings));
+  const config_text no_version("{}");
+  BOOST_TEST(Run({"config", "check", no_version.path}) ==
+             static_cast<int>(exit_code::kFindings));
+  BOOST_TEST(Run({"config", "check", "/no/such/file"}) ==
+             static_cast<int>(exit_code::kNotFound));
+}
+
 BOOST_AUTO_TEST_CASE(unknown_command_is_usage_error) {
   BOOST_TEST(Run({"nonsense"}) == static_cast<int>(exit_code::kUsageError));
 }
