Send no tasks to the runners of a data centre that the operator evacuates

Every node keeps the set of evacuated data centres with its configuration, and the leader's scheduler takes their runners out of placement. A start without a response is stopped instead of repeated there.

evacuated_data_centre_gets_no_new_tasks, unanswered_start_is_stopped_when_evacuated and node_path/evacuated_data_centre_gets_no_tasks_until_it_is_back cover it, also after a change of leader.

--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -40,6 +40,7 @@
       load_started_at(context.now.Now()),
       lease(won.lease_renewed_at) {
   scheduler.SetMaxStopDuration(context.settings.max_stop_ms);
+  scheduler.SetEvacuatedDataCentres(context.evacuated_data_centres);
 }
 
 bool leader::impl::MaySendOrders() const {
@@ -272,6 +273,12 @@
   impl_->SchedulePass();
 }
 
+void leader::ApplyEvacuations() {
+  impl_->scheduler.SetEvacuatedDataCentres(
+      impl_->context.evacuated_data_centres);
+  impl_->SchedulePass();
+}
+
 void leader::AddMaintenanceWave(const fleet::wave_request& wave) {
   if (impl_->hosts) impl_->hosts->AddWave(wave);
 }
--- a/src/node/leader.h
+++ b/src/node/leader.h
@@ -43,6 +43,8 @@
   void RecordLeaseRenewal(millis sent_at);
   /// Applies the current `config` of the node_context.
   void ApplyConfig();
+  /// Applies the current `evacuated_data_centres` of the node_context.
+  void ApplyEvacuations();
   /// Adds a maintenance wave; ignores one whose number is already known.
   void AddMaintenanceWave(const fleet::wave_request& wave);
   /// Adds a job that is already stored; `record` and `revision` are the value
--- a/src/node/node_context.h
+++ b/src/node/node_context.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <limits>
 #include <memory>
+#include <set>
+#include <string>
 
 #include "platform/store_client.h"
 #include "src/base/clock.h"
@@ -35,6 +37,9 @@
   /// The newest configuration that this node has read; null before the first
   /// one was read.
   std::shared_ptr<const fleet::fleet_config> config;
+  /// Names of the data centres that the operator evacuates: their runners get
+  /// no new tasks.
+  std::set<std::string> evacuated_data_centres;
   /// Latest time at which `config` was known to be the newest version; -1:
   /// there is no such time yet.
   millis config_current_at = -1;
--- a/src/node/node_metrics.cc
+++ b/src/node/node_metrics.cc
@@ -93,6 +93,9 @@
       config_age_seconds_(SingleGauge(
           registry_, "radishwing_node_config_age_seconds",
           "Time since the configuration was known to be the newest")),
+      evacuated_data_centres_(
+          SingleGauge(registry_, "radishwing_node_evacuated_data_centres",
+                      "Data centres that the operator evacuates")),
       runner_counts_(prometheus::BuildGauge()
                          .Name("radishwing_node_runners")
                          .Help("Runners by whether they answer")
@@ -195,6 +198,10 @@
   config_age_seconds_.Set(ToSeconds(age));
 }
 
+void node_metrics::SetEvacuatedDataCentres(std::size_t count) {
+  evacuated_data_centres_.Set(static_cast<double>(count));
+}
+
 void node_metrics::SetRunnerCounts(std::size_t reachable,
                                    std::size_t unreachable) {
   runner_counts_.Add({{"state", "reachable"}})
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -65,6 +65,8 @@
   /// Sets the time since this node's configuration was last known to be the
   /// newest version.
   void SetConfigAge(millis age);
+  /// Sets the number of data centres that the operator evacuates.
+  void SetEvacuatedDataCentres(std::size_t count);
   /// Sets the numbers of reachable and unreachable runners.
   void SetRunnerCounts(std::size_t reachable, std::size_t unreachable);
   /// Sets the number of start orders whose outcome is unknown.
@@ -99,6 +101,7 @@
   prometheus::Gauge& is_leading_;
   prometheus::Gauge& config_version_;
   prometheus::Gauge& config_age_seconds_;
+  prometheus::Gauge& evacuated_data_centres_;
   prometheus::Family<prometheus::Gauge>& runner_counts_;
   prometheus::Gauge& unanswered_starts_;
 };
--- a/src/node/node_server.cc
+++ b/src/node/node_server.cc
@@ -55,6 +55,8 @@
   result<std::unique_ptr<http::server>> Listen(const std::string& address,
                                                std::string_view callers,
                                                http::server::handler handler);
+  /// Sets which data centres the operator evacuates.
+  void SetEvacuatedDataCentres(std::set<std::string> data_centres);
   /// Logs the traffic once every kTrafficLogIntervalMs.
   void LogTraffic();
   void WatchOperatorKeys();
@@ -218,7 +220,16 @@
   options.skip_superseded_values = true;
   store_watch_hooks hooks;
   hooks.snapshot = [this](const std::vector<store::store_item>& items) {
-    for (const store::store_item& item : items) ApplyOperatorItem(item);
+    std::set<std::string> evacuated;
+    for (const store::store_item& item : items) {
+      if (item.key.starts_with(platform::kEvacuationKeyPrefix)) {
+        evacuated.insert(
+            item.key.substr(platform::kEvacuationKeyPrefix.size()));
+      } else {
+        ApplyOperatorItem(item);
+      }
+    }
+    SetEvacuatedDataCentres(std::move(evacuated));
   };
   hooks.change = [this](const store::store_item& item) {
     ApplyOperatorItem(item);
@@ -233,7 +244,33 @@
                                     std::move(options), std::move(hooks));
 }
 
+void node_server::impl::SetEvacuatedDataCentres(
+    std::set<std::string> data_centres) {
+  if (data_centres == context.evacuated_data_centres) return;
+  context.evacuated_data_centres = std::move(data_centres);
+  context.metrics.SetEvacuatedDataCentres(
+      context.evacuated_data_centres.size());
+  std::string names;
+  for (const std::string& name : context.evacuated_data_centres) {
+    names += (names.empty() ? "" : ",") + name;
+  }
+  context.log.InfoUnlimited("config",
+                            "evacuations changed, data_centres=" + names);
+  if (local_leader) local_leader->ApplyEvacuations();
+}
+
 void node_server::impl::ApplyOperatorItem(const store::store_item& item) {
+  if (item.key.starts_with(platform::kEvacuationKeyPrefix)) {
+    std::set<std::string> data_centres = context.evacuated_data_centres;
+    const std::string name =
+        item.key.substr(platform::kEvacuationKeyPrefix.size());
+    if (item.revision == 0) {
+      data_centres.erase(name);
+    } else {
+      data_centres.insert(name);
+    }
+    return SetEvacuatedDataCentres(std::move(data_centres));
+  }
   if (item.revision == 0) return;
   if (item.key == platform::kConfigKey) {
     auto config = platform::DecodeConfig(item.value);
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -114,6 +114,11 @@
   /// Sets whether maintenance or a move of the runner's host keeps new tasks
   /// off the runner.
   void SetCordoned(const std::string& id, bool cordoned);
+  /// Sets the names of the data centres whose runners get no new tasks. What
+  /// runs there goes on.
+  void SetEvacuatedDataCentres(std::set<std::string> data_centres) {
+    evacuated_data_centres_ = std::move(data_centres);
+  }
   /// Sets the ids of the runners that are certainly in the runner set in the
   /// store. Other runners get no tasks, because the next leader polls only the
   /// runners in that set.
@@ -354,7 +359,7 @@
   /// Repeats the start or stop order of a run if it is unconfirmed and due.
   void RetryOrder(const fleet::task_name& name, const task_ref& ref,
                   run_state& run, const runner_state& runner, millis now,
-                  std::vector<order>& out) const;
+                  std::vector<order>& out);
   /// Queues a stop order for a run without progress.
   void StopIfStuck(const fleet::task_name& name, const task_ref& ref,
                    run_state& run, runner_state& runner, millis now);
@@ -377,6 +382,10 @@
                              const step_state& state, int repetition,
                              int step_number, const task_state& task,
                              millis now);
+  /// Returns true if the operator evacuates the runner's data centre.
+  bool IsEvacuated(const runner_state& runner) const {
+    return evacuated_data_centres_.contains(runner.report.data_centre);
+  }
   /// Returns true if the runner accepts new tasks.
   bool IsSchedulable(const runner_state& runner, millis now) const;
   /// Returns true if the runner has the label and the free capacity that a task
@@ -452,6 +461,8 @@
   millis last_housekeeping_at_ = 0;
   /// Ids of the runners that are certainly in the runner set in the store.
   std::set<std::string> recorded_runners_;
+  /// See SetEvacuatedDataCentres().
+  std::set<std::string> evacuated_data_centres_;
   /// Ids of the runners whose hosts are due for maintenance.
   std::set<std::string> maintenance_due_;
   /// By pool name, the demand of tasks for which the last pass found no runner.
--- a/src/sched/scheduler_placement.cc
+++ b/src/sched/scheduler_placement.cc
@@ -178,7 +178,7 @@
 bool scheduler::IsSchedulable(const runner_state& runner, millis now) const {
   return runner.listed && runner.reachable && !runner.cordoned &&
          !runner.has_unknown_runs && !runner.report.draining &&
-         now >= runner.not_before && runner.recorded;
+         now >= runner.not_before && runner.recorded && !IsEvacuated(runner);
 }
 
 bool scheduler::CanPlaceStep(const runner_state& runner,
--- a/src/sched/scheduler_runs.cc
+++ b/src/sched/scheduler_runs.cc
@@ -39,11 +39,15 @@
 
 void scheduler::RetryOrder(const fleet::task_name& name, const task_ref& ref,
                            run_state& run, const runner_state& runner,
-                           millis now, std::vector<order>& out) const {
+                           millis now, std::vector<order>& out) {
   if (run.order_in_flight || now < run.retry_at) return;
   const bool stop = run.phase == run_phase::kStopping && !run.stop_confirmed;
   const bool start = run.phase == run_phase::kStarting && run.start_unanswered;
   if (!stop && !start) return;
+  if (start && IsEvacuated(runner)) {
+    // A repeated order could be the first one that the runner carries out.
+    return RequestStop(name, run, "evacuated", now);
+  }
   // Do not repeat a start order to an unreachable runner: the order would
   // extend the leader's lease on the runner, which has to expire before the
   // task can start on another runner.
@@ -136,7 +140,7 @@
   for (const auto& [id, runner] : runners_) {
     pool_demand& pool = demand[runner.report.pool];
     if (!runner.listed || !runner.reachable || runner.cordoned ||
-        runner.report.draining) {
+        runner.report.draining || IsEvacuated(runner)) {
       continue;
     }
     pool.capacity_millicores += runner.report.capacity.cpu_millicores;
--- a/tests/node/node_test.cc
+++ b/tests/node/node_test.cc
@@ -224,6 +224,24 @@
   BOOST_TEST(WaitForState(next_address, kSecondJobId, "succeeded"));
 }
 
+BOOST_AUTO_TEST_CASE(evacuated_data_centre_gets_no_tasks_until_it_is_back) {
+  store.Put("op/evacuate/z", "{}");
+  const std::string address = AddNode("n1");
+  BOOST_REQUIRE(
+      CallUntil(address, verb::post, JobPath(kFirstJobId), 200, JobBody(3)));
+  BOOST_TEST(RunUntil([&] {
+    return runners.front()->PollCount() > 2 &&
+           store.Value("rw/r/0").find("w0") != std::string::npos;
+  }));
+  BOOST_TEST(recorder.tasks.empty());
+  KillNode("n1");
+  const std::string next_address = AddNode("n1");
+  BOOST_REQUIRE(CallUntil(next_address, verb::get, "/q/", 200));
+  BOOST_TEST(recorder.tasks.empty());
+  store.Remove("op/evacuate/z");
+  BOOST_TEST(WaitForState(next_address, kFirstJobId, "succeeded"));
+}
+
 BOOST_AUTO_TEST_CASE(runner_whose_entry_returns_gets_tasks_again) {
   const std::string address = AddNode("n1");
   BOOST_REQUIRE(CallUntil(address, verb::get, "/q/", 200));
--- a/tests/sched/scheduler_rules_test.cc
+++ b/tests/sched/scheduler_rules_test.cc
@@ -139,6 +139,34 @@
   BOOST_TEST((orders[0].kind == order_kind::kStop));
 }
 
+// Guards against tasks that start in a data centre after the operator has asked
+// for its evacuation.
+BOOST_AUTO_TEST_CASE(evacuated_data_centre_gets_no_new_tasks) {
+  AddRunner("r1", 4000, "dc1");
+  AddRunner("r2", 4000, "dc2");
+  AddJob("a", {Step(6)});
+  subject.SetEvacuatedDataCentres({"dc1"});
+  const auto orders = PlanAndAccept();
+  BOOST_TEST(orders.size() == 4u);
+  for (const order& start : orders) BOOST_TEST(start.runner == "r2");
+  subject.SetEvacuatedDataCentres({});
+  BOOST_TEST(PlanAndAccept().size() == 2u);
+}
+
+// Guards against a repeated start order that is the first one to be carried
+// out, after the data centre was evacuated.
+BOOST_AUTO_TEST_CASE(unanswered_start_is_stopped_when_evacuated) {
+  AddRunner("r1");
+  AddJob("a", {Step(1)});
+  const order start = Plan().at(0);
+  subject.ApplyOrderOutcome(start, fleet::order_outcome::kUnknown, now);
+  subject.SetEvacuatedDataCentres({"dc"});
+  now += 1000;
+  const auto orders = Plan();
+  BOOST_REQUIRE(orders.size() == 1);
+  BOOST_TEST((orders[0].kind == order_kind::kStop));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
