Leave the hosts of an evacuated data centre out of moves

An empty host of the data centre counted as a source for pools that are short, although its runner would get no tasks there, so the planner took the shortage for covered.

--- a/src/fleet/host_info.h
+++ b/src/fleet/host_info.h
@@ -19,8 +19,9 @@
   std::string pool;  ///< Name of the host's pool.
   host_state state = host_state::kDown;
   std::int64_t cpu_millicores =
-      0;               ///< Total processor capacity, in 1/1000 core.
-  std::string runner;  ///< Id of the runner on the host; empty if none.
+      0;                    ///< Total processor capacity, in 1/1000 core.
+  std::string runner;       ///< Id of the runner on the host; empty if none.
+  std::string data_centre;  ///< Name of the host's data centre.
 };
 
 }  // namespace radishwing::fleet
--- a/src/node/host_moves.cc
+++ b/src/node/host_moves.cc
@@ -38,6 +38,7 @@
         runner ? runner->tasks.empty() : host.pool == standby_pool;
     planner_host.available =
         up && !IsInMaintenance(host.name) && !open_orders.contains(host.name) &&
+        !context.evacuated_data_centres.contains(host.data_centre) &&
         IsPauseOver(host) && (runner || host.pool == standby_pool) &&
         (!runner || (runner->listed && !runner->report.draining));
     planner_hosts.push_back(std::move(planner_host));
