Derive which runners get no tasks from the reasons against them

Cause: after a takeover, the leader marked the runner that a host has now for an order of its predecessor. Where the order had been carried out, that is the new runner, and the ends of orders (an accepted repeat, a refusal, a host that has arrived or is gone) lifted the mark of the runner of the order only, or of none.

Change: the reasons (an open order, an accepted order whose runner has not ended, draining, no entry) are collected by host_controller and turned into holds by sched::DeriveRunnerHolds before each scheduling pass. scheduler::SetRunnerHolds replaces SetCordoned and also covers runners that register later. A move that the list shows as carried out, and maintenance that the wave's progress names, are not repeated after a takeover. An order that has ended leaves the record with the next tick (100 ms) instead of within 1 s. sched::AuditHosts counts hosts without tasks by reason, for a metric and a log line.

Ruled out: to take a new runner for a proof of maintenance. A host that crashed has a new runner too, and its wave would be reported as done.

--- a/src/node/host_controller.cc
+++ b/src/node/host_controller.cc
@@ -78,8 +78,9 @@
   }
   RequestHostList();
   if (listed_hosts.empty() || !orders_loaded) return;
-  CordonOrderedHosts();
   RemoveEndedMoves();
+  ApplyHolds();
+  ReportHolds();
   if (!hooks.may_order_hosts()) return;
   RepeatUnansweredOrders();
   for (auto& [number, wave] : waves) {
@@ -101,7 +102,7 @@
 
 bool host_controller::OrdersLoaded() const { return impl_->orders_loaded; }
 
-void host_controller::CordonOrderedHosts() { impl_->CordonOrderedHosts(); }
+void host_controller::ApplyHolds() { impl_->ApplyHolds(); }
 
 void host_controller::AddWave(const fleet::wave_request& wave) {
   auto& state = impl_->waves[wave.number];
--- a/src/node/host_controller.h
+++ b/src/node/host_controller.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "src/fleet/wave_request.h"
 #include "src/node/election.h"
@@ -28,6 +29,8 @@
   /// `asked_at`.
   std::function<void(const std::set<std::string>& runners, millis asked_at)>
       hosts_listed;
+  /// Returns the ids of the runners that have no valid entry in the store.
+  std::function<std::vector<std::string>()> unregistered_runners;
   /// Returns true if this node may send orders to hosts.
   std::function<bool()> may_order_hosts;
   /// Called once the orders of earlier leaders that may still be carried out
@@ -52,8 +55,9 @@
   /// Returns true once the orders of earlier leaders that may still be carried
   /// out are known.
   bool OrdersLoaded() const;
-  /// Keeps new tasks off the hosts with an order that may still be carried out.
-  void CordonOrderedHosts();
+  /// Passes to the scheduler which runners get no new tasks, derived from what
+  /// is known now. The caller has to call it before each scheduling pass.
+  void ApplyHolds();
   /// Sends all requests and orders that are due. The caller has to call it
   /// periodically.
   void Tick();
--- a/src/node/host_controller_impl.h
+++ b/src/node/host_controller_impl.h
@@ -12,6 +12,7 @@
 #include "src/node/host_order_record.h"
 #include "src/sched/host_pause.h"
 #include "src/sched/pool_planner.h"
+#include "src/sched/runner_holds.h"
 
 namespace radishwing::node {
 
@@ -113,11 +114,13 @@
   /// second.
   void ReportPoolLoad(const std::vector<sched::pool_host>& planner_hosts,
                       const std::map<std::string, sched::pool_demand>& demand);
-  /// Cordons the runner of an empty host and orders the host's move. Does
-  /// nothing if the host is not empty or is being moved already.
+  /// Orders the move of an empty host. Does nothing if the host is not empty or
+  /// is being moved already.
   void OrderMove(const sched::host_move& move);
   void ApplyMoveOutcome(const std::string& host, const open_order& sent,
                         fleet::order_outcome outcome);
+  /// Returns true if the newest list shows that the move was carried out.
+  bool HasArrived(const pending_move& move, const fleet::host_info& host) const;
   /// Removes moves that have completed or exceeded their time limit.
   void RemoveEndedMoves();
   /// Reports the runners in `ending_runners` that have ended according to the
@@ -141,8 +144,6 @@
   int CountHostsDown(const wave_state& wave) const;
   void ApplyMaintenanceOutcome(const std::string& host, const open_order& sent,
                                fleet::order_outcome outcome);
-  /// Stops draining a host and lets its runner accept tasks again.
-  void StopDraining(wave_state& wave, const std::string& host);
   /// Writes `started_hosts` to the store, so that the next leader does not
   /// repeat the orders to these hosts.
   void StoreStartedHosts(wave_state& wave);
@@ -155,6 +156,10 @@
   void QueueOrder(const std::string& host, host_order order);
   /// Queues orders without a response again, when their hosts are empty.
   void RepeatUnansweredOrders();
+  /// Returns true if the order is a maintenance order and the stored progress
+  /// of its wave shows that the maintenance of `host` has begun.
+  bool IsMaintenanceKnownAsStarted(const std::string& host,
+                                   const host_order& order) const;
   /// Returns true if an order without a response may be repeated now.
   bool MayRepeat(const host_order& order, const fleet::host_info& host);
   /// Writes the record of the orders if orders are queued or the record is
@@ -170,12 +175,19 @@
   /// Applies the outcome of the order to `host`. The order stays open if the
   /// host service may still carry it out.
   void ApplyOrderOutcome(const std::string& host, fleet::order_outcome outcome);
-  /// Keeps new tasks off the hosts with open orders.
-  void CordonOrderedHosts();
-  /// Drops the order to a host that does not exist any more, unless a response
-  /// is expected.
+  /// Drops the order to a host that does not exist any more or has visibly
+  /// carried it out, unless a response is expected.
   void DropOrder(const std::string& host);
 
+  // Which runners get no tasks: host_holds.cc.
+  /// Returns all that holds against hosts and runners now.
+  std::vector<sched::host_claim> HostClaims() const;
+  /// Passes to the scheduler which runners get no new tasks.
+  void ApplyHolds();
+  /// Sets the metrics of hosts without tasks and logs them, at most once a
+  /// second.
+  void ReportHolds();
+
   /// Returns the host from `listed_hosts`, or null if it is not listed.
   const fleet::host_info* FindHost(const std::string& name) const;
 
@@ -193,15 +205,17 @@
   host_orders stored_orders;  ///< Orders in the record as last read or written.
   std::uint64_t record_revision = 0;  ///< Revision of the record; 0: none.
   bool record_write_in_flight = false;
-  millis record_written_at = 0;  ///< Time of the last write of the record.
   /// Hosts in the newest list, keyed by name.
   std::map<std::string, fleet::host_info> listed_hosts;
   std::map<std::string, pending_move> pending_moves;    ///< Keyed by host name.
   std::map<std::string, ending_runner> ending_runners;  ///< Keyed by runner id.
   /// Null until the first call of PlanMoves.
   std::unique_ptr<sched::pool_planner> move_planner;
-  std::string standby_pool;    ///< Pool name; empty if there is no such pool.
-  millis pools_logged_at = 0;  ///< Time of the last ReportPoolLoad() output.
+  std::string standby_pool;      ///< Pool name; empty if there is no such pool.
+  millis pools_logged_at = 0;    ///< Time of the last ReportPoolLoad() output.
+  millis holds_reported_at = 0;  ///< Time of the last ReportHolds() output.
+  /// Time since which runners get no tasks, by runner id; see ReportHolds().
+  std::map<std::string, millis> held_since;
   /// Number of moves that the rate limit permits now (token bucket).
   double move_tokens = 0;
   millis move_tokens_updated_at = 0;
--- a/src/node/host_moves.cc
+++ b/src/node/host_moves.cc
@@ -112,7 +112,6 @@
   }
   const sched::runner_state* runner = scheduler.FindRunner(host->runner);
   if (runner && !runner->tasks.empty()) return;
-  if (runner) scheduler.SetCordoned(host->runner, true);
   pending_moves[move.host] = {move.to_pool, context.now.Now(), host->runner};
   QueueOrder(move.host, {host->runner, move.to_pool, 0});
 }
@@ -126,13 +125,13 @@
                                 " outcome=" + fleet::OrderOutcomeName(outcome));
   if (outcome == fleet::order_outcome::kAccepted) {
     context.metrics.CountHostMove(sent.order.new_pool);
-    ending_runners[sent.order.runner] = {name, context.now.Now()};
+    if (!sent.order.runner.empty()) {
+      ending_runners[sent.order.runner] = {name, context.now.Now()};
+    }
     return;
   }
   if (open_orders.contains(name)) return;
   pending_moves.erase(name);
-  const fleet::host_info* host = FindHost(name);
-  if (host) scheduler.SetCordoned(host->runner, false);
 }
 
 // The host service also accepts an order that it has carried out before. Such a
@@ -150,17 +149,27 @@
     if (!host || host->runner != it->first ||
         host->state != fleet::host_state::kUp) {
       ended.push_back(it->first);
-    } else {
-      scheduler.SetCordoned(it->first, false);
     }
     it = ending_runners.erase(it);
   }
   for (const std::string& runner : ended) hooks.runner_ended(runner);
 }
 
-// A move has completed when the host is listed in its new pool and, unless that
-// is the standby pool, the host's runner has responded to a poll with a listing
-// of its runs.
+// A host that is listed in the new pool with another runner than before proves
+// that the move was carried out. Without another runner, the list has to be
+// newer than the move's duration.
+bool host_controller::impl::HasArrived(const pending_move& move,
+                                       const fleet::host_info& host) const {
+  if (host.pool != move.new_pool || host.state != fleet::host_state::kUp) {
+    return false;
+  }
+  return (!host.runner.empty() && host.runner != move.runner) ||
+         listed_hosts_as_of > move.ordered_at + context.settings.move_ms;
+}
+
+// A move has completed when the host has arrived in its new pool and, unless
+// that is the standby pool, the host's runner has responded to a poll with a
+// listing of its runs.
 void host_controller::impl::RemoveEndedMoves() {
   const millis now = context.now.Now();
   std::erase_if(pending_moves, [&](const auto& entry) {
@@ -171,21 +180,14 @@
       DropOrder(entry.first);
       return !open_orders.contains(entry.first);
     }
-    const bool arrived =
-        host->pool == move.new_pool && host->state == fleet::host_state::kUp &&
-        listed_hosts_as_of > move.ordered_at + context.settings.move_ms;
-    if (arrived) {
+    if (HasArrived(move, *host)) {
       DropOrder(entry.first);
       const sched::runner_state* runner = scheduler.FindRunner(host->runner);
       return move.new_pool == standby_pool || (runner && runner->listed) ||
              age > 4 * (context.settings.move_ms + kRunnerStartMs);
     }
-    if (open_orders.contains(entry.first) ||
-        age < 3 * (context.settings.move_ms + kRunnerStartMs)) {
-      return false;
-    }
-    scheduler.SetCordoned(host->runner, false);
-    return true;
+    return !open_orders.contains(entry.first) &&
+           age >= 3 * (context.settings.move_ms + kRunnerStartMs);
   });
 }
 
--- a/src/node/host_orders.cc
+++ b/src/node/host_orders.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -16,9 +17,6 @@
 // Delay before a failed read of the record is repeated. The leader is not ready
 // before it has the record.
 constexpr millis kLoadRetryDelayMs = 150;
-// Interval at which orders that are not open any more are removed from the
-// record, if no order is to be sent.
-constexpr millis kRecordCleanUpIntervalMs = 1000;
 
 }  // namespace
 
@@ -63,8 +61,11 @@
   const millis now = context.now.Now();
   if (order.IsMove()) {
     if (!IsHostListCurrent() || !IsPauseOver(host)) return false;
-  } else if (now < waves_allowed_at) {
-    return false;
+  } else {
+    const auto wave = waves.find(order.wave);
+    const bool progress_known =
+        wave == waves.end() || wave->second.started_hosts_loaded;
+    if (now < waves_allowed_at || !progress_known) return false;
   }
   for (const std::string& runner : {order.runner, host.runner}) {
     if (scheduler.FindRunner(runner) &&
@@ -75,6 +76,12 @@
   return true;
 }
 
+bool host_controller::impl::IsMaintenanceKnownAsStarted(
+    const std::string& host, const host_order& order) const {
+  const auto wave = waves.find(order.wave);
+  return wave != waves.end() && wave->second.started_hosts.contains(host);
+}
+
 void host_controller::impl::RepeatUnansweredOrders() {
   for (auto it = open_orders.begin(); it != open_orders.end();) {
     const std::string name = it->first;
@@ -84,7 +91,7 @@
       continue;
     }
     const fleet::host_info* host = FindHost(name);
-    if (!host) {
+    if (!host || IsMaintenanceKnownAsStarted(name, open.order)) {
       DropOrder(name);
     } else if (MayRepeat(open.order, *host)) {
       open.phase = order_phase::kQueued;
@@ -100,12 +107,8 @@
     orders[host] = open.order;
     if (open.phase == order_phase::kQueued) queued.push_back(host);
   }
-  const millis now = context.now.Now();
-  const bool clean_up_due = orders != stored_orders &&
-                            now - record_written_at >= kRecordCleanUpIntervalMs;
-  if (queued.empty() && !clean_up_due) return;
+  if (queued.empty() && orders == stored_orders) return;
   record_write_in_flight = true;
-  record_written_at = now;
   store::store_commit commit;
   commit.preconditions = {{ShardKey(), fencing_token},
                           {HostOrdersKey(), record_revision}};
@@ -138,7 +141,12 @@
   record_revision = Value(outcome).revision;
   stored_orders = std::move(written);
   for (const std::string& host : queued) SendOrder(host, record_revision);
-  if (hooks.may_order_hosts()) StoreOrders();
+  const bool has_queued =
+      std::ranges::any_of(open_orders, [](const auto& entry) {
+        return entry.second.phase == order_phase::kQueued;
+      });
+  // Orders that ended in the meantime leave the record with the next Tick().
+  if (has_queued && hooks.may_order_hosts()) StoreOrders();
 }
 
 void host_controller::impl::SendOrder(const std::string& host,
@@ -187,14 +195,6 @@
   }
 }
 
-void host_controller::impl::CordonOrderedHosts() {
-  for (const auto& [name, open] : open_orders) {
-    scheduler.SetCordoned(open.order.runner, true);
-    const fleet::host_info* host = FindHost(name);
-    if (host) scheduler.SetCordoned(host->runner, true);
-  }
-}
-
 void host_controller::impl::DropOrder(const std::string& host) {
   const auto it = open_orders.find(host);
   if (it != open_orders.end() && it->second.phase != order_phase::kInFlight) {
--- a/src/node/host_waves.cc
+++ b/src/node/host_waves.cc
@@ -140,7 +140,6 @@
     return;
   }
   if (!host.runner.empty() && scheduler.FindRunner(host.runner)) {
-    scheduler.SetCordoned(host.runner, true);
     const bool may_wait_for_batch =
         now - wave.draining_since[host.name] < kMaxBatchDrainMs;
     if (!scheduler.Evacuate(host.runner, !may_wait_for_batch, now)) return;
@@ -189,13 +188,13 @@
     case order_outcome::kNotInWave:
     case order_outcome::kInvalid:
       wave.started_hosts.insert(host);
-      StopDraining(wave, host);
+      wave.draining_since.erase(host);
       return;
     case order_outcome::kBusy:
       // The host is being moved or removed. Other hosts can be drained in the
       // meantime.
       if (open_orders.contains(host)) return;
-      StopDraining(wave, host);
+      wave.draining_since.erase(host);
       wave.next_order_at[host] = context.now.Now() + kHostOrderRetryMs;
       return;
     default:
@@ -204,13 +203,6 @@
   }
 }
 
-void host_controller::impl::StopDraining(wave_state& wave,
-                                         const std::string& name) {
-  wave.draining_since.erase(name);
-  const fleet::host_info* host = FindHost(name);
-  if (host) scheduler.SetCordoned(host->runner, false);
-}
-
 void host_controller::impl::StoreStartedHosts(wave_state& wave) {
   json::array names;
   for (const std::string& host : wave.started_hosts) names.emplace_back(host);
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -62,6 +62,7 @@
 
 void leader::impl::RunSchedulingPass() {
   if (!MaySendOrders()) return;
+  hosts->ApplyHolds();
   const millis plan_started_at = context.now.Now();
   const int allowance =
       start_pace.Allowance(plan_started_at, context.MeasuredLink());
@@ -242,6 +243,12 @@
                                            millis asked_at) {
     raw->DropReplacedRunners(runners, asked_at);
   };
+  hooks.unregistered_runners = [raw = impl_.get()] {
+    std::vector<std::string> runners;
+    for (const auto& [id, since] : raw->unregistered_since)
+      runners.push_back(id);
+    return runners;
+  };
   hooks.may_order_hosts = [raw = impl_.get()] {
     return raw->MaySendOrders() &&
            raw->lease.MayOrderHosts(raw->context.now.Now());
--- a/src/node/leader_impl.h
+++ b/src/node/leader_impl.h
@@ -68,8 +68,9 @@
   void ApplyRunnerSnapshot(const std::vector<store::store_item>& entries);
   /// Adds a runner, or updates its registration.
   void UpdateRunner(const fleet::runner_report& report);
-  /// Excludes a runner without a valid store entry from new tasks.
-  void CordonUnregisteredRunner(const std::string& id);
+  /// Records that a linked runner has no valid store entry. Such a runner gets
+  /// no new tasks.
+  void NoteUnregisteredRunner(const std::string& id);
   /// Connects to a runner. By `predecessor_lease_end`, the leases of earlier
   /// leaders on the runner have expired; 0: there is no such lease.
   void AddLink(const fleet::runner_report& report,
--- a/src/node/leader_load.cc
+++ b/src/node/leader_load.cc
@@ -245,7 +245,6 @@
   if (ready || !runners_loaded || !jobs_loaded || !context.config) return;
   if (!hosts || !hosts->OrdersLoaded()) return;
   ready = true;
-  hosts->CordonOrderedHosts();
   scheduler.SetConfig(*context.config);
   const millis load_ms = context.now.Now() - load_started_at;
   context.metrics.RecordTakeover(load_ms);
--- a/src/node/leader_runners.cc
+++ b/src/node/leader_runners.cc
@@ -27,7 +27,7 @@
     ApplyRunnerEntry(entry);
   }
   for (const auto& [id, link] : links) {
-    if (!present.contains(id)) CordonUnregisteredRunner(id);
+    if (!present.contains(id)) NoteUnregisteredRunner(id);
   }
   runners_loaded = true;
   SaveRunnerSet();
@@ -37,22 +37,19 @@
 void leader::impl::ApplyRunnerEntry(const store::store_item& entry) {
   const std::string id = entry.key.substr(platform::kRunnerKeyPrefix.size());
   if (id.empty()) return;
-  if (entry.revision == 0) return CordonUnregisteredRunner(id);
+  if (entry.revision == 0) return NoteUnregisteredRunner(id);
   const auto report = platform::DecodeRunnerRecord(id, entry.value);
   if (!report) {
     context.log.Warning("runner",
                         "invalid runner entry, runner=" + id +
                             " revision=" + std::to_string(entry.revision));
-    return CordonUnregisteredRunner(id);
+    return NoteUnregisteredRunner(id);
   }
   UpdateRunner(*report);
 }
 
 void leader::impl::UpdateRunner(const fleet::runner_report& report) {
-  if (unregistered_since.erase(report.id) > 0) {
-    scheduler.SetCordoned(report.id, false);
-    hosts->CordonOrderedHosts();
-  }
+  unregistered_since.erase(report.id);
   const sched::runner_state* known = scheduler.FindRunner(report.id);
   if (!known || known->report.draining != report.draining ||
       known->report.pool != report.pool) {
@@ -73,12 +70,11 @@
   SchedulePass();
 }
 
-void leader::impl::CordonUnregisteredRunner(const std::string& id) {
+void leader::impl::NoteUnregisteredRunner(const std::string& id) {
   if (!links.contains(id)) return;
   if (unregistered_since.try_emplace(id, context.now.Now()).second) {
     context.log.Info("runner", "runner entry removed, runner=" + id);
   }
-  scheduler.SetCordoned(id, true);
 }
 
 void leader::impl::AddLink(const fleet::runner_report& report,
@@ -148,7 +144,6 @@
   scheduler.RemoveRunner(id, context.now.Now());
   pending_acks.erase(id);
   scheduler.AddRunner(report);
-  if (unregistered_since.contains(id)) scheduler.SetCordoned(id, true);
   SchedulePass();
   return true;
 }
--- a/src/node/node_metrics.cc
+++ b/src/node/node_metrics.cc
@@ -81,6 +81,11 @@
                       .Name("radishwing_wave_hosts")
                       .Help("Hosts by wave and progress, from the leader")
                       .Register(registry_)),
+      hosts_without_tasks_(
+          prometheus::BuildGauge()
+              .Name("radishwing_node_hosts_without_tasks")
+              .Help("Hosts that are up and get no tasks, by reason")
+              .Register(registry_)),
       is_leading_(SingleGauge(registry_, "radishwing_node_leading",
                               "1 while this node leads the shard")),
       config_version_(SingleGauge(registry_, "radishwing_node_config_version",
@@ -159,6 +164,10 @@
       .Set(hosts);
 }
 
+void node_metrics::SetHostsWithoutTasks(std::string_view reason, int hosts) {
+  hosts_without_tasks_.Add({{"reason", std::string(reason)}}).Set(hosts);
+}
+
 void node_metrics::CountOrder(std::string_view kind, std::string_view outcome) {
   orders_.Add({{"kind", std::string(kind)}, {"outcome", std::string(outcome)}})
       .Increment();
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -47,6 +47,8 @@
   void SetPoolHosts(std::string_view pool, std::string_view state, int hosts);
   /// Sets the number of hosts of a maintenance wave that are in `state`.
   void SetWaveHosts(std::string_view wave, std::string_view state, int hosts);
+  /// Sets the number of hosts that get no tasks for `reason`.
+  void SetHostsWithoutTasks(std::string_view reason, int hosts);
   /// Counts an order to a runner or a host.
   void CountOrder(std::string_view kind, std::string_view outcome);
   /// Counts a commit that removes expired keys from the store, by its outcome.
@@ -93,6 +95,7 @@
   prometheus::Family<prometheus::Counter>& host_moves_;
   prometheus::Family<prometheus::Gauge>& pool_hosts_;
   prometheus::Family<prometheus::Gauge>& wave_hosts_;
+  prometheus::Family<prometheus::Gauge>& hosts_without_tasks_;
   prometheus::Gauge& is_leading_;
   prometheus::Gauge& config_version_;
   prometheus::Gauge& config_age_seconds_;
--- a/src/sched/runner_state.h
+++ b/src/sched/runner_state.h
@@ -22,7 +22,7 @@
   bool reachable = false;  ///< The runner answered the most recent poll.
   /// The runner is certainly in the runner set in the store.
   bool recorded = false;
-  /// The runner gets no new tasks because of maintenance or a move of its host.
+  /// The runner gets no new tasks, see scheduler::SetRunnerHolds().
   bool cordoned = false;
   /// Start time of this incarnation of the runner, on this process's clock.
   /// Computed from the runner's clock, which starts at 0 with each incarnation.
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -115,6 +115,7 @@
   runner_state& runner = runners_[report.id];
   runner.report = report;
   runner.recorded = recorded_runners_.contains(report.id);
+  runner.cordoned = runner_holds_.contains(report.id);
   pools_stale_ = true;
 }
 
@@ -136,9 +137,12 @@
   if (it != runners_.end()) it->second.reachable = reachable;
 }
 
-void scheduler::SetCordoned(const std::string& id, bool cordoned) {
-  const auto it = runners_.find(id);
-  if (it != runners_.end()) it->second.cordoned = cordoned;
+void scheduler::SetRunnerHolds(runner_holds holds) {
+  if (holds == runner_holds_) return;
+  runner_holds_ = std::move(holds);
+  for (auto& [id, runner] : runners_) {
+    runner.cordoned = runner_holds_.contains(id);
+  }
 }
 
 const runner_state* scheduler::FindRunner(const std::string& id) const {
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -24,6 +24,7 @@
 #include "src/sched/order.h"
 #include "src/sched/pool_demand.h"
 #include "src/sched/run_time_model.h"
+#include "src/sched/runner_holds.h"
 #include "src/sched/runner_state.h"
 #include "src/sched/scheduler_event.h"
 #include "src/sched/ticket_cache.h"
@@ -111,9 +112,9 @@
                          const std::string& data_centre);
   /// Sets whether the runner answered the most recent poll.
   void SetReachable(const std::string& id, bool reachable);
-  /// Sets whether maintenance or a move of the runner's host keeps new tasks
-  /// off the runner.
-  void SetCordoned(const std::string& id, bool cordoned);
+  /// Sets which runners get no new tasks, in place of all that was set before.
+  /// Also holds for runners that are added later.
+  void SetRunnerHolds(runner_holds holds);
   /// Sets the ids of the runners that are certainly in the runner set in the
   /// store. Other runners get no tasks, because the next leader polls only the
   /// runners in that set.
@@ -451,6 +452,7 @@
   millis last_housekeeping_at_ = 0;
   /// Ids of the runners that are certainly in the runner set in the store.
   std::set<std::string> recorded_runners_;
+  runner_holds runner_holds_;  ///< See SetRunnerHolds().
   /// Ids of the runners whose hosts are due for maintenance.
   std::set<std::string> maintenance_due_;
   /// By pool name, the demand of tasks for which the last pass found no runner.
--- a/tests/sched/scheduler_deferred_starts_test.cc
+++ b/tests/sched/scheduler_deferred_starts_test.cc
@@ -77,7 +77,7 @@
   AddRunner("r1");
   AddJob("a", {Step(1)});
   PlanOnce();
-  subject.SetCordoned("r1", true);
+  subject.SetRunnerHolds({{"r1", hold_reason::kDraining}});
   AddRunner("r2");
   PersistProgress();
   const auto orders = PlanOnce();
