--- a/spec/host_orders.pml
+++ b/spec/host_orders.pml
@@ -4,13 +4,17 @@
  * names an order before it is sent. Each of these macros removes a guard:
  * FORGET_UNANSWERED (a host with an unanswered order does not count as down),
  * NO_ORDER_RECORD (the second controller does not know of the orders of the
- * first one). */
+ * first one), DROP_RESTARTED (the second controller takes a host's new runner
+ * for a proof that its order was carried out; a host that crashes has a new
+ * runner too). */
 
 byte fence = 0;         /* token of the newest controller */
 byte down = 0;          /* number of hosts that are down */
 bool is_down[2];        /* the host is down for maintenance */
 bool is_maintained[2];  /* the maintenance of the host has begun */
+bool is_restarted[2];   /* the host has another runner than its order names */
 bool recorded[2];       /* the store names an order to the host */
+bool progress[2];       /* the wave's progress in the store names the host */
 byte in_transit[2];     /* token of an order that may be carried out; 0: none */
 byte highest_token[2];  /* highest token that the host has accepted */
 
@@ -37,8 +41,13 @@
     fence++;
     token = fence;
 #ifndef NO_ORDER_RECORD
-    open[0] = recorded[0];
-    open[1] = recorded[1];
+#ifdef DROP_RESTARTED
+    open[0] = recorded[0] && !is_restarted[0];
+    open[1] = recorded[1] && !is_restarted[1];
+#else
+    open[0] = recorded[0] && !progress[0];
+    open[1] = recorded[1] && !progress[1];
+#endif
 #endif
   };
   /* Hosts that an earlier controller is known to have taken down are up. */
@@ -59,7 +68,8 @@
     :: atomic { open[h] && fence == token ->
          carry_out(h, token);
          open[h] = false;
-         recorded[h] = false };
+         progress[h] = true };
+      atomic { if :: fence == token -> recorded[h] = false :: else fi };
       !is_down[h]
     :: else
     fi
@@ -71,8 +81,11 @@
   do
   :: atomic { in_transit[0] > 0 -> carry_out(0, in_transit[0]); in_transit[0] = 0 }
   :: atomic { in_transit[1] > 0 -> carry_out(1, in_transit[1]); in_transit[1] = 0 }
-  :: atomic { is_down[0] -> is_down[0] = false; down-- }
-  :: atomic { is_down[1] -> is_down[1] = false; down-- }
+  :: atomic { is_down[0] -> is_down[0] = false; is_restarted[0] = true; down-- }
+  :: atomic { is_down[1] -> is_down[1] = false; is_restarted[1] = true; down-- }
+  /* A host crashes. */
+  :: atomic { !is_down[0] && !is_restarted[0] -> is_restarted[0] = true }
+  :: atomic { !is_down[1] && !is_restarted[1] -> is_restarted[1] = true }
   od
 }
 
