Keep a move until its order has ended, and report holds once pools are known

A move whose host had arrived was dropped while a repeat of its order was in flight. If that repeat got no response, only another repeat could end the order, not the list. The report of hosts without tasks counted hosts in standby until the first moves were planned, since the name of that pool was not known.

--- a/src/node/host_holds.cc
+++ b/src/node/host_holds.cc
@@ -45,7 +45,8 @@
 
 void host_controller::impl::ReportHolds() {
   const millis now = context.now.Now();
-  if (now - holds_reported_at < kHoldsReportIntervalMs) return;
+  // The name of the standby pool is not known before moves are planned.
+  if (!move_planner || now - holds_reported_at < kHoldsReportIntervalMs) return;
   holds_reported_at = now;
   const sched::runner_holds holds = sched::DeriveRunnerHolds(HostClaims());
   std::map<std::string_view, int> counts{
--- a/src/node/host_moves.cc
+++ b/src/node/host_moves.cc
@@ -182,6 +182,7 @@
     }
     if (HasArrived(move, *host)) {
       DropOrder(entry.first);
+      if (open_orders.contains(entry.first)) return false;
       const sched::runner_state* runner = scheduler.FindRunner(host->runner);
       return move.new_pool == standby_pool || (runner && runner->listed) ||
              age > 4 * (context.settings.move_ms + kRunnerStartMs);
