Relay store calls through the peer that relayed the last one

Cause: a node that does not reach the store tried two peers for each call, in turn by a count of its calls.

Change: sched::relay_choice puts the peer that relayed the last call first and the others in turn. A resignation that is not stored is repeated after 50 ms, as long as the store names this process as the leader.

--- a/src/node/membership.cc
+++ b/src/node/membership.cc
@@ -16,6 +16,9 @@
 
 constexpr millis kLeaseRenewalIntervalMs = 450;
 constexpr millis kRetryDelayMs = 200;
+// Delay before a resignation that was not stored is repeated. No other node can
+// lead before it is stored or the lease ends.
+constexpr millis kResignationRetryMs = 50;
 constexpr millis kWatchWaitMs = 1000;
 // Campaign delay for each node that precedes this one in member_table::Rank().
 // Candidates start one after the other to avoid conflicting commits.
@@ -36,7 +39,8 @@
                     context.unix_now.Now(),
                     static_cast<int>(context.settings.cores * 1000)},
         renew_timer(context.io),
-        campaign_timer(context.io) {}
+        campaign_timer(context.io),
+        resignation_timer(context.io) {}
 
   void RequestLease();
   void RegisterNode();
@@ -63,6 +67,9 @@
   /// to the term `before` hold has expired, if this node is elected now.
   millis PredecessorLeaseMs(const term_record& before) const;
   void SendResignation();
+  /// Sends a resignation that was not stored again after a short delay, unless
+  /// the term has ended in the store by then.
+  void RepeatResignation();
   void ApplyElectionOutcome(const result<store::commit_outcome>& outcome);
   /// Returns true if `record` names this process of this node as the leader.
   bool NamesThisProcess(const leader_record& record) const {
@@ -86,6 +93,7 @@
   std::uint64_t lease_id = 0;
   boost::asio::steady_timer renew_timer;
   boost::asio::steady_timer campaign_timer;
+  boost::asio::steady_timer resignation_timer;
   std::unique_ptr<store_watch> member_watch;
   /// Name of the last known leader's node; empty if none was known yet.
   std::string last_seen_leader;
@@ -262,11 +270,26 @@
         if (!self) return;
         self->resignation_in_flight = false;
         if (Ok(outcome)) return;
-        // UpdateRole sends it again after the next renewal of the lease.
         self->context.log.Warning(
             "member", "resignation not stored, fence=" +
                           std::to_string(self->ended_fencing_token) +
                           " error=" + Error(outcome).message);
+        self->RepeatResignation();
+      });
+}
+
+void membership::impl::RepeatResignation() {
+  resignation_timer.expires_after(
+      std::chrono::milliseconds(kResignationRetryMs));
+  resignation_timer.async_wait(
+      [weak = weak_from_this()](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (error || !self) return;
+        const leader_record& record = self->context.members.Leader();
+        if (self->NamesThisProcess(record) &&
+            record.fencing_token == self->ended_fencing_token) {
+          self->SendResignation();
+        }
       });
 }
 
@@ -435,6 +458,7 @@
   impl_->member_watch.reset();
   impl_->renew_timer.cancel();
   impl_->campaign_timer.cancel();
+  impl_->resignation_timer.cancel();
 }
 
 bool membership::ShouldStepDown() const {
--- a/src/node/node_server.cc
+++ b/src/node/node_server.cc
@@ -73,7 +73,8 @@
   void PollStop(millis deadline);
 
   node_context context;
-  peer_client peers;  ///< HTTP client for calls to other nodes.
+  sched::relay_choice relays;  ///< Used by calls of `peers`.
+  peer_client peers;           ///< HTTP client for calls to other nodes.
   std::function<void()> on_stopped;
   boost::asio::steady_timer stop_timer;
   boost::asio::steady_timer traffic_timer;
@@ -88,9 +89,6 @@
   std::unique_ptr<leader> local_leader;  ///< Null unless this node leads.
   /// Maintenance waves that the operator requested, keyed by wave number.
   std::map<std::int64_t, fleet::wave_request> requested_waves;
-  /// Number of store calls passed to RelayThroughPeers so far. It selects the
-  /// peer to try first, so that all peers take turns.
-  std::size_t relayed_call_count = 0;
   /// True if the last message about the store said that it is unreachable;
   /// avoids repeated messages.
   bool logged_store_unreachable = false;
@@ -100,7 +98,7 @@
   auto relay =
       [this](platform::raw_store_request call,
              std::function<void(result<platform::raw_store_response>)> done) {
-        RelayThroughPeers(context, peers, relayed_call_count++, std::move(call),
+        RelayThroughPeers(context, peers, relays, std::move(call),
                           std::move(done));
       };
   auto observe = [this](const platform::store_call_report& call) {
--- a/src/node/peer_service.cc
+++ b/src/node/peer_service.cc
@@ -23,8 +23,11 @@
 
 /// A store call that is sent to one node after another until one relays it.
 struct relayed_call {
+  explicit relayed_call(sched::relay_choice& choice) : choice(choice) {}
+
   bool IsRead() const { return call.method == "GET"; }
 
+  sched::relay_choice& choice;
   std::vector<std::string> addresses;  ///< Nodes to try, in this order.
   std::size_t next = 0;                ///< Index of the next address to try.
   int pending_attempts = 0;            ///< Calls to peers without an answer.
@@ -55,11 +58,16 @@
 
 void OnPeerAnswer(peer_client& peers,
                   const std::shared_ptr<relayed_call>& relay,
-                  const result<std::string>& answer) {
+                  const std::string& peer, const result<std::string>& answer) {
   --relay->pending_attempts;
-  if (!relay->done) return;
   result<platform::raw_store_response> decoded =
       Ok(answer) ? DecodeRelayResponse(Value(answer)) : Error(answer);
+  if (Ok(decoded)) {
+    relay->choice.NoteRelayed(peer);
+  } else {
+    relay->choice.NoteFailed(peer);
+  }
+  if (!relay->done) return;
   if (Ok(decoded)) {
     return std::exchange(relay->done, nullptr)(std::move(decoded));
   }
@@ -95,28 +103,25 @@
   }
   peers.Call(address, "/peer/store", json::serialize(body),
              limit + (relay->IsRead() ? kRelayedReadTransferMs : 0),
-             [&peers, relay](const result<std::string>& answer) {
-               OnPeerAnswer(peers, relay, answer);
+             [&peers, relay, address](const result<std::string>& answer) {
+               OnPeerAnswer(peers, relay, address, answer);
              });
 }
 
 }  // namespace
 
 void RelayThroughPeers(
-    node_context& context, peer_client& peers, std::size_t sequence,
+    node_context& context, peer_client& peers, sched::relay_choice& choice,
     platform::raw_store_request call,
     std::function<void(result<platform::raw_store_response>)> done) {
-  auto relay = std::make_shared<relayed_call>();
+  auto relay = std::make_shared<relayed_call>(choice);
   relay->call = std::move(call);
   relay->done = std::move(done);
-  std::vector<member> members = context.members.Members();
-  std::erase_if(members, [&](const member& node) {
-    return node.name == context.settings.name;
-  });
-  for (std::size_t i = 0; i < members.size() && i < kMaxRelays; ++i) {
-    relay->addresses.push_back(
-        members[(sequence + i) % members.size()].address);
+  std::vector<std::string> addresses;
+  for (const member& node : context.members.Members()) {
+    if (node.name != context.settings.name) addresses.push_back(node.address);
   }
+  relay->addresses = choice.Choose(addresses, kMaxRelays);
   TryNextPeer(peers, relay);
 }
 
--- a/src/node/peer_service.h
+++ b/src/node/peer_service.h
@@ -7,6 +7,7 @@
 #include "src/node/leader.h"
 #include "src/node/node_context.h"
 #include "src/node/peer_client.h"
+#include "src/sched/relay_choice.h"
 
 namespace radishwing::node {
 
@@ -33,10 +34,10 @@
 };
 
 /// Sends a store call through another node, which relays it to the store; tries
-/// a few nodes one after another. `sequence` selects the node to try first, so
-/// the caller increments it with each call.
+/// a few nodes one after another, those that `choice` selects. `choice` has to
+/// live as long as `peers`.
 void RelayThroughPeers(
-    node_context& context, peer_client& peers, std::size_t sequence,
+    node_context& context, peer_client& peers, sched::relay_choice& choice,
     platform::raw_store_request call,
     std::function<void(result<platform::raw_store_response>)> done);
 
--- a/tests/node/membership_test.cc
+++ b/tests/node/membership_test.cc
@@ -107,6 +107,20 @@
   BOOST_TEST(lease_wait_ms > kUnendedLeaseMs / 2);
 }
 
+// Guards against a term without a leader that goes on until the next renewal,
+// which may not come: nobody can be elected before the resignation is stored.
+BOOST_AUTO_TEST_CASE(resignation_is_repeated_without_a_renewal) {
+  BOOST_REQUIRE(RunUntil([&] { return Happened("elected 1"); }));
+  store.SetUnavailable(true);
+  events.clear();
+  subject->Resign(0);
+  const int refused = store.RefusedCommitCount();
+  BOOST_TEST(RunUntil([&] {
+    return store.RefusedCommitCount() >= refused + 3 || Happened("renewed");
+  }));
+  BOOST_TEST(!Happened("renewed"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
