--- a/src/node/host_waves.cc
+++ b/src/node/host_waves.cc
@@ -66,6 +66,12 @@
         listed_hosts_as_of > entry.second + context.settings.maintenance_ms;
     return !host || up_again;
   });
+  // A host that comes back later must not be held for a wave that is over.
+  std::erase_if(wave.draining_since, [&](const auto& entry) {
+    if (FindHost(entry.first)) return false;
+    DropOrder(entry.first);
+    return true;
+  });
   std::vector<std::string> remaining;
   bool all_started = true;
   for (const std::string& name : wave.request.hosts) {
@@ -92,13 +98,7 @@
   StartDraining(wave, remaining);
   const auto draining = wave.draining_since;
   for (const auto& [name, since] : draining) {
-    const fleet::host_info* host = FindHost(name);
-    if (!host) {
-      DropOrder(name);
-      wave.draining_since.erase(name);
-    } else {
-      DrainHost(wave, *host);
-    }
+    DrainHost(wave, *FindHost(name));
   }
 }
 
@@ -140,7 +140,6 @@
     return;
   }
   if (!host.runner.empty() && scheduler.FindRunner(host.runner)) {
-    scheduler.SetCordoned(host.runner, true);
     const bool may_wait_for_batch =
         now - wave.draining_since[host.name] < kMaxBatchDrainMs;
     if (!scheduler.Evacuate(host.runner, !may_wait_for_batch, now)) return;
@@ -173,8 +172,8 @@
   context.log.Info("hosts", "maintenance ordered, host=" + host +
                                 " wave=" + std::to_string(number) +
                                 " outcome=" + fleet::OrderOutcomeName(outcome));
-  if (outcome == order_outcome::kAccepted && !sent.order.runner.empty()) {
-    ending_runners[sent.order.runner] = {host, context.now.Now()};
+  if (outcome == order_outcome::kAccepted) {
+    NoteEndingRunners(host, sent.order.runner);
   }
   // An earlier leader may have sent the order for a wave that was withdrawn.
   if (!waves.contains(number)) return;
@@ -189,13 +188,13 @@
     case order_outcome::kNotInWave:
     case order_outcome::kInvalid:
       wave.started_hosts.insert(host);
-      StopDraining(wave, host);
+      wave.draining_since.erase(host);
       return;
     case order_outcome::kBusy:
       // The host is being moved or removed. Other hosts can be drained in the
       // meantime.
       if (open_orders.contains(host)) return;
-      StopDraining(wave, host);
+      wave.draining_since.erase(host);
       wave.next_order_at[host] = context.now.Now() + kHostOrderRetryMs;
       return;
     default:
@@ -204,13 +203,6 @@
   }
 }
 
-void host_controller::impl::StopDraining(wave_state& wave,
-                                         const std::string& name) {
-  wave.draining_since.erase(name);
-  const fleet::host_info* host = FindHost(name);
-  if (host) scheduler.SetCordoned(host->runner, false);
-}
-
 void host_controller::impl::StoreStartedHosts(wave_state& wave) {
   json::array names;
   for (const std::string& host : wave.started_hosts) names.emplace_back(host);
--- a/src/node/leader_runners.cc
+++ b/src/node/leader_runners.cc
@@ -30,7 +30,7 @@
     ApplyRunnerEntry(entry);
   }
   for (const auto& [id, link] : links) {
-    if (!present.contains(id)) CordonUnregisteredRunner(id);
+    if (!present.contains(id)) NoteUnregisteredRunner(id);
   }
   runners_loaded = true;
   SaveRunnerSet();
@@ -42,7 +42,7 @@
   if (id.empty()) return;
   if (entry.revision == 0) {
     ignored_entries.erase(id);
-    return CordonUnregisteredRunner(id);
+    return NoteUnregisteredRunner(id);
   }
   const auto report = platform::DecodeRunnerRecord(id, entry.value);
   if (!report || !IsPlausible(*report)) {
@@ -86,18 +86,15 @@
                                     " revision=" + std::to_string(revision));
 }
 
-void leader::impl::CordonUnconfirmedRunners() {
+void leader::impl::NoteUnconfirmedRunners() {
   const millis limit = kMissedHeartbeats * context.settings.heartbeat_ms;
   for (const auto& [id, since] : ignored_entries) {
-    if (context.now.Now() - since >= limit) CordonUnregisteredRunner(id);
+    if (context.now.Now() - since >= limit) NoteUnregisteredRunner(id);
   }
 }
 
 void leader::impl::UpdateRunner(const fleet::runner_report& report) {
-  if (unregistered_since.erase(report.id) > 0) {
-    scheduler.SetCordoned(report.id, false);
-    hosts->CordonOrderedHosts();
-  }
+  unregistered_since.erase(report.id);
   const sched::runner_state* known = scheduler.FindRunner(report.id);
   if (!known || known->report.draining != report.draining ||
       known->report.pool != report.pool) {
@@ -120,12 +117,11 @@
   SchedulePass();
 }
 
-void leader::impl::CordonUnregisteredRunner(const std::string& id) {
+void leader::impl::NoteUnregisteredRunner(const std::string& id) {
   if (!links.contains(id)) return;
   if (unregistered_since.try_emplace(id, context.now.Now()).second) {
     context.log.Info("runner", "runner entry removed, runner=" + id);
   }
-  scheduler.SetCordoned(id, true);
 }
 
 void leader::impl::AddLink(const fleet::runner_report& report,
@@ -195,7 +191,6 @@
   scheduler.RemoveRunner(id, context.now.Now());
   pending_acks.erase(id);
   scheduler.AddRunner(report);
-  if (unregistered_since.contains(id)) scheduler.SetCordoned(id, true);
   SchedulePass();
   return true;
 }
--- a/tests/node/node_test.cc
+++ b/tests/node/node_test.cc
@@ -237,6 +237,10 @@
   KillNode("n1");
   const std::string next_address = AddNode("n1");
   BOOST_REQUIRE(CallUntil(next_address, verb::get, "/q/", 200));
+  // The new leader has polled, and a pass has followed.
+  const int polls = runners.front()->PollCount();
+  BOOST_TEST(
+      RunUntil([&] { return runners.front()->PollCount() > polls + 3; }));
   BOOST_TEST(recorder.tasks.empty());
   store.Remove("op/evacuate/z");
   BOOST_TEST(WaitForState(next_address, kFirstJobId, "succeeded"));
