--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -40,6 +40,7 @@
       load_started_at(context.now.Now()),
       lease(won.lease_renewed_at) {
   scheduler.SetMaxStopDuration(context.settings.max_stop_ms);
+  scheduler.SetEvacuatedDataCentres(context.evacuated_data_centres);
 }
 
 bool leader::impl::MaySendOrders() const {
@@ -62,6 +63,7 @@
 
 void leader::impl::RunSchedulingPass() {
   if (!MaySendOrders()) return;
+  hosts->ApplyHolds();
   const millis plan_started_at = context.now.Now();
   const int allowance =
       start_pace.Allowance(plan_started_at, context.MeasuredLink());
@@ -108,7 +110,7 @@
           return self->EndTerm("lease not renewed");
         }
         self->CompleteOverdueHandOver();
-        self->CordonUnconfirmedRunners();
+        self->NoteUnconfirmedRunners();
         self->DropUnregisteredRunners();
         self->SaveRunnerSet();
         self->RemoveExpiredKeys();
@@ -243,6 +245,12 @@
                                            millis asked_at) {
     raw->DropReplacedRunners(runners, asked_at);
   };
+  hooks.unregistered_runners = [raw = impl_.get()] {
+    std::vector<std::string> runners;
+    for (const auto& [id, since] : raw->unregistered_since)
+      runners.push_back(id);
+    return runners;
+  };
   hooks.may_order_hosts = [raw = impl_.get()] {
     return raw->MaySendOrders() &&
            raw->lease.MayOrderHosts(raw->context.now.Now());
@@ -272,6 +280,12 @@
   impl_->SchedulePass();
 }
 
+void leader::ApplyEvacuations() {
+  impl_->scheduler.SetEvacuatedDataCentres(
+      impl_->context.evacuated_data_centres);
+  impl_->SchedulePass();
+}
+
 void leader::AddMaintenanceWave(const fleet::wave_request& wave) {
   if (impl_->hosts) impl_->hosts->AddWave(wave);
 }
--- a/src/node/leader_impl.h
+++ b/src/node/leader_impl.h
@@ -74,11 +74,12 @@
   /// Counts and logs an invalid entry, which another writer may have written.
   /// The last valid registration of the runner stays in force.
   void IgnoreRunnerEntry(const std::string& id, std::uint64_t revision);
-  /// Excludes the runners from new tasks whose entries have been invalid for
+  /// Records the runners as unregistered whose entries have been invalid for
   /// several heartbeats.
-  void CordonUnconfirmedRunners();
-  /// Excludes a runner without a valid store entry from new tasks.
-  void CordonUnregisteredRunner(const std::string& id);
+  void NoteUnconfirmedRunners();
+  /// Records that a linked runner has no valid store entry. Such a runner gets
+  /// no new tasks.
+  void NoteUnregisteredRunner(const std::string& id);
   /// Connects to a runner. By `predecessor_lease_end`, the leases of earlier
   /// leaders on the runner have expired; 0: there is no such lease.
   void AddLink(const fleet::runner_report& report,
--- a/src/node/node_server.cc
+++ b/src/node/node_server.cc
@@ -55,6 +55,8 @@
   result<std::unique_ptr<http::server>> Listen(const std::string& address,
                                                std::string_view callers,
                                                http::server::handler handler);
+  /// Sets which data centres the operator evacuates.
+  void SetEvacuatedDataCentres(std::set<std::string> data_centres);
   /// Logs the traffic once every kTrafficLogIntervalMs.
   void LogTraffic();
   void WatchOperatorKeys();
@@ -73,6 +75,8 @@
   void PollStop(millis deadline);
 
   node_context context;
+  /// Used by calls of `peers`.
+  sched::relay_choice relays{std::hash<std::string>{}(context.settings.name)};
   peer_client peers;  ///< HTTP client for calls to other nodes.
   std::function<void()> on_stopped;
   boost::asio::steady_timer stop_timer;
@@ -88,9 +92,6 @@
   std::unique_ptr<leader> local_leader;  ///< Null unless this node leads.
   /// Maintenance waves that the operator requested, keyed by wave number.
   std::map<std::int64_t, fleet::wave_request> requested_waves;
-  /// Number of store calls passed to RelayThroughPeers so far. It selects the
-  /// peer to try first, so that all peers take turns.
-  std::size_t relayed_call_count = 0;
   /// True if the last message about the store said that it is unreachable;
   /// avoids repeated messages.
   bool logged_store_unreachable = false;
@@ -100,7 +101,7 @@
   auto relay =
       [this](platform::raw_store_request call,
              std::function<void(result<platform::raw_store_response>)> done) {
-        RelayThroughPeers(context, peers, relayed_call_count++, std::move(call),
+        RelayThroughPeers(context, peers, relays, std::move(call),
                           std::move(done));
       };
   auto observe = [this](const platform::store_call_report& call) {
@@ -218,7 +219,16 @@
   options.skip_superseded_values = true;
   store_watch_hooks hooks;
   hooks.snapshot = [this](const std::vector<store::store_item>& items) {
-    for (const store::store_item& item : items) ApplyOperatorItem(item);
+    std::set<std::string> evacuated;
+    for (const store::store_item& item : items) {
+      if (item.key.starts_with(platform::kEvacuationKeyPrefix)) {
+        evacuated.insert(
+            item.key.substr(platform::kEvacuationKeyPrefix.size()));
+      } else {
+        ApplyOperatorItem(item);
+      }
+    }
+    SetEvacuatedDataCentres(std::move(evacuated));
   };
   hooks.change = [this](const store::store_item& item) {
     ApplyOperatorItem(item);
@@ -233,7 +243,33 @@
                                     std::move(options), std::move(hooks));
 }
 
+void node_server::impl::SetEvacuatedDataCentres(
+    std::set<std::string> data_centres) {
+  if (data_centres == context.evacuated_data_centres) return;
+  context.evacuated_data_centres = std::move(data_centres);
+  context.metrics.SetEvacuatedDataCentres(
+      context.evacuated_data_centres.size());
+  std::string names;
+  for (const std::string& name : context.evacuated_data_centres) {
+    names += (names.empty() ? "" : ",") + name;
+  }
+  context.log.InfoUnlimited("config",
+                            "evacuations changed, data_centres=" + names);
+  if (local_leader) local_leader->ApplyEvacuations();
+}
+
 void node_server::impl::ApplyOperatorItem(const store::store_item& item) {
+  if (item.key.starts_with(platform::kEvacuationKeyPrefix)) {
+    std::set<std::string> data_centres = context.evacuated_data_centres;
+    const std::string name =
+        item.key.substr(platform::kEvacuationKeyPrefix.size());
+    if (item.revision == 0) {
+      data_centres.erase(name);
+    } else {
+      data_centres.insert(name);
+    }
+    return SetEvacuatedDataCentres(std::move(data_centres));
+  }
   if (item.revision == 0) return;
   if (item.key == platform::kConfigKey) {
     auto config = platform::DecodeConfig(item.value);
