--- a/bench/schedule_bench.cc
+++ b/bench/schedule_bench.cc
@@ -10,7 +10,6 @@
 using namespace sched;
 
 constexpr int kPools = 4;
-constexpr int kRunnersPerPool = 75;
 constexpr int kTasksPerStep = 8;
 constexpr int kRounds = 400;
 
@@ -34,10 +33,10 @@
   return job;
 }
 
-/// Returns the median duration in µs of a round on full pools with `backlog`
-/// waiting jobs. In a round, one run ends and a scheduling pass starts the run
-/// of another task.
-double MedianRoundMicros(int backlog) {
+/// Returns the median duration in µs of a round on full pools of
+/// `runners_per_pool` runners with `backlog` waiting jobs. In a round, one run
+/// ends and a scheduling pass starts the run of another task.
+double MedianRoundMicros(int runners_per_pool, int backlog) {
   scheduler subject{1};
   fleet::fleet_config config;
   for (int i = 0; i < 20; ++i) {
@@ -46,7 +45,7 @@
   std::set<std::string> recorded;
   for (int p = 0; p < kPools; ++p) {
     config.pools.push_back({"pool-" + std::to_string(p), false, false});
-    for (int r = 0; r < kRunnersPerPool; ++r) {
+    for (int r = 0; r < runners_per_pool; ++r) {
       fleet::runner_report report;
       report.id = "runner-" + std::to_string(p) + "-" + std::to_string(r);
       report.pool = "pool-" + std::to_string(p);
@@ -97,16 +96,18 @@
 }
 
 std::vector<measurement> MeasureSchedule(std::uint64_t) {
-  const double short_backlog = MedianRoundMicros(1000);
-  const double long_backlog = MedianRoundMicros(4000);
-  return {{"median with 1,000 jobs waiting", short_backlog, "us", "", false},
-          {"median with 4,000 jobs waiting", long_backlog, "us", "", false}};
+  return {{"median with 300 runners, 1,000 jobs waiting",
+           MedianRoundMicros(75, 1000), "us", "", false},
+          {"median with 300 runners, 4,000 jobs waiting",
+           MedianRoundMicros(75, 4000), "us", "", false},
+          {"median with 500 runners, 10,000 jobs waiting",
+           MedianRoundMicros(125, 10'000), "us", "", false}};
 }
 
 const bench_registration kRegistration(
     {"schedule",
-     "one end and the scheduling pass after it, 400 times, 300 full runners "
-     "and a backlog",
+     "one end and the scheduling pass after it, 400 times, full runners and a "
+     "backlog",
      MeasureSchedule});
 
 }  // namespace
