Give teams room by weight, and jobs that can be in time before the others

Cause: with more work than room, every job was started by its latest start time and most ended just after their objective; a team that sent many times its usual took the room of all.

Teams within their share follow their deadlines, teams over it come after them; begun jobs come before new ones; late work leaves room to timely work; pools take turns. Log line 'team held back', metrics by team and pool.

--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -132,6 +132,7 @@
       links, [](const auto& entry) { return entry.second->Reachable(); }));
   context.metrics.SetRunnerCounts(reachable, links.size() - reachable);
   context.metrics.SetUnansweredStarts(scheduler.CountUnansweredStarts());
+  context.metrics.SetTeamShares(scheduler.TeamShares());
 }
 
 void leader::impl::ReportSchedulerEvents() {
@@ -179,6 +180,10 @@
                         " queue=" + event.runner + " state=" + event.detail +
                         " age_ms=" + std::to_string(event.elapsed_ms));
         break;
+      case sched::event_kind::kTeamHeldBack:
+        context.log.Info("shares", "team held back, pool=" + event.runner +
+                                       " " + event.detail);
+        break;
     }
   }
 }
--- a/src/node/node_metrics.cc
+++ b/src/node/node_metrics.cc
@@ -94,7 +94,15 @@
                          .Register(registry_)),
       unanswered_starts_(SingleGauge(registry_,
                                      "radishwing_node_unknown_starts",
-                                     "Starts that nobody has answered")) {
+                                     "Starts that nobody has answered")),
+      team_shares_(prometheus::BuildGauge()
+                       .Name("radishwing_team_share")
+                       .Help("Part of a pool by team, used and due")
+                       .Register(registry_)),
+      team_waiting_(prometheus::BuildGauge()
+                        .Name("radishwing_team_waiting_core_seconds")
+                        .Help("Batch work by pool and team without room")
+                        .Register(registry_)) {
   prometheus::BuildGauge()
       .Name("radishwing_process_start_seconds")
       .Help("Unix time of the process's start")
@@ -198,6 +206,24 @@
   unanswered_starts_.Set(static_cast<double>(count));
 }
 
+void node_metrics::SetTeamShares(
+    const std::vector<sched::share_report>& shares) {
+  constexpr double kMillisPerSecond = 1000;
+  for (prometheus::Gauge* gauge : team_gauges_) gauge->Set(0);
+  const auto set = [&](prometheus::Gauge& gauge, double value) {
+    gauge.Set(value);
+    team_gauges_.insert(&gauge);
+  };
+  for (const sched::share_report& share : shares) {
+    prometheus::Labels labels{{"pool", share.pool}, {"team", share.team}};
+    set(team_waiting_.Add(labels), share.waiting_core_ms / kMillisPerSecond);
+    labels["kind"] = "used";
+    set(team_shares_.Add(labels), share.used_share);
+    labels["kind"] = "due";
+    set(team_shares_.Add(labels), share.due_share);
+  }
+}
+
 std::string node_metrics::Serialize() const {
   return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -6,11 +6,14 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "src/base/clock.h"
 #include "src/node/traffic_counters.h"
+#include "src/sched/share_report.h"
 
 namespace radishwing::node {
 
@@ -68,6 +71,9 @@
   /// Sets the number of start orders whose outcome is unknown.
   void SetUnansweredStarts(std::size_t count);
 
+  /// Sets the teams' shares of the pools. Shares that are missing become 0.
+  void SetTeamShares(const std::vector<sched::share_report>& shares);
+
   /// Counters of the bytes that this node sends and receives.
   traffic_counters& Traffic() { return traffic_; }
 
@@ -98,6 +104,10 @@
   prometheus::Gauge& config_age_seconds_;
   prometheus::Family<prometheus::Gauge>& runner_counts_;
   prometheus::Gauge& unanswered_starts_;
+  prometheus::Family<prometheus::Gauge>& team_shares_;
+  prometheus::Family<prometheus::Gauge>& team_waiting_;
+  /// Gauges of `team_shares_` and `team_waiting_` that were ever set.
+  std::set<prometheus::Gauge*> team_gauges_;
 };
 
 }  // namespace radishwing::node
--- a/src/sched/job_state.h
+++ b/src/sched/job_state.h
@@ -21,6 +21,8 @@
 /// Returns the phase with the given name, or kPending if the name is unknown.
 job_phase ParseJobPhase(std::string_view name);
 
+struct share_account;
+
 /// Progress of one step in one repetition of a job.
 struct step_state {
   std::vector<task_state> tasks;
@@ -41,6 +43,8 @@
   /// memory. The progress record names the state that it was written from.
   std::string author;
   job_phase phase = job_phase::kPending;
+  /// What the job's team uses of its pool. Set when the scheduler adds the job.
+  share_account* account = nullptr;
   /// An earlier leader may have started runs of the job on runners whose first
   /// listing to this leader has not arrived. The job waits for these listings.
   bool awaits_listings = false;
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -11,6 +11,7 @@
 
 void scheduler::SetConfig(const fleet::fleet_config& config) {
   config_ = config;
+  shares_.SetConfig(config);
 }
 
 void scheduler::AddJob(fleet::job_record record, bool restored, millis now,
@@ -26,6 +27,7 @@
   slot->long_running = std::ranges::any_of(record.request.steps,
                                            &fleet::task_step::long_running);
   slot->record = std::move(record);
+  slot->account = &shares_.Account(slot->record.pool, slot->record.team);
   slot->record.body.clear();
   slot->record.body.shrink_to_fit();
   slot->critical_path_ms = CriticalPathMs(slot->record.request, nullptr);
@@ -326,6 +328,9 @@
     runner.used -= ReservedResources(*ref.step);
     team -= ref.step->needs;
   }
+  if (!ref.job->long_running) {
+    shares_.AddRun(*ref.job->account, ReservedResources(*ref.step), sign);
+  }
 }
 
 void scheduler::AttachRun(const fleet::task_name& name, const task_ref& ref,
@@ -333,6 +338,9 @@
   runner_state& runner = runners_[run.runner];
   runner.tasks.insert(name);
   UpdateUsage(ref, runner, 1);
+  if (run.adopted_clock_ms >= 0 && !ref.job->long_running) {
+    shares_.AddPastUse(*ref.job->account, ReservedResources(*ref.step));
+  }
   ++ref.job->active_runs;
   ref.task->last_run = std::max(ref.task->last_run, run.run);
   ref.task->runs.push_back(std::move(run));
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -26,6 +26,9 @@
 #include "src/sched/run_time_model.h"
 #include "src/sched/runner_state.h"
 #include "src/sched/scheduler_event.h"
+#include "src/sched/share_report.h"
+#include "src/sched/start_queue.h"
+#include "src/sched/team_shares.h"
 #include "src/sched/ticket_cache.h"
 
 namespace radishwing::sched {
@@ -201,6 +204,8 @@
   /// later one, or if the job is not known.
   bool IsPersisted(const std::string& job, std::uint64_t version) const;
 
+  /// Returns the teams' shares of the pools, at most a second old.
+  const std::vector<share_report>& TeamShares() const { return share_reports_; }
   /// Returns the events since the previous call, for logs and metrics.
   std::vector<scheduler_event> TakeEvents();
 
@@ -226,16 +231,6 @@
     std::string runner;  ///< Id of the runner.
     int run = 0;         ///< Number of the run.
   };
-  /// A job with its place in the order in which a pass starts tasks.
-  struct ranked_job {
-    job_state* job = nullptr;
-    /// Jobs with a lower value come first. 0: long-running job; 1: job that can
-    /// still meet its objective; 2: late job; 3: very late job.
-    int start_class = 0;
-    /// Latest time to start the remaining steps and still meet the objective.
-    millis latest_start = 0;
-  };
-
   task_ref FindTask(const fleet::task_name& name);
   /// Creates the missing repetitions of a job up to the repetition of the task
   /// `name`. Called for each task of which a runner lists a run or an end.
@@ -360,8 +355,16 @@
   /// Slows best-effort tasks down while a latency-sensitive task on the same
   /// runner is near its target.
   void PlanPace(std::vector<order>& out);
-  /// Starts tasks of ready steps, those of the most urgent jobs first.
+  /// Starts tasks of ready steps, in the order of a start_queue.
   void PlanStarts(millis now, std::vector<order>& out);
+  /// Starts tasks of the jobs in `queue`, and records what work finds no room.
+  void StartInOrder(start_queue& queue, millis now, std::vector<order>& out);
+  /// Ends the starts of late work in pools where work that can still be in time
+  /// waits for room.
+  void KeepRoomForTimelyWork();
+  /// Emits an event for each team that its share holds back, at most once a
+  /// second.
+  void ReportShares(millis now);
   void StartTasksOf(job_state& job, millis now, std::vector<order>& out);
   void StartStep(job_state& job, int repetition_number,
                  repetition_state& repetition, int step_number, millis now,
@@ -369,7 +372,6 @@
   void StartGang(job_state& job, int repetition_number,
                  repetition_state& repetition, int step_number, millis now,
                  std::vector<order>& out);
-  ranked_job RankJob(job_state& job, millis now) const;
   /// Returns the best runner for a new run of `task`, or null if none is
   /// suitable.
   runner_state* ChooseRunner(const job_state& job, const fleet::task_step& step,
@@ -476,6 +478,9 @@
   /// no tasks.
   bool store_writable_ = true;
   std::vector<scheduler_event> events_;  ///< Events not taken yet.
+  team_shares shares_;                   ///< What each team uses of each pool.
+  std::vector<share_report> share_reports_;  ///< See TeamShares().
+  millis shares_reported_at_ = 0;            ///< Time of `share_reports_`.
 };
 
 }  // namespace radishwing::sched
--- a/src/sched/scheduler_event.h
+++ b/src/sched/scheduler_event.h
@@ -16,17 +16,20 @@
   kTaskLost,
   kStopOrdered,
   kJobFinished,
+  kTeamHeldBack,  ///< A team has used its share of a pool and has more work.
 };
 
 /// A scheduler decision or observation, for logs and metrics.
 struct scheduler_event {
   event_kind kind = event_kind::kTaskStarted;
-  fleet::task_name task;  ///< Only the job id is set for kJobFinished.
-  int run = 0;            ///< Number of the run; 0 for kJobFinished.
-  /// Id of the runner; name of the queue for kJobFinished.
+  /// Only the job id is set for kJobFinished; empty for kTeamHeldBack.
+  fleet::task_name task;
+  int run = 0;  ///< Number of the run; 0 for kJobFinished.
+  /// Id of the runner; name of the queue for kJobFinished, and of the pool for
+  /// kTeamHeldBack.
   std::string runner;
-  /// How the run ended, why it was lost or stopped, or the final phase of the
-  /// job; empty for other events.
+  /// How the run ended, why it was lost or stopped, the final phase of the job,
+  /// or the share of the team; empty for other events.
   std::string detail;
   /// Run time for kTaskEnded, time since the start order for kTaskLost and
   /// kStopOrdered, time since the acceptance of the job otherwise.
--- a/src/sched/scheduler_plan.cc
+++ b/src/sched/scheduler_plan.cc
@@ -1,18 +1,19 @@
 #include <algorithm>
 
+#include "src/sched/job_rank.h"
 #include "src/sched/job_steps.h"
 #include "src/sched/scheduler.h"
+#include "src/sched/start_queue.h"
 
 // The scheduling pass: which jobs start tasks, in which order.
 
 namespace radishwing::sched {
 namespace {
 
-// Multiple of its objective beyond which a job counts as very late. A job that
-// ends before that point still has some value.
-constexpr int kVeryLateFactor = 3;
 // Interval of the checks for retries, stuck tasks, paces and due repetitions.
 constexpr millis kHousekeepingIntervalMs = 50;
+// Interval of the reports of the teams' shares.
+constexpr millis kShareReportIntervalMs = 1000;
 
 // Returns true if `used` plus `needs` exceeds no amount of `limit`, where 0
 // means no limit.
@@ -56,12 +57,16 @@
     }
   }
   schedulable_runners_.clear();
+  std::map<std::string, fleet::resources> capacities;
   for (const auto& [pool, runners] : pools_) {
+    fleet::resources& capacity = capacities[pool];
     for (runner_state* runner : runners) {
+      capacity += runner->report.capacity;
       if (IsSchedulable(*runner, now))
         schedulable_runners_[pool].push_back(runner);
     }
   }
+  shares_.BeginPass(now, std::move(capacities));
 }
 
 void scheduler::CreateRepetitions(job_state& job, millis unix_now) {
@@ -78,24 +83,6 @@
   }
 }
 
-scheduler::ranked_job scheduler::RankJob(job_state& job, millis now) const {
-  ranked_job ranked{.job = &job};
-  if (job.long_running) return ranked;
-  const double ratio = run_times_.MeanRatio(job.record.queue);
-  const auto objective = static_cast<millis>(
-      job.record.stretch * static_cast<double>(job.critical_path_ms) * ratio +
-      static_cast<double>(job.record.target_ms));
-  const auto remaining = static_cast<millis>(
-      static_cast<double>(job.remaining_critical_path_ms) * ratio);
-  ranked.latest_start = job.accepted_at + objective - remaining;
-  const millis late_start =
-      job.accepted_at + kVeryLateFactor * objective - remaining;
-  ranked.start_class = now <= ranked.latest_start ? 1
-                       : now <= late_start        ? 2
-                                                  : 3;
-  return ranked;
-}
-
 void scheduler::UpdateUnlistedUsage() {
   unlisted_usage_.clear();
   if (unlisted_runners_.empty()) return;
@@ -122,25 +109,74 @@
   unplaceable_needs_.clear();
   blocked_demand_.clear();
   advice_requests_.clear();
-  std::vector<ranked_job> ranked;
+  start_queue queue(shares_);
   for (job_state* job : active_jobs_) {
     if (job->awaits_listings) job->awaits_listings = MayHaveUnlistedRuns(*job);
     // While writes to the store fail, a job gets capacity only if its start
     // orders need no write of its progress record.
     if (!store_writable_ && !RecordCoversStarts(*job)) continue;
-    ranked.push_back(RankJob(*job, now));
+    queue.Add(*job,
+              RankJob(*job, run_times_.MeanRatio(job->record.queue), now));
   }
-  std::ranges::sort(ranked, [](const ranked_job& a, const ranked_job& b) {
-    if (a.start_class != b.start_class) return a.start_class < b.start_class;
-    const int a_priority = a.job->record.priority;
-    const int b_priority = b.job->record.priority;
-    if (a_priority != b_priority) return a_priority < b_priority;
-    if (a.latest_start != b.latest_start) {
-      return a.latest_start < b.latest_start;
+  StartInOrder(queue, now, out);
+  ReportShares(now);
+}
+
+void scheduler::StartInOrder(start_queue& queue, millis now,
+                             std::vector<order>& out) {
+  // Jobs of one pool follow each other, so that the search for the blocked
+  // demand of the pool is rarely repeated.
+  const pool_demand* demand = nullptr;
+  const std::string* pool = nullptr;
+  const auto blocked_core_ms = [&](const job_state& job) {
+    if (!demand || *pool != job.record.pool) {
+      const auto it = blocked_demand_.find(job.record.pool);
+      demand = it == blocked_demand_.end() ? nullptr : &it->second;
+      pool = &job.record.pool;
     }
-    return a.job->record.id < b.job->record.id;
-  });
-  for (const ranked_job& entry : ranked) StartTasksOf(*entry.job, now, out);
+    return demand ? demand->blocked_core_ms : 0;
+  };
+  int starts = 0;
+  bool room_kept = false;
+  while (job_state* job = queue.Next(starts)) {
+    if (!room_kept && queue.Prospect() >= job_prospect::kLate) {
+      room_kept = true;
+      KeepRoomForTimelyWork();
+    }
+    const int runs_before = job->active_runs;
+    const double blocked_before = blocked_core_ms(*job);
+    StartTasksOf(*job, now, out);
+    starts = job->active_runs - runs_before;
+    shares_.AddWaiting(*job->account, blocked_core_ms(*job) - blocked_before);
+  }
+}
+
+// Late work has smaller tasks than timely work that waits for a hole of its
+// size. It would fill each hole before it is large enough.
+void scheduler::KeepRoomForTimelyWork() {
+  for (auto& [pool, needs] : unplaceable_needs_) {
+    const auto blocked = blocked_demand_.find(pool);
+    if (blocked == blocked_demand_.end() ||
+        blocked->second.blocked_core_ms <= 0) {
+      continue;
+    }
+    const bool fits_empty_runner = std::ranges::any_of(
+        schedulable_runners_[pool], [&](const runner_state* runner) {
+          return needs.FitsIn(runner->report.capacity);
+        });
+    if (fits_empty_runner) needs = {};
+  }
+}
+
+void scheduler::ReportShares(millis now) {
+  if (now - shares_reported_at_ < kShareReportIntervalMs) return;
+  shares_reported_at_ = now;
+  share_reports_ = shares_.Report();
+  for (const share_report& report : share_reports_) {
+    if (!report.held_back) continue;
+    events_.push_back({event_kind::kTeamHeldBack, fleet::task_name(), 0,
+                       report.pool, FormatShareReport(report), 0});
+  }
 }
 
 void scheduler::StartTasksOf(job_state& job, millis now,
