Give hosts to useful work before late work of any pool

On a flood of one team the planner counted every pool with blocked work as short, also where the work had no value left: the flooded pool kept its 278 hosts, and the next pool's work waited on 26 full ones.

The scheduler tells blocked work that can still end in time from late and very late work, and the planner serves useful work of all pools first. Pools that are short at once divide the hosts by max-min fairness. A pool with late work and more than its part lets hosts become empty; only hosts that are empty within the time of a move get no new tasks, and only for that time. A host that has just arrived does not move again. Log lines and metrics say why a host moves.

--- a/src/node/host_controller_impl.h
+++ b/src/node/host_controller_impl.h
@@ -98,6 +98,9 @@
   void Tick();
   /// Plans moves and orders as many as the rate limit allows.
   void PlanMoves();
+  /// Tells the scheduler which runners get no new tasks because their hosts are
+  /// to move.
+  void SetLeavingRunners(millis now);
   /// Returns the state of all hosts as input to the pool planner.
   std::vector<sched::pool_host> PlannerHosts() const;
   /// Returns true if a wave has begun to drain `host` or has taken it down.
@@ -113,6 +116,9 @@
   /// second.
   void ReportPoolLoad(const std::vector<sched::pool_host>& planner_hosts,
                       const std::map<std::string, sched::pool_demand>& demand);
+  /// Sets the metrics of a pool's blocked work.
+  void ReportBlockedDemand(const std::string& pool,
+                           const sched::pool_demand& load);
   /// Cordons the runner of an empty host and orders the host's move. Does
   /// nothing if the host is not empty or is being moved already.
   void OrderMove(const sched::host_move& move);
--- a/src/node/host_moves.cc
+++ b/src/node/host_moves.cc
@@ -14,6 +14,16 @@
 // Share of host_orders_per_s that moves may use. The rest is reserved for
 // maintenance orders and retries.
 constexpr double kMoveRateShare = 0.75;
+// Time for which a runner that is to become empty gets no new tasks, unless the
+// planner confirms it.
+constexpr millis kLeavingValidMs = 1000;
+
+// Returns an amount of work without decimals, limited to a range that
+// std::int64_t has.
+std::string FormatCoreMs(double core_ms) {
+  return std::to_string(
+      static_cast<std::int64_t>(std::clamp(core_ms, 0.0, 1e15)));
+}
 
 }  // namespace
 
@@ -50,14 +60,19 @@
     for (const fleet::pool_config& pool : context.config->pools) {
       if (pool.standby) standby_pool = pool.name;
     }
-    move_planner = std::make_unique<sched::pool_planner>(standby_pool);
+    move_planner = std::make_unique<sched::pool_planner>(
+        standby_pool, context.settings.move_ms + kRunnerStartMs,
+        [this](const std::string& name) {
+          const fleet::host_info* host = FindHost(name);
+          return host ? scheduler.BusyMs(host->runner, context.now.Now()) : 0;
+        });
   }
   const auto planner_hosts = PlannerHosts();
-  const auto demand = scheduler.DemandByPool();
-  ReportPoolLoad(planner_hosts, demand);
-  const auto planned =
-      move_planner->Plan(context.now.Now(), planner_hosts, demand);
   const millis now = context.now.Now();
+  const auto demand = scheduler.DemandByPool(now);
+  ReportPoolLoad(planner_hosts, demand);
+  const auto planned = move_planner->Plan(now, planner_hosts, demand);
+  SetLeavingRunners(now);
   const double rate = context.settings.host_orders_per_s * kMoveRateShare;
   move_tokens = std::min(
       rate,
@@ -67,10 +82,25 @@
   for (const sched::host_move& move : planned) {
     if (move_tokens < 1) return;
     move_tokens -= 1;
+    context.log.Info(
+        "pools",
+        "move planned, host=" + move.host + " pool=" + move.to_pool +
+            " reason=" + std::string(sched::MoveReasonName(move.reason)));
     OrderMove(move);
   }
 }
 
+// The runners get tasks again after kLeavingValidMs even if the planner does
+// not run any more, for example because the host service has fenced the leader.
+void host_controller::impl::SetLeavingRunners(millis now) {
+  std::set<std::string> runners;
+  for (const std::string& name : move_planner->LeavingHosts()) {
+    const fleet::host_info* host = FindHost(name);
+    if (host) runners.insert(host->runner);
+  }
+  scheduler.SetLeaving(std::move(runners), now + kLeavingValidMs);
+}
+
 void host_controller::impl::ReportPoolLoad(
     const std::vector<sched::pool_host>& planner_hosts,
     const std::map<std::string, sched::pool_demand>& demand) {
@@ -81,15 +111,19 @@
     int count = 0;
     int empty = 0;
     int arriving = 0;
+    int leaving = 0;
     for (const sched::pool_host& host : planner_hosts) {
       if (host.pool != pool) continue;
       ++count;
       empty += host.available && host.empty ? 1 : 0;
       arriving += host.arriving ? 1 : 0;
+      leaving += move_planner->LeavingHosts().contains(host.name) ? 1 : 0;
     }
     context.metrics.SetPoolHosts(pool, "active", count - empty - arriving);
     context.metrics.SetPoolHosts(pool, "empty", empty);
     context.metrics.SetPoolHosts(pool, "maintenance", arriving);
+    context.metrics.SetPoolHosts(pool, "leaving", leaving);
+    ReportBlockedDemand(pool, pool_load);
     context.log.Info(
         "pools",
         "pool load, pool=" + pool + " hosts=" + std::to_string(count) +
@@ -97,13 +131,25 @@
             " arriving=" + std::to_string(arriving) +
             " room_cpu=" + std::to_string(pool_load.capacity_millicores) +
             " used_cpu=" + std::to_string(pool_load.used_millicores) +
-            " blocked_core_ms=" +
-            std::to_string(static_cast<int>(pool_load.blocked_core_ms)) +
-            " blocked_lasting=" +
+            " blocked_core_ms=" + FormatCoreMs(pool_load.blocked_core_ms) +
+            " late_core_ms=" + FormatCoreMs(pool_load.late_core_ms) +
+            " very_late_core_ms=" + FormatCoreMs(pool_load.very_late_core_ms) +
+            " late_cpu=" + std::to_string(pool_load.late_used_millicores) +
+            " leaving=" + std::to_string(leaving) + " blocked_lasting=" +
             std::to_string(pool_load.blocked_long_running_tasks));
   }
 }
 
+void host_controller::impl::ReportBlockedDemand(
+    const std::string& pool, const sched::pool_demand& load) {
+  const double late = load.late_core_ms - load.very_late_core_ms;
+  context.metrics.SetBlockedCoreSeconds(pool, "useful",
+                                        load.UsefulCoreMs() / 1000);
+  context.metrics.SetBlockedCoreSeconds(pool, "late", late / 1000);
+  context.metrics.SetBlockedCoreSeconds(pool, "very_late",
+                                        load.very_late_core_ms / 1000);
+}
+
 void host_controller::impl::OrderMove(const sched::host_move& move) {
   const fleet::host_info* host = FindHost(move.host);
   if (!host || pending_moves.contains(move.host) ||
--- a/src/node/node_metrics.cc
+++ b/src/node/node_metrics.cc
@@ -73,6 +73,14 @@
       host_moves_(
           CounterFamily(registry_, "radishwing_host_moves_total",
                         "Moves of hosts into a pool that were ordered")),
+      planned_moves_(CounterFamily(registry_,
+                                   "radishwing_node_planned_moves_total",
+                                   "Planned moves by target pool and reason")),
+      blocked_core_seconds_(
+          prometheus::BuildGauge()
+              .Name("radishwing_node_pool_blocked_core_seconds")
+              .Help("Processor time of tasks without room by pool and kind")
+              .Register(registry_)),
       pool_hosts_(prometheus::BuildGauge()
                       .Name("radishwing_pool_hosts")
                       .Help("Hosts by pool and state, from the leader")
@@ -147,6 +155,22 @@
   host_moves_.Add({{"pool", std::string(target_pool)}}).Increment();
 }
 
+void node_metrics::CountPlannedMove(std::string_view target_pool,
+                                    std::string_view reason) {
+  planned_moves_
+      .Add(
+          {{"pool", std::string(target_pool)}, {"reason", std::string(reason)}})
+      .Increment();
+}
+
+void node_metrics::SetBlockedCoreSeconds(std::string_view pool,
+                                         std::string_view kind,
+                                         double core_seconds) {
+  blocked_core_seconds_
+      .Add({{"pool", std::string(pool)}, {"kind", std::string(kind)}})
+      .Set(core_seconds);
+}
+
 void node_metrics::SetPoolHosts(std::string_view pool, std::string_view state,
                                 int hosts) {
   pool_hosts_.Add({{"pool", std::string(pool)}, {"state", std::string(state)}})
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -43,6 +43,13 @@
                               std::string_view outcome);
   /// Counts an accepted order to move a host into `target_pool`.
   void CountHostMove(std::string_view target_pool);
+  /// Counts a planned move of a host into `target_pool`, whether or not the
+  /// host service accepts the order.
+  void CountPlannedMove(std::string_view target_pool, std::string_view reason);
+  /// Sets the processor time of the pool's tasks that no runner has room for.
+  /// `kind` tells work that can end in time from late work.
+  void SetBlockedCoreSeconds(std::string_view pool, std::string_view kind,
+                             double core_seconds);
   /// Sets the number of hosts of a pool that are in `state`.
   void SetPoolHosts(std::string_view pool, std::string_view state, int hosts);
   /// Sets the number of hosts of a maintenance wave that are in `state`.
@@ -91,6 +98,8 @@
   prometheus::Histogram& takeover_seconds_;
   prometheus::Family<prometheus::Counter>& submission_outcomes_;
   prometheus::Family<prometheus::Counter>& host_moves_;
+  prometheus::Family<prometheus::Counter>& planned_moves_;
+  prometheus::Family<prometheus::Gauge>& blocked_core_seconds_;
   prometheus::Family<prometheus::Gauge>& pool_hosts_;
   prometheus::Family<prometheus::Gauge>& wave_hosts_;
   prometheus::Gauge& is_leading_;
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -32,6 +32,7 @@
   slot->remaining_critical_path_ms = slot->critical_path_ms;
   CreateRepetitions(*slot, unix_now);
   active_jobs_.push_back(slot.get());
+  if (!restored) CountArrival(*slot);
   // RestoreProgress sets the phase of a restored job.
   if (!restored) ApplyEarlyCancel(*slot, now);
 }
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -148,7 +148,16 @@
 
   /// Returns the demand and capacity of each pool. Tasks count as blocked if
   /// the most recent Plan() found no runner for them.
-  std::map<std::string, pool_demand> DemandByPool() const;
+  std::map<std::string, pool_demand> DemandByPool(millis now) const;
+  /// Keeps new tasks off these runners until `until`, so that they become empty
+  /// and their hosts can move. Replaces the runners of the previous call.
+  void SetLeaving(std::set<std::string> runners, millis until) {
+    leaving_runners_ = std::move(runners);
+    leaving_until_ = until;
+  }
+  /// Returns the expected time until the last task on the runner ends; the
+  /// highest value if one of them is long-running.
+  millis BusyMs(const std::string& runner, millis now);
 
   /// Returns the number of start orders whose outcome is unknown.
   std::size_t CountUnansweredStarts() const;
@@ -388,7 +397,12 @@
   /// Adds the step's tasks without a run to the blocked demand of the job's
   /// pool.
   void AddBlockedDemand(const job_state& job, const fleet::task_step& step,
-                        const step_state& state);
+                        const step_state& state, millis now);
+  /// Adds the work of a new job to the arrivals of its pool.
+  void CountArrival(const job_state& job);
+  bool IsLeaving(const std::string& runner, millis now) const {
+    return now < leaving_until_ && leaving_runners_.contains(runner);
+  }
   /// Returns true if a task with the given needs would not exceed the resource
   /// limit of the job's team.
   bool IsWithinTeamLimit(const job_state& job,
@@ -455,6 +469,10 @@
   std::set<std::string> maintenance_due_;
   /// By pool name, the demand of tasks for which the last pass found no runner.
   std::map<std::string, pool_demand> blocked_demand_;
+  /// By pool name, see pool_demand::arrived_core_ms.
+  std::map<std::string, double> arrived_core_ms_;
+  std::set<std::string> leaving_runners_;  ///< See SetLeaving().
+  millis leaving_until_ = 0;               ///< See SetLeaving().
   /// By id, the runners whose first listing to this leader has not arrived and
   /// on which an earlier leader may have started runs.
   std::map<std::string, runner_site> unlisted_runners_;
--- a/src/sched/scheduler_placement.cc
+++ b/src/sched/scheduler_placement.cc
@@ -34,7 +34,7 @@
     const auto unplaceable = unplaceable_needs_.find(job.record.pool);
     if (unplaceable != unplaceable_needs_.end() &&
         unplaceable->second.FitsIn(ReservedResources(step))) {
-      AddBlockedDemand(job, step, state);
+      AddBlockedDemand(job, step, state, now);
       break;
     }
     runner_state* runner = ChooseRunner(job, step, state, repetition_number,
@@ -42,7 +42,7 @@
     if (!runner) {
       RecordPlacementFailure(
           job, step, StepName(job, repetition_number, step_number), now);
-      AddBlockedDemand(job, step, state);
+      AddBlockedDemand(job, step, state, now);
       break;
     }
     const fleet::task_name name{job.record.id, repetition_number, step_number,
@@ -85,24 +85,6 @@
                  static_cast<double>(kSpeculationSlackMs);
 }
 
-void scheduler::AddBlockedDemand(const job_state& job,
-                                 const fleet::task_step& step,
-                                 const step_state& state) {
-  const auto waiting = std::ranges::count_if(
-      state.tasks,
-      [](const task_state& task) { return !task.done && task.runs.empty(); });
-  if (waiting == 0) return;  // Only speculative copies found no runner.
-  pool_demand& pool = blocked_demand_[job.record.pool];
-  if (step.long_running) {
-    pool.blocked_long_running_tasks += static_cast<int>(waiting);
-    return;
-  }
-  pool.blocked_core_ms += static_cast<double>(waiting) *
-                          run_times_.MeanRatio(job.record.queue) *
-                          static_cast<double>(step.estimate_ms) *
-                          static_cast<double>(step.needs.cpu_millicores) / 1000;
-}
-
 void scheduler::StartGang(job_state& job, int repetition_number,
                           repetition_state& repetition, int step_number,
                           millis now, std::vector<order>& out) {
@@ -143,7 +125,7 @@
         member.task->last_run = run - 1;
         DetachRun(undo.task, member, undo.runner, run);
       }
-      AddBlockedDemand(job, step, state);
+      AddBlockedDemand(job, step, state, now);
       return;
     }
     PlaceRun(name, FindTask(name), *runner, run, now, placed);
@@ -178,7 +160,8 @@
 bool scheduler::IsSchedulable(const runner_state& runner, millis now) const {
   return runner.listed && runner.reachable && !runner.cordoned &&
          !runner.has_unknown_runs && !runner.report.draining &&
-         now >= runner.not_before && runner.recorded;
+         now >= runner.not_before && runner.recorded &&
+         !IsLeaving(runner.report.id, now);
 }
 
 bool scheduler::CanPlaceStep(const runner_state& runner,
--- a/src/sched/scheduler_runs.cc
+++ b/src/sched/scheduler_runs.cc
@@ -128,28 +128,6 @@
   return count;
 }
 
-std::map<std::string, pool_demand> scheduler::DemandByPool() const {
-  std::map<std::string, pool_demand> demand;
-  for (const fleet::pool_config& pool : config_.pools) {
-    if (!pool.standby) demand[pool.name];
-  }
-  for (const auto& [id, runner] : runners_) {
-    pool_demand& pool = demand[runner.report.pool];
-    if (!runner.listed || !runner.reachable || runner.cordoned ||
-        runner.report.draining) {
-      continue;
-    }
-    pool.capacity_millicores += runner.report.capacity.cpu_millicores;
-    pool.used_millicores += runner.used.cpu_millicores;
-  }
-  for (const auto& [pool, blocked] : blocked_demand_) {
-    demand[pool].blocked_core_ms = blocked.blocked_core_ms;
-    demand[pool].blocked_long_running_tasks =
-        blocked.blocked_long_running_tasks;
-  }
-  return demand;
-}
-
 // A task on an unreachable runner, or one that an earlier leader may have
 // stopped, counts as unavailable, whatever the most recent listing says.
 bool scheduler::IsAvailable(const task_state& task) const {
