--- a/src/node/host_controller_impl.h
+++ b/src/node/host_controller_impl.h
@@ -116,8 +116,6 @@
   /// second.
   void ReportPoolLoad(const std::vector<sched::pool_host>& planner_hosts,
                       const std::map<std::string, sched::pool_demand>& demand);
-  /// Returns the period of the pool's arrivals, or 0 if none is known.
-  millis ForecastPeriodMs(const std::string& pool) const;
   /// Sets the metrics of a pool's blocked work.
   void ReportBlockedDemand(const std::string& pool,
                            const sched::pool_demand& load);
--- a/src/node/host_moves.cc
+++ b/src/node/host_moves.cc
@@ -18,11 +18,11 @@
 // planner confirms it.
 constexpr millis kLeavingValidMs = 1000;
 
-// Returns an amount without decimals, limited to a range that
+// Returns an amount of work without decimals, limited to a range that
 // std::int64_t has.
-std::string FormatAmount(double amount) {
+std::string FormatCoreMs(double core_ms) {
   return std::to_string(
-      static_cast<std::int64_t>(std::clamp(amount, 0.0, 1e15)));
+      static_cast<std::int64_t>(std::clamp(core_ms, 0.0, 1e15)));
 }
 
 }  // namespace
@@ -131,20 +131,15 @@
             " arriving=" + std::to_string(arriving) +
             " room_cpu=" + std::to_string(pool_load.capacity_millicores) +
             " used_cpu=" + std::to_string(pool_load.used_millicores) +
-            " blocked_core_ms=" + FormatAmount(pool_load.blocked_core_ms) +
-            " late_core_ms=" + FormatAmount(pool_load.late_core_ms) +
-            " very_late_core_ms=" + FormatAmount(pool_load.very_late_core_ms) +
+            " blocked_core_ms=" + FormatCoreMs(pool_load.blocked_core_ms) +
+            " late_core_ms=" + FormatCoreMs(pool_load.late_core_ms) +
+            " very_late_core_ms=" + FormatCoreMs(pool_load.very_late_core_ms) +
             " late_cpu=" + std::to_string(pool_load.late_used_millicores) +
             " leaving=" + std::to_string(leaving) + " blocked_lasting=" +
             std::to_string(pool_load.blocked_long_running_tasks));
   }
 }
 
-millis host_controller::impl::ForecastPeriodMs(const std::string& pool) const {
-  const sched::demand_forecast* forecast = move_planner->FindForecast(pool);
-  return forecast ? forecast->PeriodMs() : 0;
-}
-
 void host_controller::impl::ReportBlockedDemand(
     const std::string& pool, const sched::pool_demand& load) {
   const double late = load.late_core_ms - load.very_late_core_ms;
--- a/src/sched/host_move.h
+++ b/src/sched/host_move.h
@@ -8,7 +8,6 @@
 /// Why a host moves.
 enum class move_reason {
   kBlocked,      ///< Work of the new pool that can end in time is blocked.
-  kForecast,     ///< The new pool is expected to need the host.
   kStandby,      ///< No pool needs the host.
   kLateBacklog,  ///< Late work of the new pool is blocked.
 };
--- a/src/sched/pool_demand.h
+++ b/src/sched/pool_demand.h
@@ -21,8 +21,6 @@
   std::int64_t used_millicores = 0;
   /// Part of `used_millicores` of jobs that can no longer meet their objective.
   std::int64_t late_used_millicores = 0;
-  /// Part of `used_millicores` of jobs with long-running tasks.
-  std::int64_t long_running_millicores = 0;
   /// Total processor capacity of the pool's runners that accept tasks, in
   /// 1/1000 core.
   std::int64_t capacity_millicores = 0;
--- a/src/sched/pool_planner.cc
+++ b/src/sched/pool_planner.cc
@@ -40,30 +40,27 @@
 }  // namespace
 
 std::string_view MoveReasonName(move_reason reason) {
-  static constexpr std::string_view kNames[] = {"blocked", "forecast",
-                                                "standby", "late_backlog"};
+  static constexpr std::string_view kNames[] = {"blocked", "standby",
+                                                "late_backlog"};
   return kNames[static_cast<int>(reason)];
 }
 
 void pool_planner::TrackHosts(millis now, std::span<const pool_host> hosts) {
   std::map<std::string, millis> next_empty_since;
-  std::map<std::string, millis> next_arrived_at;
-  std::set<std::string> next_arriving;
+  std::map<std::string, millis> next_arriving_at;
   for (const pool_host& host : hosts) {
-    if (host.arriving) next_arriving.insert(host.name);
-    if (arriving_.contains(host.name) && !host.arriving) {
-      next_arrived_at[host.name] = now;
-    } else if (const auto it = arrived_at_.find(host.name);
-               it != arrived_at_.end()) {
-      next_arrived_at.insert(*it);
+    if (host.arriving) {
+      next_arriving_at[host.name] = now;
+    } else if (const auto it = arriving_at_.find(host.name);
+               it != arriving_at_.end()) {
+      next_arriving_at.insert(*it);
     }
     if (!host.available || !host.empty) continue;
     const auto it = empty_since_.find(host.name);
     next_empty_since[host.name] = it == empty_since_.end() ? now : it->second;
   }
   empty_since_ = std::move(next_empty_since);
-  arrived_at_ = std::move(next_arrived_at);
-  arriving_ = std::move(next_arriving);
+  arriving_at_ = std::move(next_arriving_at);
 }
 
 millis pool_planner::IdleMs(millis now, const pool_host& host) const {
@@ -72,69 +69,25 @@
 }
 
 bool pool_planner::ArrivedRecently(millis now, const pool_host& host) const {
-  const auto it = arrived_at_.find(host.name);
-  return it != arrived_at_.end() && now - it->second < move_ms_;
+  const auto it = arriving_at_.find(host.name);
+  return it != arriving_at_.end() && now - it->second < move_ms_;
 }
 
-void pool_planner::TrackDemand(
+void pool_planner::TrackBlockedDemand(
     millis now, const std::map<std::string, pool_demand>& demand) {
-  std::erase_if(forecasts_, [&](const auto& entry) {
-    return !demand.contains(entry.first);
-  });
   for (const auto& [pool, load] : demand) {
     if (load.blocked_core_ms > 0) blocked_at_[pool] = now;
-    forecasts_[pool].Record(now, load.arrived_core_ms);
   }
 }
 
-const demand_forecast* pool_planner::FindForecast(
-    const std::string& pool) const {
-  const auto it = forecasts_.find(pool);
-  return it == forecasts_.end() ? nullptr : &it->second;
-}
-
-// A host that is ordered to move now works from the end of the move on. Its
-// work should last at least as long as the move.
-double pool_planner::ExpectedMillicores(const std::string& pool,
-                                        millis now) const {
-  const demand_forecast* forecast = FindForecast(pool);
-  if (!forecast) return 0;
-  return 1000 *
-         std::max(forecast->RecentRate(),
-                  forecast->ExpectedRate(now + move_ms_, now + 2 * move_ms_));
-}
-
-void pool_planner::ForecastNeed(millis now, const std::string& pool,
-                                const pool_demand& load,
-                                pool_balance& balance) const {
-  const demand_forecast* forecast = FindForecast(pool);
-  if (!forecast) return;
-  const auto base = static_cast<double>(load.long_running_millicores);
-  const double expected = base + ExpectedMillicores(pool, now);
-  balance.missing_forecast = expected - balance.capacity;
-  balance.expected_need = expected;
-  if (!forecast->IsReliable()) return;
-  balance.has_forecast = true;
-  balance.expected_need = std::max(
-      expected, base + 1000 * forecast->ExpectedRate(now, now + move_ms_));
-  // The blocked work need not be done much sooner than hosts could arrive, if
-  // it is known how much work comes after it.
-  const double backlog =
-      MillicoresFor(load.UsefulCoreMs(), static_cast<double>(move_ms_));
-  balance.missing_useful = std::min(
-      balance.missing_useful,
-      balance.expected_need + backlog +
-          load.blocked_long_running_tasks * largest_host_ - balance.capacity);
-}
-
 void pool_planner::BalancePools(
-    millis now, std::span<const pool_host> hosts,
+    std::span<const pool_host> hosts,
     const std::map<std::string, pool_demand>& demand) {
   pools_.clear();
   assigned_.clear();
-  largest_host_ = 0;
+  double largest_host = 0;
   for (const pool_host& host : hosts) {
-    largest_host_ = std::max(largest_host_, Capacity(host));
+    largest_host = std::max(largest_host, Capacity(host));
   }
   for (const auto& [pool, load] : demand) {
     double arriving = 0;
@@ -147,7 +100,7 @@
     // Requests a host for each long-running task even if the pool has free
     // capacity, which may be unusable: a step can limit the number of its tasks
     // per runner.
-    const double long_running = load.blocked_long_running_tasks * largest_host_;
+    const double long_running = load.blocked_long_running_tasks * largest_host;
     const double useful =
         MillicoresFor(load.UsefulCoreMs(), kBacklogHorizonMs) + long_running;
     // A host that moves for work without value should work there for at least
@@ -162,7 +115,6 @@
         static_cast<double>(load.used_millicores - load.late_used_millicores) +
         MillicoresFor(load.UsefulCoreMs(), static_cast<double>(move_ms_)) +
         long_running;
-    ForecastNeed(now, pool, load, balance);
     balance.is_late = load.late_core_ms > 0 || load.late_used_millicores > 0;
   }
 }
@@ -190,11 +142,6 @@
   std::map<std::string, double> spare;
   for (const auto& [pool, balance] : pools_) {
     spare[pool] = balance.free - kReserveMillicores;
-    // Work that waits now goes before work that is only expected.
-    if (missing != &pool_balance::missing_useful) {
-      spare[pool] =
-          std::min(spare[pool], balance.capacity - balance.expected_need);
-    }
   }
   std::vector<const pool_host*> sources;
   for (const pool_host& host : hosts) {
@@ -241,8 +188,6 @@
     pools_[host->pool].capacity -= Capacity(*host);
     pools_[pool].capacity += Capacity(*host);
     pools_[pool].*missing -= Capacity(*host);
-    if (missing == &pool_balance::missing_useful)
-      pools_[pool].missing_forecast -= Capacity(*host);
   }
 }
 
@@ -319,40 +264,25 @@
   });
 }
 
-// Without a forecast, hosts move to standby only if no pool had blocked tasks
-// lately, as the next blocked tasks may need them: moving a host to standby and
-// back costs more than keeping it powered on. With a forecast, a host that its
-// pool will not need soon need not stay idle to show it, whatever other pools
-// have blocked.
-bool pool_planner::MayGoToStandby(millis now, const pool_host& host) const {
-  const auto it = pools_.find(host.pool);
-  if (it == pools_.end() || host.pool == standby_pool_ ||
-      !IsMovable(now, host, &pool_balance::missing_late)) {
-    return false;
-  }
-  const pool_balance& pool = it->second;
-  for (const auto& [name, blocked_at] : blocked_at_) {
-    if ((!pool.has_forecast || name == host.pool) &&
-        now - blocked_at < kStandbyAfterMs) {
-      return false;
-    }
-  }
-  return (pool.has_forecast || IdleMs(now, host) >= kStandbyAfterMs) &&
-         pool.free - Capacity(host) >= kReserveMillicores &&
-         pool.capacity - Capacity(host) >= pool.expected_need;
-}
-
+// Hosts move to standby pool by pool, from pools that had no blocked tasks
+// lately. Before the first blocked task, and shortly after a blocked task, jobs
+// are more likely to need the hosts again. Moving a host to standby and back
+// then costs more than keeping the host powered on.
 void pool_planner::AddStandbyMoves(millis now, std::span<const pool_host> hosts,
                                    std::vector<host_move>& moves) {
   if (standby_pool_.empty() || blocked_at_.empty()) return;
-  // Hosts that other pools still lack may become movable soon.
-  for (const auto& [pool, balance] : pools_) {
-    if (balance.missing_useful > 0 || balance.missing_late > 0) return;
+  for (const auto& [pool, blocked_at] : blocked_at_) {
+    if (now - blocked_at < kStandbyAfterMs) return;
   }
   for (const pool_host& host : hosts) {
-    if (!MayGoToStandby(now, host)) continue;
-    pools_[host.pool].free -= Capacity(host);
-    pools_[host.pool].capacity -= Capacity(host);
+    const auto it = pools_.find(host.pool);
+    if (it == pools_.end() || host.pool == standby_pool_ ||
+        !IsMovable(now, host, &pool_balance::missing_late) ||
+        IdleMs(now, host) < kStandbyAfterMs ||
+        it->second.free - Capacity(host) < kReserveMillicores) {
+      continue;
+    }
+    it->second.free -= Capacity(host);
     moves.push_back({host.name, standby_pool_, move_reason::kStandby});
   }
 }
@@ -361,13 +291,11 @@
     millis now, std::span<const pool_host> hosts,
     const std::map<std::string, pool_demand>& demand) {
   TrackHosts(now, hosts);
-  TrackDemand(now, demand);
-  BalancePools(now, hosts, demand);
+  TrackBlockedDemand(now, demand);
+  BalancePools(hosts, demand);
   std::vector<host_move> moves;
   AssignHosts(now, hosts, &pool_balance::missing_useful, move_reason::kBlocked,
               moves);
-  AssignHosts(now, hosts, &pool_balance::missing_forecast,
-              move_reason::kForecast, moves);
   AssignHosts(now, hosts, &pool_balance::missing_late,
               move_reason::kLateBacklog, moves);
   ChooseLeavingHosts(now, hosts);
--- a/src/sched/pool_planner.h
+++ b/src/sched/pool_planner.h
@@ -9,7 +9,6 @@
 #include <vector>
 
 #include "src/base/clock.h"
-#include "src/sched/demand_forecast.h"
 #include "src/sched/host_move.h"
 #include "src/sched/pool_demand.h"
 #include "src/sched/pool_host.h"
@@ -44,14 +43,6 @@
   /// call of Plan(), because other pools need them.
   const std::set<std::string>& LeavingHosts() const { return leaving_; }
 
-  /// Returns the forecast of the pool's arrivals, or null if there was no
-  /// demand of that pool in the last call of Plan().
-  const demand_forecast* FindForecast(const std::string& pool) const;
-  /// Returns the capacity that the arrivals of `pool` are expected to use while
-  /// a host works that is ordered to move at `now`, in 1/1000 core; 0 if there
-  /// is no forecast.
-  double ExpectedMillicores(const std::string& pool, millis now) const;
-
  private:
   /// Capacity and needs of a pool in the current pass, in 1/1000 core.
   struct pool_balance {
@@ -64,22 +55,14 @@
     /// within the time that a move takes.
     double useful_need = 0;
     bool is_late = false;  ///< Late work runs or is blocked.
-    /// Missing for the work that is expected when a host could have arrived.
-    double missing_forecast = 0;
-    /// Capacity that is expected to be needed before a host that leaves now
-    /// could be back; 0 if there is no forecast.
-    double expected_need = 0;
-    bool has_forecast = false;
   };
 
   void TrackHosts(millis now, std::span<const pool_host> hosts);
-  /// Records which pools have blocked tasks, and the arrivals of all pools.
-  void TrackDemand(millis now,
-                   const std::map<std::string, pool_demand>& demand);
-  void BalancePools(millis now, std::span<const pool_host> hosts,
+  /// Records which pools have blocked tasks.
+  void TrackBlockedDemand(millis now,
+                          const std::map<std::string, pool_demand>& demand);
+  void BalancePools(std::span<const pool_host> hosts,
                     const std::map<std::string, pool_demand>& demand);
-  void ForecastNeed(millis now, const std::string& pool,
-                    const pool_demand& load, pool_balance& balance) const;
   /// Assigns hosts to the pools whose `missing` is positive.
   void AssignHosts(millis now, std::span<const pool_host> hosts,
                    double pool_balance::*missing, move_reason reason,
@@ -97,7 +80,6 @@
   /// Returns how much more each pool could use, or, if negative, has to spare,
   /// when all capacity is divided by the needs of useful work.
   std::map<std::string, double> DivideCapacity() const;
-  bool MayGoToStandby(millis now, const pool_host& host) const;
   void AddStandbyMoves(millis now, std::span<const pool_host> hosts,
                        std::vector<host_move>& moves);
   /// Returns how long the host has been empty, or 0 if it is not empty.
@@ -111,12 +93,9 @@
   busy_time busy_ms_;  ///< May be null.
   /// By host name, the time since which the host has been empty.
   std::map<std::string, millis> empty_since_;
-  std::set<std::string> arriving_;  ///< Hosts that moved in the last pass.
-  /// By host name, the first pass after the host's last move.
-  std::map<std::string, millis> arrived_at_;
-  std::map<std::string, demand_forecast> forecasts_;  ///< By pool name.
+  /// By host name, the last time at which the host was seen moving.
+  std::map<std::string, millis> arriving_at_;
   std::map<std::string, pool_balance> pools_;  ///< State of the current pass.
-  double largest_host_ = 0;  ///< Capacity of the largest host, in 1/1000 core.
   std::set<std::string> assigned_;  ///< Hosts with a move in the current pass.
   std::set<std::string> leaving_;   ///< See LeavingHosts().
   /// By host name, the time since which the host has been leaving.
--- a/src/sched/scheduler_demand.cc
+++ b/src/sched/scheduler_demand.cc
@@ -96,15 +96,10 @@
     pool.used_millicores += runner.used.cpu_millicores;
   }
   for (const job_state* job : active_jobs_) {
-    if (job->active_runs == 0) continue;
-    pool_demand& pool = demand[job->record.pool];
-    if (job->long_running) {
-      pool.long_running_millicores += UsedMillicores(*job);
-      continue;
-    }
+    if (job->active_runs == 0 || job->long_running) continue;
     const double ratio = run_times_.MeanRatio(job->record.queue);
     if (LatenessOf(*job, ratio, now) == job_lateness::kUseful) continue;
-    pool.late_used_millicores += UsedMillicores(*job);
+    demand[job->record.pool].late_used_millicores += UsedMillicores(*job);
   }
   for (auto& [pool, load] : demand) {
     load.late_used_millicores =
