Order jobs by share and prospect only while a shortage lasts

At the begin of a turn a pool is short until its hosts have arrived; there the order by latest start ends more jobs in time. Jobs that can be in time keep that order until timely work has found no room for the time that a move of hosts takes.

--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -371,6 +371,9 @@
   /// Slows best-effort tasks down while a latency-sensitive task on the same
   /// runner is near its target.
   void PlanPace(std::vector<order>& out);
+  /// Returns the pools in which work that can still be in time has found no
+  /// room for some time, according to the previous pass.
+  std::set<std::string> FindShortPools(millis now);
   /// Starts tasks of ready steps, in the order of a start_queue.
   void PlanStarts(millis now, std::vector<order>& out);
   /// Starts tasks of the jobs in `queue`, and records what work finds no room.
@@ -485,6 +488,8 @@
   std::set<std::string> maintenance_due_;
   /// By pool name, the demand of tasks for which the last pass found no runner.
   std::map<std::string, pool_demand> blocked_demand_;
+  /// By pool name, the time since which timely work has found no room.
+  std::map<std::string, millis> short_since_;
   /// By pool name, see pool_demand::arrived_core_ms.
   std::map<std::string, double> arrived_core_ms_;
   std::set<std::string> leaving_runners_;  ///< See SetLeaving().
--- a/src/sched/scheduler_plan.cc
+++ b/src/sched/scheduler_plan.cc
@@ -12,6 +12,9 @@
 
 // Interval of the checks for retries, stuck tasks, paces and due repetitions.
 constexpr millis kHousekeepingIntervalMs = 50;
+// Duration from which a shortage of a pool counts as lasting: hosts that move
+// to the pool need about as long.
+constexpr millis kLastingShortageMs = 2000;
 // Interval of the reports of the teams' shares.
 constexpr millis kShareReportIntervalMs = 1000;
 
@@ -101,7 +104,21 @@
   }
 }
 
+std::set<std::string> scheduler::FindShortPools(millis now) {
+  std::set<std::string> lasting;
+  std::map<std::string, millis> since;
+  for (const auto& [pool, blocked] : blocked_demand_) {
+    if (blocked.blocked_core_ms <= blocked.late_core_ms) continue;
+    const auto known = short_since_.find(pool);
+    since[pool] = known == short_since_.end() ? now : known->second;
+    if (now - since[pool] >= kLastingShortageMs) lasting.insert(pool);
+  }
+  short_since_ = std::move(since);
+  return lasting;
+}
+
 void scheduler::PlanStarts(millis now, std::vector<order>& out) {
+  std::set<std::string> short_pools = FindShortPools(now);
   unlisted_sites_.clear();
   for (const auto& [id, site] : unlisted_runners_) unlisted_sites_.insert(site);
   UpdateUnlistedUsage();
@@ -109,7 +126,7 @@
   unplaceable_needs_.clear();
   blocked_demand_.clear();
   advice_requests_.clear();
-  start_queue queue(shares_);
+  start_queue queue(shares_, std::move(short_pools));
   for (job_state* job : active_jobs_) {
     if (job->awaits_listings) job->awaits_listings = MayHaveUnlistedRuns(*job);
     // While writes to the store fail, a job gets capacity only if its start
--- a/src/sched/start_queue.cc
+++ b/src/sched/start_queue.cc
@@ -68,13 +68,18 @@
   has_tiers_ = true;
   for (auto& [name, pool] : pools_) {
     const double mean_level = MeanLevel(pool);
+    const bool lasts = short_pools_.contains(name);
     // By key, the group that takes the jobs of all teams within their share.
     std::map<std::uint64_t, team_group*> merged;
     for (team_group* group : pool.groups) {
       const double weight = group->account->weight;
+      const bool by_deadline =
+          !lasts && group->rank.prospect == job_prospect::kInTime;
+      if (by_deadline) group->rank.stage = 0;
       const bool over_share =
+          !by_deadline &&
           group->level * weight >
-          kOverShareRatio * mean_level * weight + kOverShareSlack;
+              kOverShareRatio * mean_level * weight + kOverShareSlack;
       const std::uint64_t key = TierKey(group->rank, over_share);
       team_group*& common = merged[key];
       if (!over_share && common) {
--- a/src/sched/start_queue.h
+++ b/src/sched/start_queue.h
@@ -3,7 +3,9 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "src/sched/job_rank.h"
@@ -23,7 +25,10 @@
 /// pools together is divided evenly.
 class start_queue {
  public:
-  explicit start_queue(team_shares& shares) : shares_(shares) {}
+  /// `short_pools` are the names of the pools whose shortage lasts. In the
+  /// others, jobs that can be in time go by their latest start alone.
+  start_queue(team_shares& shares, std::set<std::string> short_pools)
+      : shares_(shares), short_pools_(std::move(short_pools)) {}
 
   /// Adds a job whose `account` is set. All jobs are added before the first
   /// call of Next.
@@ -82,6 +87,7 @@
   static bool DropEmptyGroup(pool_line& pool);
 
   team_shares& shares_;
+  std::set<std::string> short_pools_;  ///< Names; see the constructor.
   std::size_t job_count_ = 0;
   std::deque<team_group> groups_;
   /// By number of the account, its groups.
