--- a/src/sched/scheduler_plan.cc
+++ b/src/sched/scheduler_plan.cc
@@ -154,7 +154,9 @@
 // Late work has smaller tasks than timely work that waits for a hole of its
 // size. It would fill each hole before it is large enough.
 void scheduler::KeepRoomForTimelyWork() {
-  for (auto& [pool, needs] : unplaceable_needs_) {
+  for (auto& entry : unplaceable_needs_) {
+    const std::string& pool = entry.first;
+    fleet::resources& needs = entry.second;
     const auto blocked = blocked_demand_.find(pool);
     if (blocked == blocked_demand_.end() ||
         blocked->second.blocked_core_ms <= 0) {
