--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -6,11 +6,14 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "src/base/clock.h"
 #include "src/node/traffic_counters.h"
+#include "src/sched/share_report.h"
 
 namespace radishwing::node {
 
@@ -43,6 +46,13 @@
                               std::string_view outcome);
   /// Counts an accepted order to move a host into `target_pool`.
   void CountHostMove(std::string_view target_pool);
+  /// Counts a planned move of a host into `target_pool`, whether or not the
+  /// host service accepts the order.
+  void CountPlannedMove(std::string_view target_pool, std::string_view reason);
+  /// Sets the processor time of the pool's tasks that no runner has room for.
+  /// `kind` tells work that can end in time from late work.
+  void SetBlockedCoreSeconds(std::string_view pool, std::string_view kind,
+                             double core_seconds);
   /// Sets the number of hosts of a pool that are in `state`.
   void SetPoolHosts(std::string_view pool, std::string_view state, int hosts);
   /// Sets the number of hosts of a maintenance wave that are in `state`.
@@ -74,6 +84,9 @@
   /// Sets the number of start orders whose outcome is unknown.
   void SetUnansweredStarts(std::size_t count);
 
+  /// Sets the teams' shares of the pools. Shares that are missing become 0.
+  void SetTeamShares(const std::vector<sched::share_report>& shares);
+
   /// Counters of the bytes that this node sends and receives.
   traffic_counters& Traffic() { return traffic_; }
 
@@ -98,6 +111,8 @@
   prometheus::Histogram& takeover_seconds_;
   prometheus::Family<prometheus::Counter>& submission_outcomes_;
   prometheus::Family<prometheus::Counter>& host_moves_;
+  prometheus::Family<prometheus::Counter>& planned_moves_;
+  prometheus::Family<prometheus::Gauge>& blocked_core_seconds_;
   prometheus::Family<prometheus::Gauge>& pool_hosts_;
   prometheus::Family<prometheus::Gauge>& wave_hosts_;
   prometheus::Family<prometheus::Gauge>& hosts_without_tasks_;
@@ -107,6 +122,10 @@
   prometheus::Gauge& evacuated_data_centres_;
   prometheus::Family<prometheus::Gauge>& runner_counts_;
   prometheus::Gauge& unanswered_starts_;
+  prometheus::Family<prometheus::Gauge>& team_shares_;
+  prometheus::Family<prometheus::Gauge>& team_waiting_;
+  /// Gauges of `team_shares_` and `team_waiting_` that were ever set.
+  std::set<prometheus::Gauge*> team_gauges_;
 };
 
 }  // namespace radishwing::node
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -27,6 +27,9 @@
 #include "src/sched/runner_holds.h"
 #include "src/sched/runner_state.h"
 #include "src/sched/scheduler_event.h"
+#include "src/sched/share_report.h"
+#include "src/sched/start_queue.h"
+#include "src/sched/team_shares.h"
 #include "src/sched/ticket_cache.h"
 
 namespace radishwing::sched {
@@ -155,7 +158,16 @@
 
   /// Returns the demand and capacity of each pool. Tasks count as blocked if
   /// the most recent Plan() found no runner for them.
-  std::map<std::string, pool_demand> DemandByPool() const;
+  std::map<std::string, pool_demand> DemandByPool(millis now) const;
+  /// Keeps new tasks off these runners until `until`, so that they become empty
+  /// and their hosts can move. Replaces the runners of the previous call.
+  void SetLeaving(std::set<std::string> runners, millis until) {
+    leaving_runners_ = std::move(runners);
+    leaving_until_ = until;
+  }
+  /// Returns the expected time until the last task on the runner ends; the
+  /// highest value if one of them is long-running.
+  millis BusyMs(const std::string& runner, millis now);
 
   /// Returns the number of start orders whose outcome is unknown.
   std::size_t CountUnansweredStarts() const;
@@ -208,6 +220,8 @@
   /// later one, or if the job is not known.
   bool IsPersisted(const std::string& job, std::uint64_t version) const;
 
+  /// Returns the teams' shares of the pools, at most a second old.
+  const std::vector<share_report>& TeamShares() const { return share_reports_; }
   /// Returns the events since the previous call, for logs and metrics.
   std::vector<scheduler_event> TakeEvents();
 
@@ -233,16 +247,6 @@
     std::string runner;  ///< Id of the runner.
     int run = 0;         ///< Number of the run.
   };
-  /// A job with its place in the order in which a pass starts tasks.
-  struct ranked_job {
-    job_state* job = nullptr;
-    /// Jobs with a lower value come first. 0: long-running job; 1: job that can
-    /// still meet its objective; 2: late job; 3: very late job.
-    int start_class = 0;
-    /// Latest time to start the remaining steps and still meet the objective.
-    millis latest_start = 0;
-  };
-
   task_ref FindTask(const fleet::task_name& name);
   /// Creates the missing repetitions of a job up to the repetition of the task
   /// `name`. Called for each task of which a runner lists a run or an end.
@@ -367,8 +371,19 @@
   /// Slows best-effort tasks down while a latency-sensitive task on the same
   /// runner is near its target.
   void PlanPace(std::vector<order>& out);
-  /// Starts tasks of ready steps, those of the most urgent jobs first.
+  /// Returns the pools in which work that can still be in time has found no
+  /// room for some time, according to the previous pass.
+  std::set<std::string> FindShortPools(millis now);
+  /// Starts tasks of ready steps, in the order of a start_queue.
   void PlanStarts(millis now, std::vector<order>& out);
+  /// Starts tasks of the jobs in `queue`, and records what work finds no room.
+  void StartInOrder(start_queue& queue, millis now, std::vector<order>& out);
+  /// Ends the starts of late work in pools where work that can still be in time
+  /// waits for room.
+  void KeepRoomForTimelyWork();
+  /// Emits an event for each team that its share holds back, at most once a
+  /// second.
+  void ReportShares(millis now);
   void StartTasksOf(job_state& job, millis now, std::vector<order>& out);
   void StartStep(job_state& job, int repetition_number,
                  repetition_state& repetition, int step_number, millis now,
@@ -376,7 +391,6 @@
   void StartGang(job_state& job, int repetition_number,
                  repetition_state& repetition, int step_number, millis now,
                  std::vector<order>& out);
-  ranked_job RankJob(job_state& job, millis now) const;
   /// Returns the best runner for a new run of `task`, or null if none is
   /// suitable.
   runner_state* ChooseRunner(const job_state& job, const fleet::task_step& step,
@@ -399,7 +413,12 @@
   /// Adds the step's tasks without a run to the blocked demand of the job's
   /// pool.
   void AddBlockedDemand(const job_state& job, const fleet::task_step& step,
-                        const step_state& state);
+                        const step_state& state, millis now);
+  /// Adds the work of a new job to the arrivals of its pool.
+  void CountArrival(const job_state& job);
+  bool IsLeaving(const std::string& runner, millis now) const {
+    return now < leaving_until_ && leaving_runners_.contains(runner);
+  }
   /// Returns true if a task with the given needs would not exceed the resource
   /// limit of the job's team.
   bool IsWithinTeamLimit(const job_state& job,
@@ -469,6 +488,12 @@
   std::set<std::string> maintenance_due_;
   /// By pool name, the demand of tasks for which the last pass found no runner.
   std::map<std::string, pool_demand> blocked_demand_;
+  /// By pool name, the time since which timely work has found no room.
+  std::map<std::string, millis> short_since_;
+  /// By pool name, see pool_demand::arrived_core_ms.
+  std::map<std::string, double> arrived_core_ms_;
+  std::set<std::string> leaving_runners_;  ///< See SetLeaving().
+  millis leaving_until_ = 0;               ///< See SetLeaving().
   /// By id, the runners whose first listing to this leader has not arrived and
   /// on which an earlier leader may have started runs.
   std::map<std::string, runner_site> unlisted_runners_;
@@ -490,6 +515,9 @@
   /// no tasks.
   bool store_writable_ = true;
   std::vector<scheduler_event> events_;  ///< Events not taken yet.
+  team_shares shares_;                   ///< What each team uses of each pool.
+  std::vector<share_report> share_reports_;  ///< See TeamShares().
+  millis shares_reported_at_ = 0;            ///< Time of `share_reports_`.
 };
 
 }  // namespace radishwing::sched
