Decode the factor of remote places

bounds.remote-factor is in the settings of every deployment (1.5 and 3 on the newest), and no code read it.

--- a/src/fleet/node_settings.h
+++ b/src/fleet/node_settings.h
@@ -41,8 +41,11 @@
   millis disruption_window_ms = 4500;  ///< Time window of disruption budgets.
   /// Maximum time for which a task may exceed its latency target.
   millis max_over_target_ms = 4000;
-  millis maintenance_ms = 2000;   ///< Downtime of a host in maintenance.
-  millis move_ms = 1500;          ///< Downtime of a host during a move.
+  millis maintenance_ms = 2000;  ///< Downtime of a host in maintenance.
+  millis move_ms = 1500;         ///< Downtime of a host during a move.
+  /// Ratio of the run time of a task away from its data, or of a gang on
+  /// several racks, to its run time at its place; at least 1. 1: no difference.
+  double remote_factor = 1;
   millis heartbeat_ms = 1500;     ///< Heartbeat interval of the runners.
   double host_orders_per_s = 64;  ///< Maximum rate of orders to the host API.
 };
--- a/src/node/node_server.cc
+++ b/src/node/node_server.cc
@@ -414,6 +414,7 @@
   applied.job_status_retention_ms = settings.job_status_retention_ms;
   applied.disruption_window_ms = settings.disruption_window_ms;
   applied.max_over_target_ms = settings.max_over_target_ms;
+  applied.remote_factor = settings.remote_factor;
   impl_->context.log.InfoUnlimited("node",
                                    "settings reloaded, node=" + applied.name);
 }
