Wait for the place of a task while that pays

Tasks named a rack, or a gang one rack, and started on whatever had room: each run elsewhere costs the remote factor in run time and capacity. A task without room at its place now books room that is expected there and waits if that comes before the wait has cost what the place saves and before the job would be late; otherwise it starts elsewhere, after the tasks that want that room more. Gangs of one rack start on a rack with room for all, or wait for one.

Runs away from their data no longer count in the mean run time of their queue, and a speculative copy takes their factor into account. A gang that finds no room returns its part of the start allowance.

--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -40,6 +40,7 @@
       load_started_at(context.now.Now()),
       lease(won.lease_renewed_at) {
   scheduler.SetMaxStopDuration(context.settings.max_stop_ms);
+  scheduler.Places().speeds.SetInitialFactor(context.settings.remote_factor);
 }
 
 bool leader::impl::MaySendOrders() const {
@@ -171,6 +172,10 @@
         context.log.Info(component, "stop ordered, task=" + task + run_fields +
                                         " why=" + event.detail);
         break;
+      case sched::event_kind::kPlaceWaitStarted:
+      case sched::event_kind::kPlaceWaitEnded:
+        ReportPlaceWait(event);
+        break;
       case sched::event_kind::kJobFinished:
         context.metrics.CountJobEnd(event.detail, event.elapsed_ms);
         CountJobOutcome(event);
@@ -183,6 +188,29 @@
   }
 }
 
+// Waits have a limit of lines of their own, so that they do not suppress the
+// lines about starts and ends.
+void leader::impl::ReportPlaceWait(const sched::scheduler_event& event) {
+  const std::string step = event.task.job + "." +
+                           std::to_string(event.task.repetition) + "." +
+                           std::to_string(event.task.step);
+  if (event.kind == sched::event_kind::kPlaceWaitStarted) {
+    context.log.Info(
+        "place", "tasks wait for their place, step=" + step +
+                     " rack=" + event.runner +
+                     " expected_in_ms=" + std::to_string(event.expected_ms) +
+                     " at_most_ms=" + std::to_string(event.elapsed_ms));
+    return;
+  }
+  context.metrics.CountPlaceWaits(event.near_tasks, event.away_tasks);
+  context.log.Info(
+      "place", "wait for the place ended, step=" + step +
+                   " near=" + std::to_string(event.near_tasks) +
+                   " elsewhere=" + std::to_string(event.away_tasks) +
+                   " waited_ms=" + std::to_string(event.elapsed_ms) + " why=" +
+                   (event.detail.empty() ? "place_free" : event.detail));
+}
+
 void leader::impl::CountJobOutcome(const sched::scheduler_event& event) {
   const sched::job_state* job = scheduler.FindJob(event.task.job);
   if (!job || job->long_running || job->phase == sched::job_phase::kCancelled) {
--- a/src/node/leader_impl.h
+++ b/src/node/leader_impl.h
@@ -122,6 +122,8 @@
   void SetGauges();
   /// Writes the scheduler's new events to the log and to the metrics.
   void ReportSchedulerEvents();
+  /// Reports the start or the end of a step's wait for its place.
+  void ReportPlaceWait(const sched::scheduler_event& event);
   /// Counts a finished job by its outcome in the metrics. Ignores cancelled and
   /// long-running jobs, which have no outcome.
   void CountJobOutcome(const sched::scheduler_event& event);
--- a/src/node/node_metrics.cc
+++ b/src/node/node_metrics.cc
@@ -70,6 +70,9 @@
       submission_outcomes_(
           CounterFamily(registry_, "radishwing_requests_total",
                         "Submissions and jobs by queue, team and outcome")),
+      place_waits_(
+          CounterFamily(registry_, "radishwing_node_place_waits_total",
+                        "Tasks that waited for their place, by outcome")),
       host_moves_(
           CounterFamily(registry_, "radishwing_host_moves_total",
                         "Moves of hosts into a pool that were ordered")),
@@ -143,6 +146,14 @@
       .Increment();
 }
 
+void node_metrics::CountPlaceWaits(int near_tasks, int away_tasks) {
+  if (near_tasks > 0)
+    place_waits_.Add({{"outcome", "paid"}}).Increment(near_tasks);
+  if (away_tasks > 0) {
+    place_waits_.Add({{"outcome", "given_up"}}).Increment(away_tasks);
+  }
+}
+
 void node_metrics::CountHostMove(std::string_view target_pool) {
   host_moves_.Add({{"pool", std::string(target_pool)}}).Increment();
 }
--- a/src/sched/job_state.h
+++ b/src/sched/job_state.h
@@ -8,6 +8,7 @@
 
 #include "src/base/clock.h"
 #include "src/fleet/job_record.h"
+#include "src/sched/place_wait.h"
 #include "src/sched/task_state.h"
 
 namespace radishwing::sched {
@@ -25,6 +26,7 @@
 struct step_state {
   std::vector<task_state> tasks;
   int done_count = 0;  ///< Number of tasks that are done.
+  place_wait_state place_wait;
 };
 
 /// Progress of one repetition of a job's steps.
--- /dev/null
+++ b/src/sched/place_starter.cc
@@ -0,0 +1,451 @@
+#include "src/sched/place_starter.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace radishwing::sched {
+namespace {
+
+// Part of its expected run time that a run is expected to need still when it
+// has already taken longer than expected.
+constexpr double kOverdueShare = 0.25;
+// Lowest progress in percent from which the remaining time is extrapolated. A
+// lower figure is dominated by rounding.
+constexpr int kMinProgressPercent = 10;
+// Time for which a gang member holds its room in a forecast: longer than any
+// run.
+constexpr millis kGangHoldMs = 1'000'000'000;
+
+// Returns how many times `needs` fits into `free`, at most `limit`.
+int CountFits(const fleet::resources& free, const fleet::resources& needs,
+              int limit) {
+  fleet::resources used = needs;
+  int count = 0;
+  for (; count < limit && used.FitsIn(free); ++count) used += needs;
+  return count;
+}
+
+fleet::resources FreeResources(const runner_state& runner) {
+  return runner.report.capacity - runner.used;
+}
+
+}  // namespace
+
+bool place_starter::HasPlace(const fleet::task_step& step) {
+  if (step.long_running || step.best_effort_cpu ||
+      step.tail_latency_target_ms > 0) {
+    return false;
+  }
+  return !step.data_rack.empty() || (step.gang && step.same_rack);
+}
+
+bool place_starter::IsAway(const fleet::task_step& step,
+                           const std::string& rack) {
+  return !step.data_rack.empty() && rack != step.data_rack;
+}
+
+// The cost of a spread gang has nothing to do with that of remote data.
+std::string place_starter::SpeedClass(const job_state& job,
+                                      const fleet::task_step& step) {
+  return step.gang && step.data_rack.empty() ? job.record.queue + "/gang"
+                                             : job.record.queue;
+}
+
+place_wait_terms place_starter::Terms(job_state& job,
+                                      const fleet::task_step& step,
+                                      const step_state& state) const {
+  const place_speed_model& speeds = owner_.places_.speeds;
+  const double near_ms = owner_.ExpectedRunMs(job, step, step.data_rack);
+  place_wait_terms terms;
+  terms.since = state.place_wait.since < 0 ? now_ : state.place_wait.since;
+  terms.near_ms = near_ms * speeds.RackSlowdown(step.data_rack);
+  terms.away_ms = near_ms * speeds.AwayFactor(SpeedClass(job, step));
+  terms.latest_start = owner_.RankJob(job, now_).latest_start;
+  // A task without a place takes no longer elsewhere.
+  if (!HasPlace(step)) {
+    terms.latest_start += static_cast<millis>(terms.away_ms - terms.near_ms);
+  }
+  return terms;
+}
+
+std::vector<place_starter::place_slots> place_starter::FindPlaceRunners(
+    const job_state& job, const fleet::task_step& step, int repetition,
+    int step_number) const {
+  std::vector<place_slots> found;
+  const auto pool = owner_.schedulable_runners_.find(job.record.pool);
+  if (pool == owner_.schedulable_runners_.end()) return found;
+  const std::string step_name =
+      job.record.ticket_valid_ms > 0
+          ? scheduler::StepName(job, repetition, step_number)
+          : std::string();
+  for (const runner_state* runner : pool->second) {
+    const fleet::runner_report& report = runner->report;
+    if (IsAway(step, report.rack) || report.rack.empty() ||
+        runner->consecutive_failures >= kSuspectFailureThreshold ||
+        owner_.maintenance_due_.contains(report.id)) {
+      continue;
+    }
+    if (!step.required_label.empty() &&
+        std::ranges::find(report.labels, step.required_label) ==
+            report.labels.end()) {
+      continue;
+    }
+    if (!step_name.empty() &&
+        !owner_.tickets_.Find(step_name, report.id, now_)) {
+      continue;
+    }
+    int count = step.count;
+    if (step.max_per_runner > 0) {
+      count = step.max_per_runner -
+              scheduler::CountStepTasks(*runner, job.record.id, repetition,
+                                        step_number);
+    }
+    if (count > 0) found.push_back({runner, count});
+  }
+  return found;
+}
+
+void place_starter::WantRack(const job_state& job,
+                             const fleet::task_step& step) {
+  if (step.data_rack.empty()) return;
+  owner_.places_.newly_wanted_racks[job.record.pool].insert(step.data_rack);
+}
+
+bool place_starter::Defer(job_state& job, int repetition_number,
+                          repetition_state& repetition, int step_number) {
+  const auto s = static_cast<std::size_t>(step_number);
+  const fleet::task_step& step = job.record.request.steps[s];
+  step_state& state = repetition.steps[s];
+  place_wait_state& wait = state.place_wait;
+  if (step.long_running || step.best_effort_cpu) return false;
+  std::vector<place_slots> runners;
+  if (HasPlace(step)) {
+    runners = FindPlaceRunners(job, step, repetition_number, step_number);
+    if (runners.empty()) {
+      wait.given_up = "place_lost";
+      return false;
+    }
+    WantRack(job, step);
+  }
+  if (wait.since < 0) wait.since = now_;
+  const millis deadline =
+      owner_.places_.policy.deadline(Terms(job, step, state));
+  if (now_ >= deadline) {
+    wait.given_up = "deadline";
+    return false;
+  }
+  const waiting_step waiting{job,   repetition_number, step_number, step,
+                             state, deadline};
+  if (step.gang) return BookGang(waiting, runners);
+  const int count = CountTasksForElsewhere(waiting, runners);
+  if (count == 0) return true;
+  const int reserved = std::min(count, owner_.start_allowance_);
+  owner_.start_allowance_ -= reserved;
+  owner_.places_.deferred.push_back(
+      {&job, &repetition, repetition_number, step_number, count, reserved});
+  return true;
+}
+
+int place_starter::CountTasksForElsewhere(const waiting_step& waiting,
+                                          std::vector<place_slots>& runners) {
+  int count = 0;
+  for (const task_state& task : waiting.state.tasks) {
+    if (task.done || !task.runs.empty() || now_ < task.not_before) continue;
+    if (!HasPlace(waiting.step) || !BookTask(waiting, task, runners)) ++count;
+  }
+  return count;
+}
+
+std::optional<std::string> place_starter::FindGangRack(
+    const job_state& job, const fleet::task_step& step,
+    const std::string& step_name) const {
+  std::map<std::string, int> fits;
+  const auto pool = owner_.schedulable_runners_.find(job.record.pool);
+  if (pool == owner_.schedulable_runners_.end()) return std::nullopt;
+  const int limit = step.max_per_runner > 0 ? step.max_per_runner : step.count;
+  for (const runner_state* runner : pool->second) {
+    if (IsAway(step, runner->report.rack) || runner->report.rack.empty() ||
+        runner->consecutive_failures >= kSuspectFailureThreshold ||
+        !owner_.CanPlaceStep(*runner, step)) {
+      continue;
+    }
+    if (job.record.ticket_valid_ms > 0 &&
+        !owner_.tickets_.Find(step_name, runner->report.id, now_)) {
+      continue;
+    }
+    fits[runner->report.rack] += CountFits(
+        FreeResources(*runner), owner_.ReservedResources(step), limit);
+  }
+  const std::string* best = nullptr;
+  int best_fits = 0;
+  for (const auto& [rack, count] : fits) {
+    if (count < step.count || (best && count >= best_fits)) continue;
+    best = &rack;
+    best_fits = count;
+  }
+  return best ? std::optional(*best) : std::nullopt;
+}
+
+void place_starter::StartDeferred(std::vector<order>& out) {
+  place_book& places = owner_.places_;
+  for (const deferred_step& entry : std::exchange(places.deferred, {})) {
+    owner_.start_allowance_ += entry.reserved_starts;
+    StartElsewhere(entry, out);
+  }
+  places.forecasts.clear();
+  places.wanted_racks = std::exchange(places.newly_wanted_racks, {});
+}
+
+void place_starter::StartElsewhere(const deferred_step& entry,
+                                   std::vector<order>& out) {
+  job_state& job = *entry.job;
+  const auto s = static_cast<std::size_t>(entry.step_number);
+  const fleet::task_step& step = job.record.request.steps[s];
+  step_state& state = entry.repetition->steps[s];
+  std::vector<order> starts;
+  int left = entry.task_count;
+  for (std::size_t i = 0; i < state.tasks.size() && left > 0; ++i) {
+    task_state& task = state.tasks[i];
+    if (owner_.start_allowance_ <= 0) break;
+    if (task.done || !task.runs.empty() || now_ < task.not_before) continue;
+    if (!owner_.IsWithinTeamLimit(job, step.needs)) break;
+    runner_state* runner = nullptr;
+    if (!owner_.IsUnplaceable(job, step)) {
+      runner = owner_.ChooseRunner(job, step, state, entry.repetition_number,
+                                   entry.step_number, task, now_);
+    }
+    if (!runner) {
+      owner_.RecordPlacementFailure(
+          job, step,
+          scheduler::StepName(job, entry.repetition_number, entry.step_number),
+          now_);
+      owner_.AddBlockedDemand(job, step, state);
+      break;
+    }
+    state.place_wait.given_up = "room_too_late";
+    RecordStart(job, entry.repetition_number, entry.step_number, state,
+                IsAway(step, runner->report.rack));
+    const fleet::task_name name{job.record.id, entry.repetition_number,
+                                entry.step_number, static_cast<int>(i)};
+    owner_.PlaceRun(name, owner_.FindTask(name), *runner,
+                    std::max(owner_.min_run_, task.last_run + 1), now_, starts);
+    --left;
+  }
+  owner_.DispatchStarts(job, starts, now_, out);
+}
+
+void place_starter::RecordPlacement(const job_state& job,
+                                    const fleet::task_step& step,
+                                    const runner_state& runner) {
+  const auto it = owner_.places_.forecasts.find(&runner);
+  if (it == owner_.places_.forecasts.end()) return;
+  it->second.Book(
+      owner_.ReservedResources(step),
+      static_cast<millis>(owner_.ExpectedRunMs(job, step, runner.report.rack)));
+}
+
+bool place_starter::BookTask(const waiting_step& waiting,
+                             const task_state& task,
+                             std::vector<place_slots>& runners) {
+  const fleet::resources needs = owner_.ReservedResources(waiting.step);
+  place_slots* best = nullptr;
+  millis best_start = room_forecast::kNever;
+  for (place_slots& slots : runners) {
+    if (slots.count <= 0 ||
+        task.last_failed_runner == slots.runner->report.id) {
+      continue;
+    }
+    const millis start = Forecast(*slots.runner).EarliestStart(needs);
+    if (start >= best_start) continue;
+    best = &slots;
+    best_start = start;
+  }
+  if (!best || !IsInTime(waiting, best_start)) {
+    return false;
+  }
+  --best->count;
+  RecordPlacement(waiting.job, waiting.step, *best->runner);
+  ReportWait(waiting, best->runner->report.rack, best_start);
+  return true;
+}
+
+bool place_starter::BookGang(const waiting_step& waiting,
+                             std::span<const place_slots> runners) {
+  std::map<std::string, std::vector<place_slots>> racks;
+  for (const place_slots& slots : runners) {
+    racks[slots.runner->report.rack].push_back(slots);
+  }
+  const std::string* best_rack = nullptr;
+  millis best_start = room_forecast::kNever;
+  for (auto& [rack, members] : racks) {
+    const millis start = FindGangStart(waiting, members);
+    if (start >= best_start) continue;
+    best_rack = &rack;
+    best_start = start;
+  }
+  if (!best_rack || !IsInTime(waiting, best_start)) {
+    waiting.state.place_wait.given_up = "room_too_late";
+    return false;
+  }
+  const millis duration =
+      best_start - now_ +
+      static_cast<millis>(owner_.ExpectedRunMs(waiting.job, waiting.step,
+                                               waiting.step.data_rack));
+  for (const place_slots& members : racks[*best_rack]) {
+    for (int i = 0; i < members.count; ++i) {
+      Forecast(*members.runner)
+          .Book(owner_.ReservedResources(waiting.step), duration);
+    }
+  }
+  owner_.places_.newly_wanted_racks[waiting.job.record.pool].insert(*best_rack);
+  ReportWait(waiting, *best_rack, best_start);
+  return true;
+}
+
+millis place_starter::FindGangStart(const waiting_step& waiting,
+                                    std::vector<place_slots>& runners) {
+  const fleet::resources needs = owner_.ReservedResources(waiting.step);
+  std::vector<room_forecast> forecasts;
+  for (const place_slots& slots : runners) {
+    forecasts.push_back(Forecast(*slots.runner));
+  }
+  std::vector<int> members(runners.size(), 0);
+  millis last_start = now_;
+  for (int member = 0; member < waiting.step.count; ++member) {
+    std::size_t best = forecasts.size();
+    millis best_start = room_forecast::kNever;
+    for (std::size_t i = 0; i < forecasts.size(); ++i) {
+      if (members[i] >= runners[i].count) continue;
+      const millis start = forecasts[i].EarliestStart(needs);
+      if (start >= best_start) continue;
+      best = i;
+      best_start = start;
+    }
+    if (best == forecasts.size()) return room_forecast::kNever;
+    // No member frees its room before all members have theirs.
+    forecasts[best].Book(needs, kGangHoldMs);
+    ++members[best];
+    last_start = std::max(last_start, best_start);
+  }
+  for (std::size_t i = 0; i < runners.size(); ++i)
+    runners[i].count = members[i];
+  return last_start;
+}
+
+bool place_starter::IsInTime(const waiting_step& waiting,
+                             millis expected_at) const {
+  return expected_at <= waiting.deadline ||
+         owner_.places_.policy.ignores_forecast;
+}
+
+room_forecast& place_starter::Forecast(const runner_state& runner) {
+  auto& forecasts = owner_.places_.forecasts;
+  const auto it = forecasts.find(&runner);
+  if (it != forecasts.end()) return it->second;
+  std::vector<expected_end> ends;
+  for (const fleet::task_name& name : runner.tasks) {
+    const scheduler::task_ref ref = owner_.FindTask(name);
+    if (!ref.task) continue;
+    for (const run_state& run : ref.task->runs) {
+      if (run.runner != runner.report.id) continue;
+      const millis at = ExpectedEnd(ref, run, runner);
+      if (at == room_forecast::kNever) continue;
+      ends.push_back({at, owner_.ReservedResources(*ref.step)});
+    }
+  }
+  return forecasts
+      .emplace(&runner,
+               room_forecast(now_, FreeResources(runner), std::move(ends)))
+      .first->second;
+}
+
+millis place_starter::ExpectedEnd(const scheduler::task_ref& ref,
+                                  const run_state& run,
+                                  const runner_state& runner) const {
+  if (run.phase == run_phase::kStopping) return now_ + owner_.max_stop_ms_;
+  if (ref.step->long_running) return room_forecast::kNever;
+  const double expected =
+      owner_.ExpectedRunMs(*ref.job, *ref.step, runner.report.rack);
+  const millis start = run.confirmed_at > 0 ? run.confirmed_at : run.ordered_at;
+  double total = expected;
+  // A run that resumed from a checkpoint began with some progress.
+  if (!ref.step->writes_checkpoints && run.adopted_clock_ms < 0 &&
+      run.progress_percent >= kMinProgressPercent) {
+    const millis listed_at = runner.started_at + run.listed_clock_ms;
+    total = static_cast<double>(listed_at - start) * 100 / run.progress_percent;
+  }
+  const millis due = start + static_cast<millis>(total);
+  return due > now_ ? due
+                    : now_ + static_cast<millis>(kOverdueShare * expected);
+}
+
+void place_starter::ReportWait(const waiting_step& waiting,
+                               const std::string& rack, millis expected_at) {
+  if (waiting.state.place_wait.reported) return;
+  waiting.state.place_wait.reported = true;
+  scheduler_event event;
+  event.kind = event_kind::kPlaceWaitStarted;
+  event.task = {waiting.job.record.id, waiting.repetition_number,
+                waiting.step_number, 0};
+  event.runner = rack;
+  event.elapsed_ms = waiting.deadline - now_;
+  event.expected_ms = std::max<millis>(0, expected_at - now_);
+  owner_.events_.push_back(std::move(event));
+}
+
+void place_starter::RecordStart(const job_state& job, int repetition_number,
+                                int step_number, step_state& state, bool away) {
+  place_wait_state& wait = state.place_wait;
+  const fleet::task_step& step =
+      job.record.request.steps[static_cast<std::size_t>(step_number)];
+  (away ? wait.away_tasks : wait.near_tasks) += step.gang ? step.count : 1;
+  const auto left = std::ranges::count_if(
+      state.tasks,
+      [](const task_state& task) { return !task.done && task.runs.empty(); });
+  // The task that starts now has no run yet.
+  if (!step.gang && left > 1) return;
+  if (wait.reported) {
+    scheduler_event event;
+    event.kind = event_kind::kPlaceWaitEnded;
+    event.task = {job.record.id, repetition_number, step_number, 0};
+    event.detail = wait.away_tasks > 0 ? std::string(wait.given_up) : "";
+    event.elapsed_ms = now_ - wait.since;
+    event.near_tasks = wait.near_tasks;
+    event.away_tasks = wait.away_tasks;
+    owner_.events_.push_back(std::move(event));
+  }
+  wait = {};
+}
+
+bool place_starter::LearnFromEnd(const scheduler::task_ref& ref,
+                                 const std::string& runner, millis run_ms) {
+  const fleet::task_step& step = *ref.step;
+  if (!HasPlace(step)) return true;
+  place_speed_model& speeds = owner_.places_.speeds;
+  std::set<std::string> racks;
+  const auto add_rack = [&](const std::string& id) {
+    const runner_state* state = owner_.FindRunner(id);
+    if (state) racks.insert(state->report.rack);
+  };
+  add_rack(runner);
+  if (step.gang) {
+    for (const task_state& member : ref.state->tasks) {
+      for (const run_state& run : member.runs) add_rack(run.runner);
+    }
+  }
+  const bool away = (step.same_rack && racks.size() > 1) ||
+                    std::ranges::any_of(racks, [&](const std::string& rack) {
+                      return IsAway(step, rack);
+                    });
+  const double near_ms = owner_.ExpectedRunMs(*ref.job, step, step.data_rack);
+  if (away) {
+    speeds.AddAwaySample(SpeedClass(*ref.job, step), near_ms, run_ms);
+  } else if (!step.data_rack.empty()) {
+    speeds.AddNearSample(step.data_rack, near_ms, run_ms);
+  }
+  return !away;
+}
+
+}  // namespace radishwing::sched
--- /dev/null
+++ b/src/sched/place_starter.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "src/sched/scheduler.h"
+
+namespace radishwing::sched {
+
+/// Decides for tasks that run faster at a place, the rack of their data or one
+/// rack for a whole gang, whether they wait for room there or start elsewhere.
+///
+/// A pass has two phases. In the first one, the tasks of each step take room at
+/// their place in the scheduler's order. Each task that could start only
+/// elsewhere books the room that is expected at its place, and waits if that is
+/// soon enough. Otherwise it is deferred to the second phase, in which it
+/// starts elsewhere in room that no task of the first phase wanted. A waiting
+/// task holds no room. Lives for one call of the scheduler.
+class place_starter {
+ public:
+  explicit place_starter(scheduler& owner, millis now)
+      : owner_(owner), now_(now) {}
+
+  /// Returns true if tasks of the step run faster at a place and end by
+  /// themselves.
+  static bool HasPlace(const fleet::task_step& step);
+  /// Returns true if a run of the step on `rack` is away from its data.
+  static bool IsAway(const fleet::task_step& step, const std::string& rack);
+
+  /// Records that a task of the step, if it has data, has no room near it.
+  void WantRack(const job_state& job, const fleet::task_step& step);
+  /// First phase: returns true if the step's tasks do not start now. They have
+  /// room only away from their place, or on a rack that other tasks want, and
+  /// wait or are deferred to the second phase.
+  bool Defer(job_state& job, int repetition_number,
+             repetition_state& repetition, int step_number);
+  /// First phase: returns the rack on which all members of the gang have room,
+  /// the fullest one if there are several.
+  std::optional<std::string> FindGangRack(const job_state& job,
+                                          const fleet::task_step& step,
+                                          const std::string& step_name) const;
+  /// Second phase: starts the deferred tasks and ends the pass.
+  void StartDeferred(std::vector<order>& out);
+  /// Subtracts a task that starts on `runner` from the room that is expected
+  /// there.
+  void RecordPlacement(const job_state& job, const fleet::task_step& step,
+                       const runner_state& runner);
+  /// Counts a start of a task of a step that waits or has waited, and reports
+  /// the end of the wait with the step's last start.
+  void RecordStart(const job_state& job, int repetition_number, int step_number,
+                   step_state& state, bool away);
+  /// Learns from the run of a task that ended well after `run_ms`. Returns
+  /// false if the run was away from its place and thus says nothing about run
+  /// times at it.
+  bool LearnFromEnd(const scheduler::task_ref& ref, const std::string& runner,
+                    millis run_ms);
+  /// Returns the name under which the speed of the step's tasks away from their
+  /// place is learned.
+  static std::string SpeedClass(const job_state& job,
+                                const fleet::task_step& step);
+
+ private:
+  /// A runner at a place, with the number of tasks of a step that it may still
+  /// get.
+  struct place_slots {
+    const runner_state* runner = nullptr;
+    int count = 0;
+  };
+  /// A step that waits, with what the decisions about its tasks need.
+  struct waiting_step {
+    job_state& job;
+    int repetition_number = 0;
+    int step_number = 0;
+    const fleet::task_step& step;
+    step_state& state;
+    millis deadline = 0;
+  };
+
+  /// Returns the runners that the step can wait for: healthy, not about to
+  /// leave, and at the step's place.
+  std::vector<place_slots> FindPlaceRunners(const job_state& job,
+                                            const fleet::task_step& step,
+                                            int repetition,
+                                            int step_number) const;
+  place_wait_terms Terms(job_state& job, const fleet::task_step& step,
+                         const step_state& state) const;
+  /// Books room at the place for each task of the step that has not started.
+  /// Returns the number of tasks that find none in time.
+  int CountTasksForElsewhere(const waiting_step& waiting,
+                             std::vector<place_slots>& runners);
+  void StartElsewhere(const deferred_step& entry, std::vector<order>& out);
+  /// Books room at the place for a task, or returns false if none is expected
+  /// in time.
+  bool BookTask(const waiting_step& waiting, const task_state& task,
+                std::vector<place_slots>& runners);
+  /// Books room for all members of a gang on the rack that is expected to have
+  /// it first, and makes others leave that rack to it. Returns as BookTask.
+  bool BookGang(const waiting_step& waiting,
+                std::span<const place_slots> runners);
+  /// Returns the time at which the runners of one rack are expected to have
+  /// room for all members of a gang, or room_forecast::kNever. Sets the count
+  /// of each runner to the number of members that it would get.
+  millis FindGangStart(const waiting_step& waiting,
+                       std::vector<place_slots>& runners);
+  /// Returns true if the step waits for room that is expected at `expected_at`.
+  bool IsInTime(const waiting_step& waiting, millis expected_at) const;
+  room_forecast& Forecast(const runner_state& runner);
+  millis ExpectedEnd(const scheduler::task_ref& ref, const run_state& run,
+                     const runner_state& runner) const;
+  void ReportWait(const waiting_step& waiting, const std::string& rack,
+                  millis expected_at);
+
+  scheduler& owner_;
+  millis now_;
+};
+
+}  // namespace radishwing::sched
--- /dev/null
+++ b/src/sched/place_wait.cc
@@ -0,0 +1,30 @@
+#include "src/sched/place_wait.h"
+
+#include <algorithm>
+
+namespace radishwing::sched {
+namespace {
+
+// Share of its expected run time by which a run often takes longer. A job whose
+// slack is smaller does not count as in time elsewhere.
+constexpr double kRunTimeMargin = 0.25;
+
+}  // namespace
+
+millis PlaceWaitDeadline(const place_wait_terms& terms) {
+  const auto gain = static_cast<millis>(terms.away_ms - terms.near_ms);
+  if (gain <= 0) return terms.since;
+  const millis latest_start_elsewhere =
+      terms.latest_start - gain -
+      static_cast<millis>(kRunTimeMargin * terms.away_ms);
+  const millis deadline = terms.since + gain;
+  if (terms.since <= latest_start_elsewhere) {
+    return std::min(deadline, latest_start_elsewhere);
+  }
+  if (terms.since <= terms.latest_start) {
+    return std::min(deadline, terms.latest_start);
+  }
+  return deadline;
+}
+
+}  // namespace radishwing::sched
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -22,6 +22,7 @@
 #include "src/sched/early_cancels.h"
 #include "src/sched/job_state.h"
 #include "src/sched/order.h"
+#include "src/sched/place_book.h"
 #include "src/sched/pool_demand.h"
 #include "src/sched/run_time_model.h"
 #include "src/sched/runner_state.h"
@@ -74,7 +75,8 @@
   /// Sets the time within which runners end a run that they were ordered to
   /// stop, on their clocks.
   void SetMaxStopDuration(millis duration) { max_stop_ms_ = duration; }
-
+  /// Returns what is known about places, to set how waits are decided.
+  place_book& Places() { return places_; }
   /// Adds an accepted job. `restored` is true if an earlier leader may have
   /// started it; RestoreProgress has to follow.
   void AddJob(fleet::job_record record, bool restored, millis now,
@@ -205,6 +207,7 @@
   std::vector<scheduler_event> TakeEvents();
 
  private:
+  friend class place_starter;
   /// A task with its job, repetition and step. If one of these does not exist,
   /// its pointer and all later pointers are null.
   struct task_ref {
@@ -369,13 +372,28 @@
   void StartGang(job_state& job, int repetition_number,
                  repetition_state& repetition, int step_number, millis now,
                  std::vector<order>& out);
+  /// Places all members of the gang with the given run number, on `rack` unless
+  /// it is empty, or none. Returns their start orders.
+  std::vector<order> PlaceGang(job_state& job, int repetition_number,
+                               step_state& state, int step_number, int run,
+                               const std::string& rack, millis now);
+  /// Cancels the placement of gang members by `placed`.
+  void UndoGang(const std::vector<order>& placed);
   ranked_job RankJob(job_state& job, millis now) const;
   /// Returns the best runner for a new run of `task`, or null if none is
-  /// suitable.
+  /// suitable. Only runners on `rack` are suitable unless it is empty.
   runner_state* ChooseRunner(const job_state& job, const fleet::task_step& step,
                              const step_state& state, int repetition,
                              int step_number, const task_state& task,
-                             millis now);
+                             millis now, const std::string& rack = {});
+  /// Returns the number of tasks of a step with a run on the runner.
+  static int CountStepTasks(const runner_state& runner, const std::string& job,
+                            int repetition, int step_number);
+  /// Returns the expected run time of a task of the step on `rack`.
+  double ExpectedRunMs(const job_state& job, const fleet::task_step& step,
+                       const std::string& rack) const;
+  /// Returns true if this pass has found no runner for the same or fewer needs.
+  bool IsUnplaceable(const job_state& job, const fleet::task_step& step) const;
   /// Returns true if the runner accepts new tasks.
   bool IsSchedulable(const runner_state& runner, millis now) const;
   /// Returns true if the runner has the label and the free capacity that a task
@@ -428,6 +446,7 @@
   millis max_stop_ms_ = 1000;     ///< See SetMaxStopDuration().
   fleet::fleet_config config_;    ///< Configuration of queues, pools and teams.
   run_time_model run_times_;      ///< Ratios of actual to estimated run times.
+  place_book places_;             ///< What is known about places of tasks.
   /// Jobs by id.
   std::unordered_map<std::string, std::unique_ptr<job_state>> jobs_;
   /// Jobs that were not finished at the start of the last pass, and jobs added
--- a/src/sched/scheduler_event.h
+++ b/src/sched/scheduler_event.h
@@ -15,6 +15,10 @@
   /// A run did not start, or was lost before a runner listed its end.
   kTaskLost,
   kStopOrdered,
+  /// Tasks of a step wait for room at their place although they could start
+  /// elsewhere.
+  kPlaceWaitStarted,
+  kPlaceWaitEnded,  ///< All tasks of the step have started.
   kJobFinished,
 };
 
@@ -23,14 +27,22 @@
   event_kind kind = event_kind::kTaskStarted;
   fleet::task_name task;  ///< Only the job id is set for kJobFinished.
   int run = 0;            ///< Number of the run; 0 for kJobFinished.
-  /// Id of the runner; name of the queue for kJobFinished.
+  /// Id of the runner; name of the queue for kJobFinished; rack for
+  /// kPlaceWaitStarted.
   std::string runner;
-  /// How the run ended, why it was lost or stopped, or the final phase of the
-  /// job; empty for other events.
+  /// How the run ended, why it was lost or stopped, why a task no longer waits
+  /// for its place, or the final phase of the job; empty for other events.
   std::string detail;
   /// Run time for kTaskEnded, time since the start order for kTaskLost and
-  /// kStopOrdered, time since the acceptance of the job otherwise.
+  /// kStopOrdered, longest remaining wait for kPlaceWaitStarted, length of the
+  /// wait for kPlaceWaitEnded, time since the acceptance of the job otherwise.
   millis elapsed_ms = 0;
+  /// For kPlaceWaitStarted, the time until room is expected at the place.
+  millis expected_ms = 0;
+  /// For kPlaceWaitEnded, the number of tasks that started at the place.
+  int near_tasks = 0;
+  /// For kPlaceWaitEnded, the number of tasks that started elsewhere.
+  int away_tasks = 0;
 };
 
 }  // namespace radishwing::sched
--- a/src/sched/scheduler_listing.cc
+++ b/src/sched/scheduler_listing.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "src/sched/job_steps.h"
+#include "src/sched/place_starter.h"
 #include "src/sched/scheduler.h"
 
 // Applies what runners report: ended runs, current runs and order outcomes.
@@ -94,7 +95,8 @@
   runner_state& runner_entry = runners_[runner];
   if (end.end_kind == fleet::run_end::kDone) {
     runner_entry.consecutive_failures = 0;
-    if (!was_paced) {
+    if (!was_paced &&
+        place_starter(*this, now).LearnFromEnd(ref, runner, run_ms)) {
       run_times_.AddSample(ref.job->record.queue, ref.step->estimate_ms,
                            run_ms);
     }
--- a/src/sched/scheduler_placement.cc
+++ b/src/sched/scheduler_placement.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "src/sched/place_starter.h"
 #include "src/sched/scheduler.h"
 
 // The placement of new runs on runners.
@@ -21,6 +22,7 @@
   const auto s = static_cast<std::size_t>(step_number);
   const fleet::task_step& step = job.record.request.steps[s];
   step_state& state = repetition.steps[s];
+  place_starter places(*this, now);
   std::vector<order> starts;
   for (std::size_t i = 0; i < state.tasks.size(); ++i) {
     task_state& task = state.tasks[i];
@@ -31,9 +33,8 @@
     // speculative copies may start another one.
     if (job.awaits_listings && !step.speculative) continue;
     if (!IsWithinTeamLimit(job, step.needs)) break;
-    const auto unplaceable = unplaceable_needs_.find(job.record.pool);
-    if (unplaceable != unplaceable_needs_.end() &&
-        unplaceable->second.FitsIn(ReservedResources(step))) {
+    if (IsUnplaceable(job, step)) {
+      places.WantRack(job, step);
       AddBlockedDemand(job, step, state);
       break;
     }
@@ -45,6 +46,18 @@
       AddBlockedDemand(job, step, state);
       break;
     }
+    const std::string& rack = runner->report.rack;
+    const bool away = place_starter::IsAway(step, rack);
+    const bool wanted_by_others =
+        step.data_rack != rack && places_.IsWanted(job.record.pool, rack);
+    if ((away || wanted_by_others) && task.runs.empty() &&
+        places.Defer(job, repetition_number, repetition, step_number)) {
+      break;
+    }
+    if (state.place_wait.since >= 0) {
+      places.RecordStart(job, repetition_number, step_number, state, away);
+    }
+    places.RecordPlacement(job, step, *runner);
     const fleet::task_name name{job.record.id, repetition_number, step_number,
                                 static_cast<int>(i)};
     PlaceRun(name, FindTask(name), *runner,
@@ -77,14 +90,23 @@
   const run_state& run = task.runs.front();
   const runner_state* runner = FindRunner(run.runner);
   if (!runner || !runner->reachable) return true;
-  const double expected = static_cast<double>(step.estimate_ms) *
-                          run_times_.MeanRatio(job.record.queue);
+  const double expected = ExpectedRunMs(job, step, runner->report.rack);
   return run.phase == run_phase::kRunning &&
          static_cast<double>(now - run.ordered_at) >
              kSpeculationFactor * expected +
                  static_cast<double>(kSpeculationSlackMs);
 }
 
+double scheduler::ExpectedRunMs(const job_state& job,
+                                const fleet::task_step& step,
+                                const std::string& rack) const {
+  const double near_ms = static_cast<double>(step.estimate_ms) *
+                         run_times_.MeanRatio(job.record.queue);
+  if (!place_starter::IsAway(step, rack)) return near_ms;
+  return near_ms *
+         places_.speeds.AwayFactor(place_starter::SpeedClass(job, step));
+}
+
 void scheduler::AddBlockedDemand(const job_state& job,
                                  const fleet::task_step& step,
                                  const step_state& state) {
@@ -120,35 +142,77 @@
     run = std::max(run, task.last_run + 1);
     if (!task.checkpoint.empty()) checkpoint = task.checkpoint;
   }
-  // Places all members of the gang or none: if a member finds no runner, the
-  // placements of the others are undone.
+  for (task_state& task : state.tasks) task.checkpoint = checkpoint;
+  place_starter places(*this, now);
+  std::vector<order> placed;
+  bool away = false;
+  if (place_starter::HasPlace(step)) {
+    const auto rack = places.FindGangRack(
+        job, step, StepName(job, repetition_number, step_number));
+    if (rack) {
+      placed = PlaceGang(job, repetition_number, state, step_number, run, *rack,
+                         now);
+    }
+    away = placed.empty();
+  }
+  if (placed.empty()) {
+    placed =
+        PlaceGang(job, repetition_number, state, step_number, run, "", now);
+  }
+  if (placed.empty()) {
+    if (job.record.ticket_valid_ms > 0) {
+      RequestAdvice(job, step, StepName(job, repetition_number, step_number),
+                    now);
+    }
+    AddBlockedDemand(job, step, state);
+    return;
+  }
+  if (away) {
+    // The members must not count as used room while the gang decides to wait.
+    UndoGang(placed);
+    if (places.Defer(job, repetition_number, repetition, step_number)) return;
+    placed =
+        PlaceGang(job, repetition_number, state, step_number, run, "", now);
+  }
+  if (state.place_wait.since >= 0) {
+    places.RecordStart(job, repetition_number, step_number, state, away);
+  }
+  DispatchStarts(job, placed, now, out);
+}
+
+// Places all members of the gang or none: if a member finds no runner, the
+// placements of the others are undone.
+std::vector<order> scheduler::PlaceGang(job_state& job, int repetition_number,
+                                        step_state& state, int step_number,
+                                        int run, const std::string& rack,
+                                        millis now) {
+  const fleet::task_step& step =
+      job.record.request.steps[static_cast<std::size_t>(step_number)];
   std::vector<order> placed;
   for (std::size_t i = 0; i < state.tasks.size(); ++i) {
-    task_state& task = state.tasks[i];
-    task.checkpoint = checkpoint;
     runner_state* runner = nullptr;
     if (IsWithinTeamLimit(job, step.needs)) {
       runner = ChooseRunner(job, step, state, repetition_number, step_number,
-                            task, now);
+                            state.tasks[i], now, rack);
     }
-    const fleet::task_name name{job.record.id, repetition_number, step_number,
-                                static_cast<int>(i)};
     if (!runner) {
-      if (job.record.ticket_valid_ms > 0) {
-        RequestAdvice(job, step, StepName(job, repetition_number, step_number),
-                      now);
-      }
-      for (const order& undo : placed) {
-        const task_ref member = FindTask(undo.task);
-        member.task->last_run = run - 1;
-        DetachRun(undo.task, member, undo.runner, run);
-      }
-      AddBlockedDemand(job, step, state);
-      return;
+      UndoGang(placed);
+      return {};
     }
+    const fleet::task_name name{job.record.id, repetition_number, step_number,
+                                static_cast<int>(i)};
     PlaceRun(name, FindTask(name), *runner, run, now, placed);
   }
-  DispatchStarts(job, placed, now, out);
+  return placed;
+}
+
+void scheduler::UndoGang(const std::vector<order>& placed) {
+  for (const order& undo : placed) {
+    const task_ref member = FindTask(undo.task);
+    member.task->last_run = undo.run - 1;
+    DetachRun(undo.task, member, undo.runner, undo.run);
+    ++start_allowance_;
+  }
 }
 
 void scheduler::PlaceRun(const fleet::task_name& name, const task_ref& ref,
@@ -175,6 +239,23 @@
   return start;
 }
 
+bool scheduler::IsUnplaceable(const job_state& job,
+                              const fleet::task_step& step) const {
+  const auto unplaceable = unplaceable_needs_.find(job.record.pool);
+  return unplaceable != unplaceable_needs_.end() &&
+         unplaceable->second.FitsIn(ReservedResources(step));
+}
+
+int scheduler::CountStepTasks(const runner_state& runner,
+                              const std::string& job, int repetition,
+                              int step_number) {
+  return static_cast<int>(
+      std::ranges::count_if(runner.tasks, [&](const fleet::task_name& name) {
+        return name.job == job && name.repetition == repetition &&
+               name.step == step_number;
+      }));
+}
+
 bool scheduler::IsSchedulable(const runner_state& runner, millis now) const {
   return runner.listed && runner.reachable && !runner.cordoned &&
          !runner.has_unknown_runs && !runner.report.draining &&
@@ -195,7 +276,7 @@
                                       const fleet::task_step& step,
                                       const step_state& state, int repetition,
                                       int step_number, const task_state& task,
-                                      millis now) {
+                                      millis now, const std::string& rack) {
   runner_state* best = nullptr;
   double best_score = 0;
   const std::string step_name = job.record.ticket_valid_ms > 0
@@ -212,19 +293,17 @@
   for (runner_state* candidate : schedulable_runners_[job.record.pool]) {
     runner_state& runner = *candidate;
     const std::string& id = runner.report.id;
+    if (!rack.empty() && runner.report.rack != rack) continue;
     if (!CanPlaceStep(runner, step)) continue;
     if (!step_name.empty() && !tickets_.Find(step_name, id, now)) continue;
     if (std::ranges::find(task.runs, id, &run_state::runner) !=
         task.runs.end()) {
       continue;
     }
-    if (step.max_per_runner > 0) {
-      const auto tasks_on_runner = std::ranges::count_if(
-          runner.tasks, [&](const fleet::task_name& name) {
-            return name.job == job.record.id && name.repetition == repetition &&
-                   name.step == step_number;
-          });
-      if (tasks_on_runner >= step.max_per_runner) continue;
+    if (step.max_per_runner > 0 &&
+        CountStepTasks(runner, job.record.id, repetition, step_number) >=
+            step.max_per_runner) {
+      continue;
     }
     const auto free_cpu = static_cast<double>(
         runner.report.capacity.cpu_millicores - runner.used.cpu_millicores);
@@ -237,8 +316,11 @@
     double score = 1 - free_cpu / all_cpu;
     if (runner.consecutive_failures >= kSuspectFailureThreshold) score -= 8;
     if (task.last_failed_runner == id) score -= 4;
-    if (!step.data_rack.empty() && runner.report.rack != step.data_rack) {
-      score -= 2;
+    // Outweighs the penalty for another data centre.
+    if (place_starter::IsAway(step, runner.report.rack)) score -= 2.3;
+    if (step.data_rack != runner.report.rack &&
+        places_.IsWanted(job.record.pool, runner.report.rack)) {
+      score -= 1.1;
     }
     // Keeps a job in few data centres, so that its tasks wait for few runners
     // after a takeover. Long-running tasks may spread over data centres.
--- a/src/sched/scheduler_plan.cc
+++ b/src/sched/scheduler_plan.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "src/sched/job_steps.h"
+#include "src/sched/place_starter.h"
 #include "src/sched/scheduler.h"
 
 // The scheduling pass: which jobs start tasks, in which order.
@@ -42,6 +43,7 @@
   }
   IssueDeferredStarts(now, out);
   PlanStarts(now, out);
+  place_starter(*this, now).StartDeferred(out);
   out.insert(out.begin(), queued_orders_.begin(), queued_orders_.end());
   queued_orders_.clear();
   return out;
--- a/tests/ctl/app_test.cc
+++ b/tests/ctl/app_test.cc
@@ -152,6 +152,26 @@
   std::filesystem::remove(log);
 }
 
+// `explain` must tell why a task did not start although runners had room, and
+// until when at most.
+BOOST_AUTO_TEST_CASE(explain_shows_the_wait_of_a_job_for_its_place) {
+  const std::string log = TemporaryFile("explain_place_test.log");
+  std::ofstream(log)
+      << "2026-12-04 10:00:00,000 INFO n1 place: tasks wait for their place, "
+         "step="
+      << kJobId << ".0.0 rack=r1 expected_in_ms=80 at_most_ms=320\n"
+      << "2026-12-04 10:00:00,010 INFO n1 place: tasks wait for their place, "
+         "step=00000000000000b2.0.0 rack=r2 expected_in_ms=5 at_most_ms=9\n"
+      << "2026-12-04 10:00:00,090 INFO n1 place: wait for the place ended, "
+         "step="
+      << kJobId << ".0.0 near=4 elsewhere=1 waited_ms=90 why=room_too_late\n";
+  BOOST_TEST(Run({"explain", kJobId, log}) == 0);
+  BOOST_TEST(OutputContains("at_most_ms=320"));
+  BOOST_TEST(OutputContains("why=room_too_late"));
+  BOOST_TEST(!OutputContains("rack=r2"));
+  std::filesystem::remove(log);
+}
+
 BOOST_AUTO_TEST_CASE(settings_check_reports_location) {
   const std::string file = TemporaryFile("settings_test.json");
   std::ofstream(file) << "{\"fleet\": {\"name\": 5}}\n";
