Divide the decisions about places from their bookings

A speculative copy no longer counts as a start of its step's wait, and tasks behind a waiting one still get their copies.

--- a/src/sched/place_starter.h
+++ b/src/sched/place_starter.h
@@ -36,11 +36,13 @@
   /// wait or are deferred to the second phase.
   bool Defer(job_state& job, int repetition_number,
              repetition_state& repetition, int step_number);
-  /// First phase: returns the rack on which all members of the gang have room,
-  /// the fullest one if there are several.
-  std::optional<std::string> FindGangRack(const job_state& job,
-                                          const fleet::task_step& step,
-                                          const std::string& step_name) const;
+  /// First phase: places all members of a gang with the given run number, at
+  /// their place if it has room for all. Returns their start orders, none if
+  /// there is no room, or nullopt if the gang waits for its place.
+  std::optional<std::vector<order>> PlaceGang(job_state& job,
+                                              int repetition_number,
+                                              repetition_state& repetition,
+                                              int step_number, int run);
   /// Second phase: starts the deferred tasks and ends the pass.
   void StartDeferred(std::vector<order>& out);
   /// Subtracts a task that starts on `runner` from the room that is expected
@@ -84,6 +86,11 @@
                                             const fleet::task_step& step,
                                             int repetition,
                                             int step_number) const;
+  /// Returns the rack on which all members of the gang have room, the fullest
+  /// one if there are several.
+  std::optional<std::string> FindGangRack(const job_state& job,
+                                          const fleet::task_step& step,
+                                          const std::string& step_name) const;
   place_wait_terms Terms(job_state& job, const fleet::task_step& step,
                          const step_state& state) const;
   /// Books room at the place for each task of the step that has not started.
--- a/src/sched/scheduler_placement.cc
+++ b/src/sched/scheduler_placement.cc
@@ -23,11 +23,13 @@
   const fleet::task_step& step = job.record.request.steps[s];
   step_state& state = repetition.steps[s];
   place_starter places(*this, now);
+  bool deferred = false;  // The tasks without a run do not start here.
   std::vector<order> starts;
   for (std::size_t i = 0; i < state.tasks.size(); ++i) {
     task_state& task = state.tasks[i];
     if (start_allowance_ <= 0) break;
     if (task.done || now < task.not_before) continue;
+    if (deferred && task.runs.empty()) continue;
     if (!task.runs.empty() && !NeedsCopy(job, step, task, now)) continue;
     // An unlisted run of the task may exist, so only a step that allows
     // speculative copies may start another one.
@@ -50,11 +52,11 @@
     const bool away = place_starter::IsAway(step, rack);
     const bool wanted_by_others =
         step.data_rack != rack && places_.IsWanted(job.record.pool, rack);
-    if ((away || wanted_by_others) && task.runs.empty() &&
-        places.Defer(job, repetition_number, repetition, step_number)) {
-      break;
+    if ((away || wanted_by_others) && task.runs.empty()) {
+      deferred = places.Defer(job, repetition_number, repetition, step_number);
+      if (deferred) continue;
     }
-    if (state.place_wait.since >= 0) {
+    if (state.place_wait.since >= 0 && task.runs.empty()) {
       places.RecordStart(job, repetition_number, step_number, state, away);
     }
     places.RecordPlacement(job, step, *runner);
@@ -143,41 +145,16 @@
     if (!task.checkpoint.empty()) checkpoint = task.checkpoint;
   }
   for (task_state& task : state.tasks) task.checkpoint = checkpoint;
-  place_starter places(*this, now);
-  std::vector<order> placed;
-  bool away = false;
-  if (place_starter::HasPlace(step)) {
-    const auto rack = places.FindGangRack(
-        job, step, StepName(job, repetition_number, step_number));
-    if (rack) {
-      placed = PlaceGang(job, repetition_number, state, step_number, run, *rack,
-                         now);
-    }
-    away = placed.empty();
-  }
-  if (placed.empty()) {
-    placed =
-        PlaceGang(job, repetition_number, state, step_number, run, "", now);
-  }
-  if (placed.empty()) {
-    if (job.record.ticket_valid_ms > 0) {
-      RequestAdvice(job, step, StepName(job, repetition_number, step_number),
-                    now);
-    }
-    AddBlockedDemand(job, step, state);
-    return;
-  }
-  if (away) {
-    // The members must not count as used room while the gang decides to wait.
-    UndoGang(placed);
-    if (places.Defer(job, repetition_number, repetition, step_number)) return;
-    placed =
-        PlaceGang(job, repetition_number, state, step_number, run, "", now);
-  }
-  if (state.place_wait.since >= 0) {
-    places.RecordStart(job, repetition_number, step_number, state, away);
+  const auto placed =
+      place_starter(*this, now)
+          .PlaceGang(job, repetition_number, repetition, step_number, run);
+  if (!placed) return;  // The gang waits for a rack.
+  if (!placed->empty()) return DispatchStarts(job, *placed, now, out);
+  if (job.record.ticket_valid_ms > 0) {
+    RequestAdvice(job, step, StepName(job, repetition_number, step_number),
+                  now);
   }
-  DispatchStarts(job, placed, now, out);
+  AddBlockedDemand(job, step, state);
 }
 
 // Places all members of the gang or none: if a member finds no runner, the
