--- a/bench/schedule_bench.cc
+++ b/bench/schedule_bench.cc
@@ -12,13 +12,19 @@
 constexpr int kPools = 4;
 constexpr int kRunnersPerPool = 75;
 constexpr int kTasksPerStep = 8;
+constexpr int kRackSize = 8;
 constexpr int kRounds = 400;
 
-fleet::job_record MakeJob(int number, int pool) {
+/// Returns a job. If `names_rack` is true, its data is on a rack of its pool.
+fleet::job_record MakeJob(int number, int pool, bool names_rack) {
   fleet::task_step step;
   step.count = kTasksPerStep;
   step.needs = {1500, 4000, 0};
   step.estimate_ms = 640;
+  if (names_rack) {
+    step.data_rack = "rack-" + std::to_string(pool) + "-" +
+                     std::to_string(number % (kRunnersPerPool / kRackSize));
+  }
   fleet::task_step second = step;
   second.predecessors = {0};
   fleet::job_record job;
@@ -35,10 +41,11 @@
 }
 
 /// Returns the median duration in µs of a round on full pools with `backlog`
-/// waiting jobs. In a round, one run ends and a scheduling pass starts the run
-/// of another task.
-double MedianRoundMicros(int backlog) {
+/// waiting jobs, of which `racks_percent` name a rack. In a round, one run ends
+/// and a scheduling pass starts the run of another task.
+double MedianRoundMicros(int backlog, int racks_percent) {
   scheduler subject{1};
+  subject.Places().speeds.SetInitialFactor(3);
   fleet::fleet_config config;
   for (int i = 0; i < 20; ++i) {
     config.teams.push_back({"team-" + std::to_string(i), {"key"}, 1.0, {}});
@@ -50,6 +57,8 @@
       fleet::runner_report report;
       report.id = "runner-" + std::to_string(p) + "-" + std::to_string(r);
       report.pool = "pool-" + std::to_string(p);
+      report.rack =
+          "rack-" + std::to_string(p) + "-" + std::to_string(r / kRackSize);
       report.capacity = {16000, 65536, 0};
       subject.AddRunner(report);
       subject.ApplyListing(report.id, {}, 1000, 1000);
@@ -59,7 +68,8 @@
   subject.SetConfig(config);
   subject.SetRecordedRunners(recorded);
   for (int i = 0; i < backlog; ++i) {
-    subject.AddJob(MakeJob(i, i % kPools), false, 1000, 1000);
+    subject.AddJob(MakeJob(i, i % kPools, i / kPools % 100 < racks_percent),
+                   false, 1000, 1000);
   }
   millis now = 1001;
   const auto persist_all = [&] {
@@ -97,10 +107,13 @@
 }
 
 std::vector<measurement> MeasureSchedule(std::uint64_t) {
-  const double short_backlog = MedianRoundMicros(1000);
-  const double long_backlog = MedianRoundMicros(4000);
+  const double short_backlog = MedianRoundMicros(1000, 0);
+  const double long_backlog = MedianRoundMicros(4000, 0);
+  const double with_racks = MedianRoundMicros(4000, 60);
   return {{"median with 1,000 jobs waiting", short_backlog, "us", "", false},
-          {"median with 4,000 jobs waiting", long_backlog, "us", "", false}};
+          {"median with 4,000 jobs waiting", long_backlog, "us", "", false},
+          {"median with 4,000 jobs waiting, 60% of which name a rack",
+           with_racks, "us", "", false}};
 }
 
 const bench_registration kRegistration(
