Keep a wait for a place within the latest start elsewhere

A job with a slack elsewhere below the margin was treated as in time only at its place, and its wait could make it late. Now the wait ends at the latest start elsewhere.

Adds PassUpDeadline, the bound of tasks without a place.

--- a/src/sched/place_wait.h
+++ b/src/sched/place_wait.h
@@ -20,15 +20,23 @@
 
 /// Returns the time until which the task may wait for its place; from then on,
 /// it starts wherever there is room. The wait never exceeds the run time that
-/// the place saves. A job that would meet its objective elsewhere, with a
-/// margin for the spread of run times, waits only as long as it still would. A
-/// job that meets its objective only at the place waits no longer than it can
-/// meet it.
+/// the place saves. A job that would meet its objective elsewhere waits only
+/// as long as it still would, with a margin for the spread of run times if its
+/// slack has room for one. A job that meets its objective only at the place
+/// waits no longer than it can meet it.
 millis PlaceWaitDeadline(const place_wait_terms& terms);
 
+/// Returns the time until which a task that names no place may pass up room on
+/// a rack that other tasks wait for; a time in the past if it takes that room
+/// at once. `near_ms` is its own expected run time, and the difference to
+/// `away_ms` is what the others save. Its job does not become late by it.
+millis PassUpDeadline(const place_wait_terms& terms);
+
 /// How the scheduler decides about waits. Benchmarks compare other policies.
 struct place_wait_policy {
   std::function<millis(const place_wait_terms&)> deadline = PlaceWaitDeadline;
+  std::function<millis(const place_wait_terms&)> pass_up_deadline =
+      PassUpDeadline;
   /// If set, tasks wait until the deadline, whatever room is expected.
   bool ignores_forecast = false;
 };
--- a/tests/sched/place_load.h
+++ b/tests/sched/place_load.h
@@ -243,6 +243,7 @@
 inline place_wait_policy NoWait() {
   place_wait_policy policy;
   policy.deadline = [](const place_wait_terms& terms) { return terms.since; };
+  policy.pass_up_deadline = policy.deadline;
   return policy;
 }
 
@@ -252,6 +253,7 @@
   policy.deadline = [wait_ms](const place_wait_terms& terms) {
     return terms.since + wait_ms;
   };
+  policy.pass_up_deadline = policy.deadline;
   policy.ignores_forecast = true;
   return policy;
 }
