Learn from all members of a spread gang that they ran away

The last members whose ends were listed had no detached peers left to compare with and were learned as runs at the place. The step now records where its gang was placed or adopted.

A refused start of a task that had waited began a new wait of the full gain; the wait now ends when the starts are confirmed.

--- a/src/sched/job_state.h
+++ b/src/sched/job_state.h
@@ -27,6 +27,8 @@
   std::vector<task_state> tasks;
   int done_count = 0;  ///< Number of tasks that are done.
   place_wait_state place_wait;
+  /// True if the most recent runs of a gang are not all at its place.
+  bool gang_away = false;
 };
 
 /// Progress of one repetition of a job's steps.
--- a/src/sched/place_starter.cc
+++ b/src/sched/place_starter.cc
@@ -192,6 +192,7 @@
     }
     placed = place("");
   }
+  state.gang_away = IsGangAway(step, state);
   if (state.place_wait.since >= 0) {
     RecordStart(job, repetition_number, step_number, state, away);
   }
@@ -312,7 +313,35 @@
     event.away_tasks = wait.away_tasks;
     owner_.events_.push_back(std::move(event));
   }
-  wait = {};
+  // A refused start continues the wait.
+  wait = {.since = wait.since};
+}
+
+void place_starter::EndWaitIfStarted(step_state& state) {
+  if (state.place_wait.since < 0) return;
+  const bool all_started =
+      std::ranges::all_of(state.tasks, [](const task_state& task) {
+        return task.done ||
+               std::ranges::any_of(task.runs, [](const run_state& run) {
+                 return run.phase != run_phase::kStarting;
+               });
+      });
+  if (all_started) state.place_wait = {};
+}
+
+bool place_starter::IsGangAway(const fleet::task_step& step,
+                               const step_state& state) const {
+  std::set<std::string> racks;
+  for (const task_state& member : state.tasks) {
+    for (const run_state& run : member.runs) {
+      const runner_state* runner = owner_.FindRunner(run.runner);
+      if (runner) racks.insert(runner->report.rack);
+    }
+  }
+  return (step.same_rack && racks.size() > 1) ||
+         std::ranges::any_of(racks, [&](const std::string& rack) {
+           return IsAway(step, rack);
+         });
 }
 
 bool place_starter::LearnFromEnd(const scheduler::task_ref& ref,
@@ -320,21 +349,9 @@
   const fleet::task_step& step = *ref.step;
   if (!HasPlace(step)) return true;
   place_speed_model& speeds = owner_.places_.speeds;
-  std::set<std::string> racks;
-  const auto add_rack = [&](const std::string& id) {
-    const runner_state* state = owner_.FindRunner(id);
-    if (state) racks.insert(state->report.rack);
-  };
-  add_rack(runner);
-  if (step.gang) {
-    for (const task_state& member : ref.state->tasks) {
-      for (const run_state& run : member.runs) add_rack(run.runner);
-    }
-  }
-  const bool away = (step.same_rack && racks.size() > 1) ||
-                    std::ranges::any_of(racks, [&](const std::string& rack) {
-                      return IsAway(step, rack);
-                    });
+  const runner_state* state = owner_.FindRunner(runner);
+  const bool away = step.gang ? ref.state->gang_away
+                              : state && IsAway(step, state->report.rack);
   const double near_ms = owner_.ExpectedRunMs(*ref.job, step, step.data_rack);
   if (away) {
     speeds.AddAwaySample(SpeedClass(*ref.job, step), near_ms, run_ms);
--- a/src/sched/place_starter.h
+++ b/src/sched/place_starter.h
@@ -60,6 +60,11 @@
   /// the end of the wait with the step's last start.
   void RecordStart(const job_state& job, int repetition_number, int step_number,
                    step_state& state, bool away);
+  /// Ends the wait of a step if runners have confirmed the starts of all of its
+  /// tasks.
+  static void EndWaitIfStarted(step_state& state);
+  /// Returns true if the known runs of a gang are not all at its place.
+  bool IsGangAway(const fleet::task_step& step, const step_state& state) const;
   /// Learns from the run of a task that ended well after `run_ms`. Returns
   /// false if the run was away from its place and thus says nothing about run
   /// times at it.
--- a/src/sched/scheduler_listing.cc
+++ b/src/sched/scheduler_listing.cc
@@ -196,12 +196,17 @@
     events_.push_back(
         {event_kind::kTaskAdopted, listed.task, listed.run, runner, "", 0});
     it = std::prev(ref.task->runs.end());
+    if (ref.step->gang &&
+        place_starter(*this, now).IsGangAway(*ref.step, *ref.state)) {
+      ref.state->gang_away = true;
+    }
   }
   ref.job->started = true;
   run_state& run = *it;
   if (run.phase == run_phase::kStarting) {
     run.phase = run_phase::kRunning;
     run.confirmed_at = now;
+    place_starter::EndWaitIfStarted(*ref.state);
   }
   if (run.progress_percent != listed.progress_percent) {
     run.progress_percent = listed.progress_percent;
@@ -292,6 +297,7 @@
       if (run.phase != run_phase::kStarting) return;
       run.phase = run_phase::kRunning;
       run.confirmed_at = now;
+      place_starter::EndWaitIfStarted(*ref.state);
       return;
     case order_outcome::kUnknown:
       run.start_unanswered = true;
--- a/tests/sched/scheduler_places_test.cc
+++ b/tests/sched/scheduler_places_test.cc
@@ -214,6 +214,59 @@
   BOOST_TEST(second[0].task.job == "a");
 }
 
+// Guards against a rack that nobody leaves room on since the only task that
+// asks for it was the first of the pass to find no runner.
+BOOST_AUTO_TEST_CASE(first_task_without_a_runner_asks_for_its_rack) {
+  const auto filled = Fill("near1", 2, 450);
+  Fill("far1", 2, 0);
+  AddJob("b", {data});
+  BOOST_TEST(Plan().empty());
+  AddJob("a", {Step(1)});
+  End(filled[0], filled);
+  const auto starts = Plan();
+  BOOST_REQUIRE_EQUAL(starts.size(), 1u);
+  BOOST_TEST(starts[0].task.job == "b");
+}
+
+// Guards against a new wait of the full length after each refused start.
+BOOST_AUTO_TEST_CASE(refused_start_does_not_begin_another_wait) {
+  AddRackRunner("far2", "far");
+  Fill("near1", 2, 450);
+  AddJob("a", {data});
+  BOOST_TEST(Plan().empty());
+  now += 110;
+  const auto first = Plan();
+  BOOST_REQUIRE_EQUAL(first.size(), 1u);
+  subject.ApplyOrderOutcome(first[0],
+                            fleet::order_outcome::kInsufficientCapacity, now);
+  const auto second = Plan();
+  BOOST_REQUIRE_EQUAL(second.size(), 1u);
+  BOOST_TEST(second[0].runner != first[0].runner);
+}
+
+// Guards against learning from the last members of a spread gang as from runs
+// at the place.
+BOOST_AUTO_TEST_CASE(each_member_of_a_spread_gang_counts_as_away) {
+  fleet::task_step slow = Step(1);
+  slow.estimate_ms = 9000;
+  slow.data_rack = "near";
+  AddJob("slow", {slow});
+  auto all = PlanAndAccept();
+  gang.data_rack = "near";
+  AddJob("g", {gang});
+  const auto members = PlanAndAccept();
+  BOOST_REQUIRE(Runners(members) == "near1 far1");
+  all.insert(all.end(), members.begin(), members.end());
+  now += 2000;  // Four times the expected run time.
+  End(members[1], all);
+  End(members[0], all);
+  BOOST_TEST(subject.Places().speeds.RackSlowdown("near") == 1);
+  const double after_one = 3 + 1 / 30.0;
+  BOOST_TEST(subject.Places().speeds.AwayFactor("queue") ==
+                 after_one + (4 - after_one) / 30,
+             boost::test_tools::tolerance(1e-9));
+}
+
 // Guards against a cost for steps that name no place.
 BOOST_AUTO_TEST_CASE(task_without_a_place_never_waits) {
   Fill("near1", 2, 450);
