--- a/bench/place_wait_bench.cc
+++ b/bench/place_wait_bench.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -47,7 +49,6 @@
 
 std::vector<measurement> MeasurePlaceWait(std::uint64_t seed) {
   std::vector<measurement> out;
-  place_load even;
   AddResults(out, "even racks, load 0.8", {.jobs_per_s = 64}, seed);
   AddResults(out, "even racks, factor 1.5, load 0.8",
              {.jobs_per_s = 64, .remote_factor = 1.5}, seed);
