--- a/src/sched/place_starter.cc
+++ b/src/sched/place_starter.cc
@@ -252,20 +252,10 @@
     if (owner_.start_allowance_ <= 0) break;
     if (task.done || !task.runs.empty() || now_ < task.not_before) continue;
     if (!owner_.IsWithinTeamLimit(job, step.needs)) break;
-    runner_state* runner = nullptr;
-    if (!owner_.IsUnplaceable(job, step)) {
-      runner = owner_.ChooseRunner(job, step, state, entry.repetition_number,
+    runner_state* runner =
+        owner_.ChooseRunnerOrBlock(job, step, state, entry.repetition_number,
                                    entry.step_number, task, now_);
-    }
-    if (!runner) {
-      WantRack(job, step);
-      owner_.RecordPlacementFailure(
-          job, step,
-          scheduler::StepName(job, entry.repetition_number, entry.step_number),
-          now_);
-      owner_.AddBlockedDemand(job, step, state);
-      break;
-    }
+    if (!runner) break;
     state.place_wait.given_up = "room_too_late";
     RecordStart(job, entry.repetition_number, entry.step_number, state,
                 IsAway(step, runner->report.rack));
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -386,6 +386,13 @@
                              const step_state& state, int repetition,
                              int step_number, const task_state& task,
                              millis now, const std::string& rack = {});
+  /// Returns ChooseRunner(). If no runner is suitable, counts the step's tasks
+  /// as blocked and asks others to leave room at its place.
+  runner_state* ChooseRunnerOrBlock(const job_state& job,
+                                    const fleet::task_step& step,
+                                    const step_state& state, int repetition,
+                                    int step_number, const task_state& task,
+                                    millis now);
   /// Returns the number of tasks of a step with a run on the runner.
   static int CountStepTasks(const runner_state& runner, const std::string& job,
                             int repetition, int step_number);
@@ -400,6 +407,9 @@
   /// of the step needs.
   bool CanPlaceStep(const runner_state& runner,
                     const fleet::task_step& step) const;
+  /// Returns true if the task may get a run now: its first one, or a copy.
+  bool MayStartRun(const job_state& job, const fleet::task_step& step,
+                   const task_state& task, millis now) const;
   /// Returns true if a task that has a run should get a speculative copy.
   bool NeedsCopy(const job_state& job, const fleet::task_step& step,
                  const task_state& task, millis now) const;
--- a/src/sched/scheduler_placement.cc
+++ b/src/sched/scheduler_placement.cc
@@ -27,26 +27,11 @@
   for (std::size_t i = 0; i < state.tasks.size(); ++i) {
     task_state& task = state.tasks[i];
     if (start_allowance_ <= 0) break;
-    if (task.done || now < task.not_before) continue;
-    if (!task.runs.empty() && !NeedsCopy(job, step, task, now)) continue;
-    // An unlisted run of the task may exist, so only a step that allows
-    // speculative copies may start another one.
-    if (job.awaits_listings && !step.speculative) continue;
+    if (!MayStartRun(job, step, task, now)) continue;
     if (!IsWithinTeamLimit(job, step.needs)) break;
-    if (IsUnplaceable(job, step)) {
-      places.WantRack(job, step);
-      AddBlockedDemand(job, step, state);
-      break;
-    }
-    runner_state* runner = ChooseRunner(job, step, state, repetition_number,
-                                        step_number, task, now);
-    if (!runner) {
-      places.WantRack(job, step);
-      RecordPlacementFailure(
-          job, step, StepName(job, repetition_number, step_number), now);
-      AddBlockedDemand(job, step, state);
-      break;
-    }
+    runner_state* runner = ChooseRunnerOrBlock(
+        job, step, state, repetition_number, step_number, task, now);
+    if (!runner) break;
     const std::string& rack = runner->report.rack;
     if (places.Decide(job, repetition_number, repetition, step_number, task,
                       rack) != place_starter::start_time::kNow) {
@@ -66,6 +51,30 @@
   DispatchStarts(job, starts, now, out);
 }
 
+runner_state* scheduler::ChooseRunnerOrBlock(
+    const job_state& job, const fleet::task_step& step, const step_state& state,
+    int repetition, int step_number, const task_state& task, millis now) {
+  if (!IsUnplaceable(job, step)) {
+    runner_state* runner =
+        ChooseRunner(job, step, state, repetition, step_number, task, now);
+    if (runner) return runner;
+    RecordPlacementFailure(job, step, StepName(job, repetition, step_number),
+                           now);
+  }
+  place_starter(*this, now).WantRack(job, step);
+  AddBlockedDemand(job, step, state);
+  return nullptr;
+}
+
+bool scheduler::MayStartRun(const job_state& job, const fleet::task_step& step,
+                            const task_state& task, millis now) const {
+  if (task.done || now < task.not_before) return false;
+  if (!task.runs.empty() && !NeedsCopy(job, step, task, now)) return false;
+  // An unlisted run of the task may exist, so only a step that allows
+  // speculative copies may start another one.
+  return !job.awaits_listings || step.speculative;
+}
+
 // Records task needs that no runner can satisfy, so that the pass skips later
 // steps with the same or greater needs. A pass only adds runs, so the free
 // capacity only shrinks during the pass.
