--- a/src/sched/job_rank.cc
+++ b/src/sched/job_rank.cc
@@ -28,11 +28,12 @@
     return bound - static_cast<millis>(remaining);
   };
   rank.stage = begun ? 0 : 1;
+  rank.latest_start = job.accepted_at + latest_age(objective);
   if (age <= latest_age(objective)) {
     rank.prospect = job_prospect::kInTime;
     const auto margin = static_cast<millis>(kRunTimeMargin * remaining);
     if (!begun && age > latest_age(objective) - margin) rank.stage = 2;
-    rank.order = job.accepted_at + latest_age(objective);
+    rank.order = rank.latest_start;
   } else if (age <= latest_age(kLateFactor * objective)) {
     rank.prospect = job_prospect::kLate;
     rank.order = job.accepted_at + latest_age(kLateFactor * objective);
--- a/src/sched/job_state.h
+++ b/src/sched/job_state.h
@@ -8,6 +8,7 @@
 
 #include "src/base/clock.h"
 #include "src/fleet/job_record.h"
+#include "src/sched/place_wait.h"
 #include "src/sched/task_state.h"
 
 namespace radishwing::sched {
@@ -27,6 +28,9 @@
 struct step_state {
   std::vector<task_state> tasks;
   int done_count = 0;  ///< Number of tasks that are done.
+  place_wait_state place_wait;
+  /// True if the most recent runs of a gang are not all at its place.
+  bool gang_away = false;
 };
 
 /// Progress of one repetition of a job's steps.
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -22,6 +22,7 @@
 #include "src/sched/early_cancels.h"
 #include "src/sched/job_state.h"
 #include "src/sched/order.h"
+#include "src/sched/place_book.h"
 #include "src/sched/pool_demand.h"
 #include "src/sched/run_time_model.h"
 #include "src/sched/runner_holds.h"
@@ -78,7 +79,8 @@
   /// Sets the time within which runners end a run that they were ordered to
   /// stop, on their clocks.
   void SetMaxStopDuration(millis duration) { max_stop_ms_ = duration; }
-
+  /// Returns what is known about places, to set how waits are decided.
+  place_book& Places() { return places_; }
   /// Adds an accepted job. `restored` is true if an earlier leader may have
   /// started it; RestoreProgress has to follow.
   void AddJob(fleet::job_record record, bool restored, millis now,
@@ -226,6 +228,7 @@
   std::vector<scheduler_event> TakeEvents();
 
  private:
+  friend class place_starter;
   /// A task with its job, repetition and step. If one of these does not exist,
   /// its pointer and all later pointers are null.
   struct task_ref {
@@ -391,12 +394,34 @@
   void StartGang(job_state& job, int repetition_number,
                  repetition_state& repetition, int step_number, millis now,
                  std::vector<order>& out);
+  /// Places all members of the gang with the given run number, on `rack` unless
+  /// it is empty, or none. Returns their start orders.
+  std::vector<order> PlaceGang(job_state& job, int repetition_number,
+                               step_state& state, int step_number, int run,
+                               const std::string& rack, millis now);
+  /// Cancels the placement of gang members by `placed`.
+  void UndoGang(const std::vector<order>& placed);
   /// Returns the best runner for a new run of `task`, or null if none is
-  /// suitable.
+  /// suitable. Only runners on `rack` are suitable unless it is empty.
   runner_state* ChooseRunner(const job_state& job, const fleet::task_step& step,
                              const step_state& state, int repetition,
                              int step_number, const task_state& task,
-                             millis now);
+                             millis now, const std::string& rack = {});
+  /// Returns ChooseRunner(). If no runner is suitable, counts the step's tasks
+  /// as blocked and asks others to leave room at its place.
+  runner_state* ChooseRunnerOrBlock(const job_state& job,
+                                    const fleet::task_step& step,
+                                    const step_state& state, int repetition,
+                                    int step_number, const task_state& task,
+                                    millis now);
+  /// Returns the number of tasks of a step with a run on the runner.
+  static int CountStepTasks(const runner_state& runner, const std::string& job,
+                            int repetition, int step_number);
+  /// Returns the expected run time of a task of the step on `rack`.
+  double ExpectedRunMs(const job_state& job, const fleet::task_step& step,
+                       const std::string& rack) const;
+  /// Returns true if this pass has found no runner for the same or fewer needs.
+  bool IsUnplaceable(const job_state& job, const fleet::task_step& step) const;
   /// Returns true if the operator evacuates the runner's data centre.
   bool IsEvacuated(const runner_state& runner) const {
     return evacuated_data_centres_.contains(runner.report.data_centre);
@@ -407,6 +432,9 @@
   /// of the step needs.
   bool CanPlaceStep(const runner_state& runner,
                     const fleet::task_step& step) const;
+  /// Returns true if the task may get a run now: its first one, or a copy.
+  bool MayStartRun(const job_state& job, const fleet::task_step& step,
+                   const task_state& task, millis now) const;
   /// Returns true if a task that has a run should get a speculative copy.
   bool NeedsCopy(const job_state& job, const fleet::task_step& step,
                  const task_state& task, millis now) const;
@@ -458,6 +486,7 @@
   millis max_stop_ms_ = 1000;     ///< See SetMaxStopDuration().
   fleet::fleet_config config_;    ///< Configuration of queues, pools and teams.
   run_time_model run_times_;      ///< Ratios of actual to estimated run times.
+  place_book places_;             ///< What is known about places of tasks.
   /// Jobs by id.
   std::unordered_map<std::string, std::unique_ptr<job_state>> jobs_;
   /// Jobs that were not finished at the start of the last pass, and jobs added
--- a/src/sched/scheduler_placement.cc
+++ b/src/sched/scheduler_placement.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "src/sched/place_starter.h"
 #include "src/sched/scheduler.h"
 
 // The placement of new runs on runners.
@@ -21,38 +22,59 @@
   const auto s = static_cast<std::size_t>(step_number);
   const fleet::task_step& step = job.record.request.steps[s];
   step_state& state = repetition.steps[s];
+  place_starter places(*this, now);
   std::vector<order> starts;
   for (std::size_t i = 0; i < state.tasks.size(); ++i) {
     task_state& task = state.tasks[i];
     if (start_allowance_ <= 0) break;
-    if (task.done || now < task.not_before) continue;
-    if (!task.runs.empty() && !NeedsCopy(job, step, task, now)) continue;
-    // An unlisted run of the task may exist, so only a step that allows
-    // speculative copies may start another one.
-    if (job.awaits_listings && !step.speculative) continue;
+    if (!MayStartRun(job, step, task, now)) continue;
     if (!IsWithinTeamLimit(job, step.needs)) break;
-    const auto unplaceable = unplaceable_needs_.find(job.record.pool);
-    if (unplaceable != unplaceable_needs_.end() &&
-        unplaceable->second.FitsIn(ReservedResources(step))) {
-      AddBlockedDemand(job, step, state, now);
-      break;
+    runner_state* runner = ChooseRunnerOrBlock(
+        job, step, state, repetition_number, step_number, task, now);
+    if (!runner) break;
+    const std::string& rack = runner->report.rack;
+    if (places.Decide(job, repetition_number, repetition, step_number, task,
+                      rack) != place_starter::start_time::kNow) {
+      continue;
     }
-    runner_state* runner = ChooseRunner(job, step, state, repetition_number,
-                                        step_number, task, now);
-    if (!runner) {
-      RecordPlacementFailure(
-          job, step, StepName(job, repetition_number, step_number), now);
-      AddBlockedDemand(job, step, state, now);
-      break;
+    if (state.place_wait.since >= 0 && task.runs.empty()) {
+      places.RecordStart(job, repetition_number, step_number, state,
+                         place_starter::IsAway(step, rack));
     }
+    places.RecordPlacement(job, step, *runner);
     const fleet::task_name name{job.record.id, repetition_number, step_number,
                                 static_cast<int>(i)};
     PlaceRun(name, FindTask(name), *runner,
              std::max(min_run_, task.last_run + 1), now, starts);
   }
+  places.EndStep();
   DispatchStarts(job, starts, now, out);
 }
 
+runner_state* scheduler::ChooseRunnerOrBlock(
+    const job_state& job, const fleet::task_step& step, const step_state& state,
+    int repetition, int step_number, const task_state& task, millis now) {
+  if (!IsUnplaceable(job, step)) {
+    runner_state* runner =
+        ChooseRunner(job, step, state, repetition, step_number, task, now);
+    if (runner) return runner;
+    RecordPlacementFailure(job, step, StepName(job, repetition, step_number),
+                           now);
+  }
+  place_starter(*this, now).WantRack(job, step);
+  AddBlockedDemand(job, step, state, now);
+  return nullptr;
+}
+
+bool scheduler::MayStartRun(const job_state& job, const fleet::task_step& step,
+                            const task_state& task, millis now) const {
+  if (task.done || now < task.not_before) return false;
+  if (!task.runs.empty() && !NeedsCopy(job, step, task, now)) return false;
+  // An unlisted run of the task may exist, so only a step that allows
+  // speculative copies may start another one.
+  return !job.awaits_listings || step.speculative;
+}
+
 // Records task needs that no runner can satisfy, so that the pass skips later
 // steps with the same or greater needs. A pass only adds runs, so the free
 // capacity only shrinks during the pass.
@@ -77,14 +99,23 @@
   const run_state& run = task.runs.front();
   const runner_state* runner = FindRunner(run.runner);
   if (!runner || !runner->reachable) return true;
-  const double expected = static_cast<double>(step.estimate_ms) *
-                          run_times_.MeanRatio(job.record.queue);
+  const double expected = ExpectedRunMs(job, step, runner->report.rack);
   return run.phase == run_phase::kRunning &&
          static_cast<double>(now - run.ordered_at) >
              kSpeculationFactor * expected +
                  static_cast<double>(kSpeculationSlackMs);
 }
 
+double scheduler::ExpectedRunMs(const job_state& job,
+                                const fleet::task_step& step,
+                                const std::string& rack) const {
+  const double near_ms = static_cast<double>(step.estimate_ms) *
+                         run_times_.MeanRatio(job.record.queue);
+  if (!place_starter::IsAway(step, rack)) return near_ms;
+  return near_ms *
+         places_.speeds.AwayFactor(place_starter::SpeedClass(job, step));
+}
+
 void scheduler::StartGang(job_state& job, int repetition_number,
                           repetition_state& repetition, int step_number,
                           millis now, std::vector<order>& out) {
@@ -102,35 +133,52 @@
     run = std::max(run, task.last_run + 1);
     if (!task.checkpoint.empty()) checkpoint = task.checkpoint;
   }
-  // Places all members of the gang or none: if a member finds no runner, the
-  // placements of the others are undone.
+  for (task_state& task : state.tasks) task.checkpoint = checkpoint;
+  const auto placed =
+      place_starter(*this, now)
+          .PlaceGang(job, repetition_number, repetition, step_number, run);
+  if (!placed) return;  // The gang waits for a rack.
+  if (!placed->empty()) return DispatchStarts(job, *placed, now, out);
+  if (job.record.ticket_valid_ms > 0) {
+    RequestAdvice(job, step, StepName(job, repetition_number, step_number),
+                  now);
+  }
+  AddBlockedDemand(job, step, state, now);
+}
+
+// Places all members of the gang or none: if a member finds no runner, the
+// placements of the others are undone.
+std::vector<order> scheduler::PlaceGang(job_state& job, int repetition_number,
+                                        step_state& state, int step_number,
+                                        int run, const std::string& rack,
+                                        millis now) {
+  const fleet::task_step& step =
+      job.record.request.steps[static_cast<std::size_t>(step_number)];
   std::vector<order> placed;
   for (std::size_t i = 0; i < state.tasks.size(); ++i) {
-    task_state& task = state.tasks[i];
-    task.checkpoint = checkpoint;
     runner_state* runner = nullptr;
     if (IsWithinTeamLimit(job, step.needs)) {
       runner = ChooseRunner(job, step, state, repetition_number, step_number,
-                            task, now);
+                            state.tasks[i], now, rack);
     }
-    const fleet::task_name name{job.record.id, repetition_number, step_number,
-                                static_cast<int>(i)};
     if (!runner) {
-      if (job.record.ticket_valid_ms > 0) {
-        RequestAdvice(job, step, StepName(job, repetition_number, step_number),
-                      now);
-      }
-      for (const order& undo : placed) {
-        const task_ref member = FindTask(undo.task);
-        member.task->last_run = run - 1;
-        DetachRun(undo.task, member, undo.runner, run);
-      }
-      AddBlockedDemand(job, step, state, now);
-      return;
+      UndoGang(placed);
+      return {};
     }
+    const fleet::task_name name{job.record.id, repetition_number, step_number,
+                                static_cast<int>(i)};
     PlaceRun(name, FindTask(name), *runner, run, now, placed);
   }
-  DispatchStarts(job, placed, now, out);
+  return placed;
+}
+
+void scheduler::UndoGang(const std::vector<order>& placed) {
+  for (const order& undo : placed) {
+    const task_ref member = FindTask(undo.task);
+    member.task->last_run = undo.run - 1;
+    DetachRun(undo.task, member, undo.runner, undo.run);
+    ++start_allowance_;
+  }
 }
 
 void scheduler::PlaceRun(const fleet::task_name& name, const task_ref& ref,
@@ -157,6 +205,23 @@
   return start;
 }
 
+bool scheduler::IsUnplaceable(const job_state& job,
+                              const fleet::task_step& step) const {
+  const auto unplaceable = unplaceable_needs_.find(job.record.pool);
+  return unplaceable != unplaceable_needs_.end() &&
+         unplaceable->second.FitsIn(ReservedResources(step));
+}
+
+int scheduler::CountStepTasks(const runner_state& runner,
+                              const std::string& job, int repetition,
+                              int step_number) {
+  return static_cast<int>(
+      std::ranges::count_if(runner.tasks, [&](const fleet::task_name& name) {
+        return name.job == job && name.repetition == repetition &&
+               name.step == step_number;
+      }));
+}
+
 bool scheduler::IsSchedulable(const runner_state& runner, millis now) const {
   return runner.listed && runner.reachable && !runner.cordoned &&
          !runner.has_unknown_runs && !runner.report.draining &&
@@ -178,7 +243,7 @@
                                       const fleet::task_step& step,
                                       const step_state& state, int repetition,
                                       int step_number, const task_state& task,
-                                      millis now) {
+                                      millis now, const std::string& rack) {
   runner_state* best = nullptr;
   double best_score = 0;
   const std::string step_name = job.record.ticket_valid_ms > 0
@@ -195,19 +260,17 @@
   for (runner_state* candidate : schedulable_runners_[job.record.pool]) {
     runner_state& runner = *candidate;
     const std::string& id = runner.report.id;
+    if (!rack.empty() && runner.report.rack != rack) continue;
     if (!CanPlaceStep(runner, step)) continue;
     if (!step_name.empty() && !tickets_.Find(step_name, id, now)) continue;
     if (std::ranges::find(task.runs, id, &run_state::runner) !=
         task.runs.end()) {
       continue;
     }
-    if (step.max_per_runner > 0) {
-      const auto tasks_on_runner = std::ranges::count_if(
-          runner.tasks, [&](const fleet::task_name& name) {
-            return name.job == job.record.id && name.repetition == repetition &&
-                   name.step == step_number;
-          });
-      if (tasks_on_runner >= step.max_per_runner) continue;
+    if (step.max_per_runner > 0 &&
+        CountStepTasks(runner, job.record.id, repetition, step_number) >=
+            step.max_per_runner) {
+      continue;
     }
     const auto free_cpu = static_cast<double>(
         runner.report.capacity.cpu_millicores - runner.used.cpu_millicores);
@@ -220,8 +283,11 @@
     double score = 1 - free_cpu / all_cpu;
     if (runner.consecutive_failures >= kSuspectFailureThreshold) score -= 8;
     if (task.last_failed_runner == id) score -= 4;
-    if (!step.data_rack.empty() && runner.report.rack != step.data_rack) {
-      score -= 2;
+    // Outweighs the penalty for another data centre.
+    if (place_starter::IsAway(step, runner.report.rack)) score -= 2.3;
+    if (step.data_rack != runner.report.rack &&
+        places_.IsWanted(job.record.pool, runner.report.rack)) {
+      score -= 1.1;
     }
     // Keeps a job in few data centres, so that its tasks wait for few runners
     // after a takeover. Long-running tasks may spread over data centres.
