--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -22,8 +22,10 @@
 #include "src/sched/early_cancels.h"
 #include "src/sched/job_state.h"
 #include "src/sched/order.h"
+#include "src/sched/pending_write.h"
 #include "src/sched/place_book.h"
 #include "src/sched/pool_demand.h"
+#include "src/sched/recorded_end.h"
 #include "src/sched/run_time_model.h"
 #include "src/sched/runner_holds.h"
 #include "src/sched/runner_state.h"
@@ -35,31 +37,6 @@
 
 namespace radishwing::sched {
 
-/// A write of a job's progress to the store.
-struct pending_write {
-  std::string job;                     ///< Id of the job.
-  std::uint64_t progress_version = 0;  ///< Version of the progress in `text`.
-  /// Store revision that the job's progress record must have for the write.
-  std::uint64_t record_revision = 0;
-  /// Store revision that the job's key must have for the write; 0: none. Set if
-  /// the write creates the record, so that no record is created for a job whose
-  /// keys have been removed.
-  std::uint64_t job_revision = 0;
-  std::string text;  ///< Output of EncodeProgress.
-
-  /// Returns the number of entries of a commit that the write takes: itself and
-  /// its preconditions.
-  std::size_t EntryCount() const { return job_revision > 0 ? 3 : 2; }
-};
-
-/// The end of a run. As soon as version `progress_version` of the job's
-/// progress is persisted, the leader may acknowledge the end to the runner.
-struct recorded_end {
-  std::uint64_t end_number = 0;  ///< Sequence number of the end on the runner.
-  std::string job;  ///< Id of the job; empty if nothing has to be persisted.
-  std::uint64_t progress_version = 0;  ///< Version of the job's progress.
-};
-
 /// Decides which task runs on which runner. It performs no I/O: its inputs are
 /// events and times, its outputs are orders. All times are readings of one
 /// monotonic clock, except `unix_now`.
--- a/tests/sched/start_queue_test.cc
+++ b/tests/sched/start_queue_test.cc
@@ -43,7 +43,7 @@
   }
 
   /// The shortage of all pools lasts.
-  const std::set<std::string> kShort{"a", "b"};
+  const std::set<std::string> all_short{"a", "b"};
   static constexpr job_rank kNew{job_prospect::kInTime, 0, 1, 0};
   static constexpr job_rank kBegun{job_prospect::kInTime, 0, 0, 0};
   team_shares shares;
@@ -57,7 +57,7 @@
 BOOST_AUTO_TEST_CASE(priority_of_the_queue_comes_before_the_share) {
   SetWeights({1, 1});
   Hold("t1", 5000);
-  start_queue queue(shares, kShort);
+  start_queue queue(shares, all_short);
   queue.Add(Job("t0"), {job_prospect::kInTime, 1, 1, 0});
   queue.Add(Job("t1"), {job_prospect::kInTime, 0, 1, 0});
   BOOST_TEST(Order(queue) == "t1t0");
@@ -69,12 +69,12 @@
   SetWeights({1, 1});
   Hold("t0", 5000);
   Hold("t1", 5500);
-  start_queue fair(shares, kShort);
+  start_queue fair(shares, all_short);
   fair.Add(Job("t0"), kNew);
   fair.Add(Job("t1"), kBegun);
   BOOST_TEST(Order(fair) == "t1t0");
   Hold("t1", 20'000);
-  start_queue unfair(shares, kShort);
+  start_queue unfair(shares, all_short);
   unfair.Add(Job("t0"), kNew);
   unfair.Add(Job("t1"), kBegun);
   BOOST_TEST(Order(unfair) == "t0t1");
@@ -82,7 +82,7 @@
 
 // Guards against a flood in one pool that uses up the starts of all pools.
 BOOST_AUTO_TEST_CASE(pools_take_turns) {
-  start_queue queue(shares, kShort);
+  start_queue queue(shares, all_short);
   for (int i = 0; i < 3; ++i) queue.Add(Job("x", "a"), kNew);
   for (int i = 0; i < 2; ++i) queue.Add(Job("y", "b"), kNew);
   std::string order;
@@ -107,7 +107,7 @@
 BOOST_AUTO_TEST_CASE(bad_weights_order_the_teams_and_exclude_none) {
   SetWeights({0, -3, std::numeric_limits<double>::quiet_NaN(),
               std::numeric_limits<double>::infinity(), 1e300, 1});
-  start_queue queue(shares, kShort);
+  start_queue queue(shares, all_short);
   for (int t = 0; t < 6; ++t) {
     Hold("t" + std::to_string(t), 1000);
     queue.Add(Job("t" + std::to_string(t)), kNew);
