--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -22,6 +22,7 @@
 #include "src/sched/early_cancels.h"
 #include "src/sched/job_state.h"
 #include "src/sched/order.h"
+#include "src/sched/pool_backlog.h"
 #include "src/sched/pool_demand.h"
 #include "src/sched/run_time_model.h"
 #include "src/sched/runner_state.h"
@@ -149,6 +150,9 @@
   /// Returns the demand and capacity of each pool. Tasks count as blocked if
   /// the most recent Plan() found no runner for them.
   std::map<std::string, pool_demand> DemandByPool() const;
+  /// Returns the batch work that waits for the pools that are short of
+  /// capacity.
+  backlog_summary BacklogByPool(millis now) const;
 
   /// Returns the number of start orders whose outcome is unknown.
   std::size_t CountUnansweredStarts() const;
