Refuse jobs that can't be of use any more, and make refusals final

The leader passes its backlog summary to the nodes with the responses to notifications of jobs, and to polls of nodes that take submissions during a shortage. A node that refuses a job first writes the key rw/x/ID, which requires that the job is absent; submissions require the revision of that key that they know. So an earlier submission that the store carries out late fails. A submission goes on with the key's revision only if its node had seen that revision when the submission arrived, so that one that is older than the refusal is not stored after it.

A job takes four entries of a commit now, so that a commit has 8 jobs at most (10 before). Submissions are given up after 10 s, which the keys of refusals outlive.

The suite refusal brings about late writes, repeats at another node and guards without a response.

--- a/src/node/client_api.cc
+++ b/src/node/client_api.cc
@@ -5,7 +5,8 @@
 #include <utility>
 
 #include "platform/job_codec.h"
-#include "src/node/job_record_codec.h"
+#include "src/node/admission_control.h"
+#include "src/node/job_submission.h"
 #include "src/node/leader_notifier.h"
 #include "src/node/record_keys.h"
 #include "src/sched/progress_codec.h"
@@ -28,8 +29,6 @@
 constexpr int kMaxCancelAttempts = 3;
 // Length of a job id in hexadecimal digits.
 constexpr std::size_t kJobIdLength = 16;
-// Value of the Retry-After header of responses with status 503.
-constexpr int kRetryAfterSeconds = 1;
 
 bool IsJobId(std::string_view text) {
   return text.size() == kJobIdLength && std::ranges::all_of(text, [](char c) {
@@ -38,13 +37,6 @@
          });
 }
 
-http::server_response MakeRetryLaterResponse(std::string_view reason) {
-  auto response = http::MakeErrorResponse(503, reason, "try again later");
-  response.headers.push_back(
-      {"Retry-After", std::to_string(kRetryAfterSeconds)});
-  return response;
-}
-
 http::server_response StateResponse(sched::job_phase phase) {
   http::server_response response;
   response.body = platform::EncodeJobState(sched::JobPhaseName(phase));
@@ -65,11 +57,13 @@
       : context(context),
         peers(peers),
         local_leader(std::move(local_leader)),
-        notifier(context, peers, this->local_leader),
-        intake(context, [this](const std::string& id, const std::string& record,
-                               std::uint64_t revision) {
-          notifier.NotifyJobStored(id, record, revision);
-        }) {}
+        admission(context, peers, this->local_leader),
+        notifier(context, peers, this->local_leader, admission),
+        submission(context, admission,
+                   [this](const std::string& id, const std::string& record,
+                          std::uint64_t revision) {
+                     notifier.NotifyJobStored(id, record, revision);
+                   }) {}
 
   /// Returns a responder that logs and counts a response before it passes the
   /// response to `respond`. `call`, the kind of the request, must be a string
@@ -107,8 +101,9 @@
   node_context& context;
   peer_client& peers;
   std::function<leader*()> local_leader;
+  admission_control admission;
   leader_notifier notifier;
-  job_intake intake;
+  job_submission submission;
 };
 
 client_api::impl::responder client_api::impl::MakeLoggingResponder(
@@ -243,26 +238,8 @@
   record.ticket_valid_ms = queue.ticket_valid_ms;
   record.accepted_unix_ms = context.unix_now.Now();
   record.body = body;
-  intake.Submit(std::move(record), [weak = weak_from_this(), queue = queue.name,
-                                    team, respond = std::move(respond)](
-                                       submission_outcome outcome) {
-    const auto count_outcome = [&](std::string_view outcome_name) {
-      if (const auto self = weak.lock()) {
-        self->context.metrics.CountSubmissionOutcome(queue, team, outcome_name);
-      }
-    };
-    switch (outcome) {
-      case submission_outcome::kAccepted:
-        return respond(http::MakeJsonResponse(200, boost::json::object{}));
-      case submission_outcome::kRefused:
-        count_outcome("refused");
-        return respond(MakeRetryLaterResponse("store_unreachable"));
-      case submission_outcome::kUnknown:
-        count_outcome("unknown");
-        return respond(http::MakeErrorResponse(504, "outcome_unknown",
-                                               "the job may be stored"));
-    }
-  });
+  record.request = std::move(Value(request));
+  submission.Submit(std::move(record), std::move(respond));
 }
 
 void client_api::impl::RespondWithState(const std::string& id,
--- a/src/node/host_controller.h
+++ b/src/node/host_controller.h
@@ -5,10 +5,12 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "src/fleet/wave_request.h"
 #include "src/node/election.h"
 #include "src/node/node_context.h"
+#include "src/sched/pool_planner.h"
 #include "src/sched/scheduler.h"
 
 namespace radishwing::node {
@@ -54,6 +56,8 @@
   bool OrdersLoaded() const;
   /// Keeps new tasks off the hosts with an order that may still be carried out.
   void CordonOrderedHosts();
+  /// Returns the hosts in the newest list, with the moves that are under way.
+  std::vector<sched::pool_host> Hosts() const;
   /// Sends all requests and orders that are due. The caller has to call it
   /// periodically.
   void Tick();
--- a/src/node/job_intake.cc
+++ b/src/node/job_intake.cc
@@ -13,9 +13,12 @@
 namespace radishwing::node {
 namespace {
 
-// The store accepts 32 entries per commit; each job takes three: a write and
-// the preconditions on the job's key and on the key of its cancellation.
-constexpr std::size_t kMaxJobsPerCommit = 10;
+// The store accepts 32 entries per commit; each job takes four: a write and the
+// preconditions on the job's key and on those of its cancellation and refusal.
+constexpr std::size_t kMaxJobsPerCommit = 8;
+// Time after which a submission is given up. The key of a refusal, which keeps
+// earlier submissions from being stored, outlives it.
+constexpr millis kMaxSubmissionAgeMs = 10000;
 // Limit of concurrent commits. The store responds to each within a few ms, so a
 // job that waits for an earlier commit is delayed only slightly.
 constexpr int kMaxCommitsInFlight = 3;
@@ -39,7 +42,9 @@
     /// Revision of the key of the job's cancellation; 0: it does not exist. A
     /// job that was cancelled before is accepted as cancelled.
     std::uint64_t cancel_revision = 0;
-    completion done;  ///< Called with the outcome of the submission.
+    refusal_knowledge refusal;
+    millis received_at = 0;  ///< Time of the submission.
+    completion done;         ///< Called with the outcome of the submission.
     /// An earlier commit of the job got no response, so the store may have
     /// applied it.
     bool may_be_stored = false;
@@ -53,6 +58,8 @@
   void SendCommits();
   void OnCommit(const batch& jobs, result<store::commit_outcome> outcome);
   void ResolveConflict(const batch& jobs, const store::commit_outcome& outcome);
+  /// Completes the submissions that have waited for too long.
+  void GiveUpOldJobs();
   /// Reads the job's key to determine whether the job is stored, after a commit
   /// without a clear response.
   void ReadBack(pending_job job);
@@ -64,10 +71,22 @@
   int commits_in_flight = 0;
 };
 
+void job_intake::impl::GiveUpOldJobs() {
+  const millis now = context.now.Now();
+  while (!waiting_jobs.empty() &&
+         now - waiting_jobs.front().received_at >= kMaxSubmissionAgeMs) {
+    pending_job job = std::move(waiting_jobs.front());
+    waiting_jobs.pop_front();
+    Complete(job, job.may_be_stored ? submission_outcome::kUnknown
+                                    : submission_outcome::kRefused);
+  }
+}
+
 void job_intake::impl::SendCommits() {
   while (commits_in_flight < kMaxCommitsInFlight && !waiting_jobs.empty()) {
     auto jobs = std::make_shared<std::vector<pending_job>>();
     store::store_commit commit;
+    GiveUpOldJobs();
     while (!waiting_jobs.empty() && jobs->size() < kMaxJobsPerCommit) {
       // A commit may contain a key only once, so a second submission of the
       // same job waits for the next commit.
@@ -84,9 +103,12 @@
       commit.preconditions.push_back({key, 0});
       commit.preconditions.push_back(
           {CancelKey(job.job.id), job.cancel_revision});
+      commit.preconditions.push_back(
+          {RefusalKey(job.job.id), job.refusal.revision});
       commit.writes.push_back({key, job.record, 0});
       jobs->push_back(std::move(job));
     }
+    if (jobs->empty()) return;
     ++commits_in_flight;
     context.store->Commit(commit, [weak = weak_from_this(), jobs](
                                       result<store::commit_outcome> outcome) {
@@ -138,6 +160,16 @@
       conflict_reported = true;
       job.cancel_revision = cancel->revision;
     }
+    const store::store_item* refusal =
+        FindItem(outcome.current, RefusalKey(job.job.id));
+    if (refusal && refusal->revision != job.refusal.revision) {
+      conflict_reported = true;
+      if (refusal->revision > job.refusal.seen_revision) {
+        Complete(job, submission_outcome::kOverruled);
+        continue;
+      }
+      job.refusal.revision = refusal->revision;
+    }
     unresolved.push_back(std::move(job));
   }
   for (pending_job& job : unresolved) {
@@ -179,12 +211,15 @@
 
 job_intake::~job_intake() = default;
 
-void job_intake::Submit(fleet::job_record record, completion done) {
+void job_intake::Submit(fleet::job_record record, refusal_knowledge refusal,
+                        completion done) {
   const std::uint64_t leader_fencing_token =
       impl_->context.members.Leader().fencing_token;
   impl::pending_job job;
   job.job = std::move(record);
   job.leader_fencing_token = leader_fencing_token;
+  job.refusal = refusal;
+  job.received_at = impl_->context.now.Now();
   job.done = std::move(done);
   impl_->waiting_jobs.push_back(std::move(job));
   impl_->SendCommits();
--- a/src/node/leader.h
+++ b/src/node/leader.h
@@ -14,6 +14,9 @@
 
 namespace radishwing::node {
 
+/// Body of the leader's response to a node that has the current summary.
+inline constexpr std::string_view kUnchangedBacklog = "=";
+
 /// State of a job as the leader knows it.
 struct job_status {
   bool known = false;  ///< False: the leader has no record of the job.
@@ -58,6 +61,14 @@
   job_status JobStatus(const std::string& id) const;
   /// Returns the number of jobs of `queue` of which no task has started.
   std::size_t PendingCount(std::string_view queue) const;
+  /// Returns the body that tells a node of the current backlog summary: empty
+  /// without a shortage, or kUnchangedBacklog if the node has that summary
+  /// already. `node` is its name; `fencing_token` and `sequence` identify the
+  /// summary that it has. `refused` is the encoded work that the node refused,
+  /// or empty.
+  std::string BacklogResponse(const std::string& node,
+                              std::uint64_t fencing_token,
+                              std::uint64_t sequence, std::string_view refused);
   /// Sets the gauges that show the leader's state; called before each export of
   /// the metrics.
   void SetGauges();
--- a/src/node/leader_impl.h
+++ b/src/node/leader_impl.h
@@ -14,6 +14,7 @@
 #include "src/node/leader.h"
 #include "src/node/runner_link.h"
 #include "src/node/store_watch.h"
+#include "src/sched/backlog_publisher.h"
 #include "src/sched/plan_pacer.h"
 #include "src/sched/recorded_runners.h"
 #include "src/sched/scheduler.h"
@@ -175,6 +176,8 @@
                      std::function<void()> on_removed);
   void OnRemovalDone(const result<store::commit_outcome>& outcome,
                      const std::function<void()>& on_removed);
+  /// Returns the work that waits for each pool, see leader_backlog.cc.
+  sched::backlog_summary ComputeBacklog() const;
   /// Returns true if this node's lease permits orders, the term has not ended
   /// and no handover has begun.
   bool MaySendOrders() const;
@@ -216,8 +219,9 @@
   /// Result of scheduler::PendingJobCounts() at `pending_counted_at`.
   std::map<std::string, std::size_t> pending_counts;
   millis pending_counted_at = -1;  ///< -1: not counted yet.
-  sched::start_pacer start_pace;   ///< Limits the starts of tasks.
-  sched::plan_pacer pacer;         ///< Determines the delay before each pass.
+  sched::backlog_publisher backlog{[this] { return ComputeBacklog(); }};
+  sched::start_pacer start_pace;  ///< Limits the starts of tasks.
+  sched::plan_pacer pacer;        ///< Determines the delay before each pass.
   boost::asio::steady_timer pass_timer;
   boost::asio::steady_timer tick_timer;
   boost::asio::steady_timer retry_timer;  ///< Used by RetryLater().
--- a/src/node/leader_notifier.cc
+++ b/src/node/leader_notifier.cc
@@ -31,8 +31,11 @@
 struct leader_notifier::impl
     : std::enable_shared_from_this<leader_notifier::impl> {
   impl(node_context& context, peer_client& peers,
-       std::function<leader*()> local_leader)
-      : context(context), peers(peers), local_leader(std::move(local_leader)) {}
+       std::function<leader*()> local_leader, admission_control& admission)
+      : context(context),
+        peers(peers),
+        local_leader(std::move(local_leader)),
+        admission(admission) {}
 
   /// Sends a notification to the leader once. If that fails, schedules the next
   /// attempt.
@@ -42,6 +45,7 @@
   node_context& context;
   peer_client& peers;
   std::function<leader*()> local_leader;
+  admission_control& admission;
 };
 
 void leader_notifier::impl::Send(leader_notification notification) {
@@ -60,14 +64,21 @@
       notification.is_cancel
           ? "/peer/cancel?id=" + notification.id
           : "/peer/job?id=" + notification.id +
-                "&revision=" + std::to_string(notification.revision);
+                "&revision=" + std::to_string(notification.revision) + "&" +
+                admission.KnownSummary();
   const std::string body = notification.record;
   peers.Call(
       address, target, body, kSendTimeoutMs,
       [weak = weak_from_this(), notification = std::move(notification)](
           const result<std::string>& response) mutable {
         const auto self = weak.lock();
-        if (!self || Ok(response)) return;
+        if (!self) return;
+        if (Ok(response)) {
+          if (!notification.is_cancel) {
+            self->admission.ApplyResponse(Value(response));
+          }
+          return;
+        }
         self->context.log.Warning(
             "front",
             std::string(notification.is_cancel ? "cancel notification failed"
@@ -99,8 +110,10 @@
 }
 
 leader_notifier::leader_notifier(node_context& context, peer_client& peers,
-                                 std::function<leader*()> local_leader)
-    : impl_(std::make_shared<impl>(context, peers, std::move(local_leader))) {}
+                                 std::function<leader*()> local_leader,
+                                 admission_control& admission)
+    : impl_(std::make_shared<impl>(context, peers, std::move(local_leader),
+                                   admission)) {}
 
 leader_notifier::~leader_notifier() = default;
 
--- a/src/node/leader_notifier.h
+++ b/src/node/leader_notifier.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "src/node/admission_control.h"
 #include "src/node/leader.h"
 #include "src/node/node_context.h"
 #include "src/node/peer_client.h"
@@ -17,9 +18,11 @@
 class leader_notifier {
  public:
   /// `local_leader` returns the leader in this process, or null if this node
-  /// does not lead.
+  /// does not lead. The leader's responses go to `admission`, which must
+  /// outlive this object.
   leader_notifier(node_context& context, peer_client& peers,
-                  std::function<leader*()> local_leader);
+                  std::function<leader*()> local_leader,
+                  admission_control& admission);
   ~leader_notifier();
 
   /// Notifies the leader of a stored job; `record` and `revision` are the value
--- a/src/node/node_metrics.cc
+++ b/src/node/node_metrics.cc
@@ -70,6 +70,9 @@
       submission_outcomes_(
           CounterFamily(registry_, "radishwing_requests_total",
                         "Submissions and jobs by queue, team and outcome")),
+      rejections_(
+          CounterFamily(registry_, "radishwing_rejections_total",
+                        "Submissions refused for load by queue and reason")),
       host_moves_(
           CounterFamily(registry_, "radishwing_host_moves_total",
                         "Moves of hosts into a pool that were ordered")),
@@ -143,6 +146,15 @@
       .Increment();
 }
 
+void node_metrics::CountRejection(std::string_view queue, std::string_view team,
+                                  std::string_view reason) {
+  rejections_
+      .Add({{"service", std::string(queue)},
+            {"team", team.empty() ? "-" : std::string(team)},
+            {"reason", std::string(reason)}})
+      .Increment();
+}
+
 void node_metrics::CountHostMove(std::string_view target_pool) {
   host_moves_.Add({{"pool", std::string(target_pool)}}).Increment();
 }
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -41,6 +41,10 @@
   /// the submission had no valid API key.
   void CountSubmissionOutcome(std::string_view queue, std::string_view team,
                               std::string_view outcome);
+  /// Counts a submission to `queue` that was refused because of the load, by
+  /// the reason.
+  void CountRejection(std::string_view queue, std::string_view team,
+                      std::string_view reason);
   /// Counts an accepted order to move a host into `target_pool`.
   void CountHostMove(std::string_view target_pool);
   /// Sets the number of hosts of a pool that are in `state`.
@@ -90,6 +94,7 @@
   prometheus::Counter& merged_records_;
   prometheus::Histogram& takeover_seconds_;
   prometheus::Family<prometheus::Counter>& submission_outcomes_;
+  prometheus::Family<prometheus::Counter>& rejections_;
   prometheus::Family<prometheus::Counter>& host_moves_;
   prometheus::Family<prometheus::Gauge>& pool_hosts_;
   prometheus::Family<prometheus::Gauge>& wave_hosts_;
--- a/src/node/peer_service.cc
+++ b/src/node/peer_service.cc
@@ -100,6 +100,22 @@
              });
 }
 
+std::uint64_t NumberParameter(const http::server_request& request,
+                              std::string_view name) {
+  const std::string text(request.target.QueryParameter(name));
+  return std::strtoull(text.c_str(), nullptr, 10);
+}
+
+// Returns the backlog summary for a node, see leader::BacklogResponse. A node
+// of an older version names no summary and ignores the one that it gets.
+std::string BacklogResponse(leader& local, const http::server_request& request,
+                            std::string_view refused) {
+  return local.BacklogResponse(
+      std::string(request.target.QueryParameter("node")),
+      NumberParameter(request, "fence"), NumberParameter(request, "sequence"),
+      refused);
+}
+
 }  // namespace
 
 void RelayThroughPeers(
@@ -166,9 +182,10 @@
   if (path == "/peer/job") {
     // A node of an older version names no revision. The leader finds the job
     // when it next reads the changes of jobs.
-    const std::string revision(request.target.QueryParameter("revision"));
-    local->AddJob(id, request.body,
-                  std::strtoull(revision.c_str(), nullptr, 10));
+    local->AddJob(id, request.body, NumberParameter(request, "revision"));
+    response.body = BacklogResponse(*local, request, "");
+  } else if (path == "/peer/backlog") {
+    response.body = BacklogResponse(*local, request, request.body);
   } else if (path == "/peer/cancel") {
     local->CancelJob(id);
   } else if (path == "/peer/state") {
--- a/src/node/record_keys.h
+++ b/src/node/record_keys.h
@@ -52,6 +52,11 @@
 inline std::string CancelKey(std::string_view id) {
   return JobKey(id) + std::string(kCancelSuffix);
 }
+/// Key that exists for some time after a submission of the job `id` was
+/// refused. It keeps the store from carrying out earlier submissions late.
+inline std::string RefusalKey(std::string_view id) {
+  return "rw/x/" + std::string(id);
+}
 /// Key of the leader's record of the progress of the job `id`.
 inline std::string ProgressKey(std::string_view id) {
   return std::string(kProgressPrefix) + std::string(id);
--- /dev/null
+++ b/tests/node/refusal_test.cc
@@ -0,0 +1,135 @@
+#include <boost/test/unit_test.hpp>
+
+#include "src/node/record_keys.h"
+#include "tests/node/node_fixture.h"
+
+namespace radishwing::node {
+namespace {
+
+using boost::beast::http::verb;
+constexpr const char* kJob = "00000000000000a1";
+constexpr const char* kFlood = "00000000000000f1";
+const std::string kJobPath = std::string("/q/") + kJob;
+const std::string kFloodPath = std::string("/q/") + kFlood;
+
+/// Two nodes, of which one leads.
+struct refusal_fixture : node_fixture {
+  refusal_fixture() : address(AddNode("n1")) {
+    BOOST_REQUIRE(CallUntil(address, verb::get, "/q/", 200));
+    other_address = AddNode("n2");
+    BOOST_REQUIRE(CallUntil(other_address, verb::get, "/q/", 200));
+  }
+
+  /// Submits a job that needs all runners for 20 s. It loses its value after
+  /// two seconds and does not count as load from then on.
+  void Overload(const std::string& node_address,
+                const std::string& path = kFloodPath) {
+    const std::size_t started = recorder.tasks.size();
+    BOOST_REQUIRE(Call(node_address, verb::post, path,
+                       R"({"spec":"s","steps":[{"count":1000,"cpu":8000,)"
+                       R"("estimate-ms":60}]})") == 200u);
+    // The leader's summary may be 200 ms old; three tasks of 60 ms run at once.
+    BOOST_REQUIRE(
+        RunUntil([&] { return recorder.tasks.size() >= started + 20; }));
+  }
+
+  /// Submits the job. Returns the status of the response.
+  unsigned Submit(const std::string& node_address) {
+    return Call(node_address, verb::post, kJobPath, JobBody(1));
+  }
+
+  /// Submits the job with a commit that the store carries out only in
+  /// ApplyDelayedCommits().
+  void SubmitWithDelayedCommit() {
+    store.DelayCommitsOf(JobKey(kJob));
+    BOOST_REQUIRE(Submit(address) == 504u);
+    store.DelayCommitsOf("");
+  }
+
+  bool IsStored() const { return !store.Value(JobKey(kJob)).empty(); }
+
+  std::string address;  ///< Of the leader.
+  std::string other_address;
+};
+
+BOOST_FIXTURE_TEST_SUITE(refusal, refusal_fixture)
+
+BOOST_AUTO_TEST_CASE(job_is_refused_with_reason_and_time) {
+  Overload(address);
+  BOOST_TEST(Submit(address) == 503u);
+  BOOST_TEST(response_body.find("pool_full") != std::string::npos);
+  BOOST_TEST(std::stoi(retry_after) > 1);
+  BOOST_TEST(!IsStored());
+  BOOST_TEST(!store.Value(RefusalKey(kJob)).empty());
+}
+
+// Guards against running a job whose caller was told that it does not run: the
+// store carries out an earlier submission after the refusal.
+BOOST_AUTO_TEST_CASE(earlier_submission_is_not_stored_after_a_refusal) {
+  SubmitWithDelayedCommit();
+  Overload(address);
+  BOOST_TEST(Submit(address) == 503u);
+  store.ApplyDelayedCommits();
+  BOOST_TEST(!IsStored());
+  BOOST_TEST(Call(address, verb::get, kJobPath) == 410u);
+}
+
+// Guards against refusing a job that is stored: a repeat at another node, which
+// has the summary of the overload, after a response that left it open.
+BOOST_AUTO_TEST_CASE(repeat_of_a_stored_job_is_accepted_by_another_node) {
+  SubmitWithDelayedCommit();
+  Overload(other_address);
+  store.ApplyDelayedCommits();
+  BOOST_REQUIRE(IsStored());
+  BOOST_TEST(Submit(other_address) == 200u);
+  BOOST_TEST(Submit(address) == 200u);
+  BOOST_TEST(store.Value(RefusalKey(kJob)).empty());
+}
+
+// Guards against a refusal that keeps a job from ever being accepted.
+BOOST_AUTO_TEST_CASE(job_that_is_submitted_again_after_the_overload_runs) {
+  Overload(address);
+  BOOST_REQUIRE(Submit(address) == 503u);
+  BOOST_REQUIRE(Call(address, verb::delete_, kFloodPath) == 200u);
+  BOOST_TEST(CallUntil(other_address, verb::post, kJobPath, 200, JobBody(1)));
+  BOOST_TEST(WaitForState(other_address, kJob, "succeeded"));
+}
+
+// Guards against a refusal without a guard, which may not be final.
+BOOST_AUTO_TEST_CASE(refusal_without_a_stored_guard_is_not_sent) {
+  Overload(address);
+  store.DelayCommitsOf(RefusalKey(kJob));
+  BOOST_TEST(Submit(address) == 504u);
+  store.DelayCommitsOf("");
+  Overload(address, "/q/00000000000000f2");
+  BOOST_TEST(Submit(address) == 503u);
+  store.ApplyDelayedCommits();
+  BOOST_TEST(!IsStored());
+}
+
+// Guards against storing a job whose later submission was refused by another
+// node while this one was under way.
+BOOST_AUTO_TEST_CASE(submission_is_overruled_by_a_refusal_after_its_arrival) {
+  store.BeforeNextCommitOf(JobKey(kJob), [this] {
+    store.Put(RefusalKey(kJob), R"({"retry_at":0})");
+  });
+  BOOST_TEST(Submit(address) == 503u);
+  BOOST_TEST(response_body.find("refused_elsewhere") != std::string::npos);
+  BOOST_TEST(!IsStored());
+  BOOST_TEST(CallUntil(address, verb::post, kJobPath, 200, JobBody(1)));
+}
+
+// Guards against refusing what must always be possible during an overload.
+BOOST_AUTO_TEST_CASE(states_and_cancels_are_served_during_an_overload) {
+  Overload(address);
+  BOOST_TEST(Submit(address) == 503u);
+  BOOST_TEST(Call(other_address, verb::get, kFloodPath) == 200u);
+  BOOST_TEST(Call(other_address, verb::get, kJobPath) == 410u);
+  BOOST_TEST(Call(other_address, verb::delete_, kJobPath) == 410u);
+  BOOST_TEST(Call(other_address, verb::delete_, kFloodPath) == 200u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace radishwing::node
