--- a/src/ctl/explain_command.cc
+++ b/src/ctl/explain_command.cc
@@ -53,6 +53,28 @@
   return lines;
 }
 
+/// Prints how often the job was refused and why, if it was.
+void PrintRefusals(const command_context& context,
+                   const std::vector<std::string>& lines,
+                   std::string_view job_id) {
+  int count = 0;
+  std::string_view last;
+  for (const std::string& line : lines) {
+    if (!Contains(line, " admission: job refused, ") ||
+        FieldValue(line, "job") != job_id) {
+      continue;
+    }
+    ++count;
+    last = line;
+  }
+  if (count == 0) return;
+  *context.out << "refused " << count << " times, the last time because of "
+               << SanitizeForTerminal(FieldValue(last, "reason"))
+               << "; the caller was told to submit it again after "
+               << SanitizeForTerminal(FieldValue(last, "retry_after_s"))
+               << " s; a refused submission stores nothing\n";
+}
+
 }  // namespace
 
 exit_code ExplainJob(const command_context& context, const std::string& job_id,
@@ -90,6 +112,7 @@
       *context.out << SanitizeForTerminal(line) << '\n';
     }
   }
+  PrintRefusals(context, lines, job_id);
   return exit_code::kSuccess;
 }
 
--- a/tests/ctl/app_test.cc
+++ b/tests/ctl/app_test.cc
@@ -152,6 +152,24 @@
   std::filesystem::remove(log);
 }
 
+BOOST_AUTO_TEST_CASE(explain_tells_why_a_job_was_refused) {
+  const std::string log = TemporaryFile("explain_refusal_test.log");
+  const auto refusal = [](const std::string& job, int retry_after_s) {
+    return " INFO n1 admission: job refused, job=" + job +
+           " queue=q team=t reason=pool_full retry_after_s=" +
+           std::to_string(retry_after_s) + " forecast_ms=20 summary_age_ms=0\n";
+  };
+  std::ofstream(log) << "2026-12-04 10:00:00,000" << refusal(kJobId, 4)
+                     << "2026-12-04 10:00:01,000"
+                     << refusal("00000000000000ff", 9)
+                     << "2026-12-04 10:00:04,000" << refusal(kJobId, 7);
+  BOOST_TEST(Run({"explain", kJobId, log}) == 0);
+  BOOST_TEST(OutputContains("refused 2 times"));
+  BOOST_TEST(OutputContains("pool_full"));
+  BOOST_TEST(OutputContains("after 7 s"));
+  std::filesystem::remove(log);
+}
+
 BOOST_AUTO_TEST_CASE(settings_check_reports_location) {
   const std::string file = TemporaryFile("settings_test.json");
   std::ofstream(file) << "{\"fleet\": {\"name\": 5}}\n";
