Bound the writes of guards during a flood

A commit of guards that is not full now waits until all nodes together send at most 200 such commits a second.

--- a/src/node/admission_control.cc
+++ b/src/node/admission_control.cc
@@ -134,6 +134,10 @@
   impl_->ApplyResponse(body);
 }
 
+std::size_t admission_control::NodeCount() const {
+  return impl_->policy.NodeCount();
+}
+
 std::uint64_t admission_control::SeenRevision() const {
   return std::max(impl_->leader_revision, impl_->context.store->SeenRevision());
 }
--- a/src/node/job_submission.cc
+++ b/src/node/job_submission.cc
@@ -53,7 +53,7 @@
         admission(admission),
         on_stored(on_stored),
         intake(context, std::move(on_stored)),
-        guard(context) {}
+        guard(context, [&admission] { return admission.NodeCount(); }) {}
 
   void Store(const shared_submission& entry, std::uint64_t refusal_revision);
   void OnStoreOutcome(const shared_submission& entry,
--- a/src/node/refusal_guard.cc
+++ b/src/node/refusal_guard.cc
@@ -1,7 +1,9 @@
 #include "src/node/refusal_guard.h"
 
 #include <algorithm>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
+#include <chrono>
 #include <deque>
 #include <span>
 #include <string_view>
@@ -23,6 +25,10 @@
 // The store accepts 32 entries per commit; each guard takes three: a write and
 // the preconditions on the job's key and on its own.
 constexpr std::size_t kMaxGuardsPerCommit = 10;
+// Commits of guards that are not full, of all nodes together. The store accepts
+// 1,200 writes per second, which accepted jobs need during an overload.
+constexpr std::size_t kPartialCommitsPerSecond = 200;
+constexpr millis kMaxCommitIntervalMs = 500;
 // Commits of a guard that the store may reject because of others in the commit,
 // or because the lease has ended.
 constexpr int kMaxAttempts = 5;
@@ -72,11 +78,19 @@
   };
   using batch = std::shared_ptr<std::vector<pending_guard>>;
 
-  explicit impl(node_context& context) : context(context) {}
+  impl(node_context& context, std::function<std::size_t()> count_nodes)
+      : context(context),
+        count_nodes(std::move(count_nodes)),
+        timer(context.io) {}
 
-  /// Sends a commit with the waiting guards, unless a call is in flight.
+  /// Sends a commit with the waiting guards, unless a call is in flight or the
+  /// commit has to wait for further guards.
   void SendNext();
+  /// Returns the time until a commit that is not full may be sent.
+  millis CommitDelay() const;
+  void SendLater(millis delay);
   void GrantLease();
+  void FailAll(const guard_outcome& outcome);
   void SendCommit();
   void OnCommit(const batch& guards, const result<store::commit_outcome>& done);
   /// Completes the guards that the rejected commit decides; the others wait for
@@ -86,20 +100,49 @@
   void RetryOrGiveUp(pending_guard guard);
 
   node_context& context;
+  std::function<std::size_t()> count_nodes;
+  boost::asio::steady_timer timer;  ///< Delays a commit that is not full.
+  bool timer_pending = false;
+  millis committed_at = -kMaxCommitIntervalMs;  ///< Time of the last commit.
   std::deque<pending_guard> waiting;
+  /// Guards of which a response has shown the state of the keys. They are sent
+  /// apart from the others, so that these do not make the store reject them.
+  std::deque<pending_guard> checked;
   bool in_flight = false;   ///< A grant or a commit awaits its response.
   std::uint64_t lease = 0;  ///< 0: none.
   millis lease_granted_at = 0;
 };
 
 void refusal_guard::impl::SendNext() {
-  if (in_flight || waiting.empty()) return;
+  if (in_flight || (waiting.empty() && checked.empty())) return;
+  const bool may_wait = checked.empty() && waiting.size() < kMaxGuardsPerCommit;
+  const millis delay = may_wait ? CommitDelay() : 0;
+  if (delay > 0) return SendLater(delay);
   in_flight = true;
   const bool usable =
       lease != 0 && context.now.Now() - lease_granted_at < kLeasePeriodMs;
   usable ? SendCommit() : GrantLease();
 }
 
+millis refusal_guard::impl::CommitDelay() const {
+  const auto interval =
+      static_cast<millis>(count_nodes() * 1000 / kPartialCommitsPerSecond);
+  return committed_at + std::min(interval, kMaxCommitIntervalMs) -
+         context.now.Now();
+}
+
+void refusal_guard::impl::SendLater(millis delay) {
+  if (timer_pending) return;
+  timer_pending = true;
+  timer.expires_after(std::chrono::milliseconds(delay));
+  timer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+    const auto self = weak.lock();
+    if (error || !self) return;
+    self->timer_pending = false;
+    self->SendNext();
+  });
+}
+
 void refusal_guard::impl::GrantLease() {
   const millis sent_at = context.now.Now();
   context.store->GrantLease(
@@ -113,25 +156,32 @@
           return self->SendCommit();
         }
         self->in_flight = false;
-        auto failed = std::exchange(self->waiting, {});
-        for (pending_guard& guard : failed) {
-          guard.done(OutcomeOf(Error(granted)));
-        }
+        self->FailAll(OutcomeOf(Error(granted)));
         self->SendNext();
       });
 }
 
+void refusal_guard::impl::FailAll(const guard_outcome& outcome) {
+  for (std::deque<pending_guard>* guards : {&waiting, &checked}) {
+    for (pending_guard& guard : std::exchange(*guards, {})) {
+      guard.done(outcome);
+    }
+  }
+}
+
 void refusal_guard::impl::SendCommit() {
+  committed_at = context.now.Now();
   auto guards = std::make_shared<std::vector<pending_guard>>();
   store::store_commit commit;
-  while (!waiting.empty() && guards->size() < kMaxGuardsPerCommit) {
+  std::deque<pending_guard>& queue = checked.empty() ? waiting : checked;
+  while (!queue.empty() && guards->size() < kMaxGuardsPerCommit) {
     // A commit may contain a key only once.
-    if (std::ranges::find(*guards, waiting.front().id, &pending_guard::id) !=
+    if (std::ranges::find(*guards, queue.front().id, &pending_guard::id) !=
         guards->end()) {
       break;
     }
-    pending_guard guard = std::move(waiting.front());
-    waiting.pop_front();
+    pending_guard guard = std::move(queue.front());
+    queue.pop_front();
     const std::string key = RefusalKey(guard.id);
     commit.preconditions.push_back({JobKey(guard.id), 0});
     commit.preconditions.push_back({key, guard.known_revision});
@@ -194,18 +244,19 @@
   if (--guard.attempts_left <= 0) {
     return guard.done(MakeOutcome(outcome_kind::kUnknown));
   }
-  waiting.push_back(std::move(guard));
+  checked.push_back(std::move(guard));
 }
 
-refusal_guard::refusal_guard(node_context& context)
-    : impl_(std::make_shared<impl>(context)) {}
+refusal_guard::refusal_guard(node_context& context,
+                             std::function<std::size_t()> count_nodes)
+    : impl_(std::make_shared<impl>(context, std::move(count_nodes))) {}
 
 refusal_guard::~refusal_guard() = default;
 
 void refusal_guard::Guard(const std::string& id, std::uint64_t known_revision,
                           millis retry_at_unix_ms, completion done) {
-  impl_->waiting.push_back(
-      {id, known_revision, retry_at_unix_ms, std::move(done)});
+  auto& queue = known_revision > 0 ? impl_->checked : impl_->waiting;
+  queue.push_back({id, known_revision, retry_at_unix_ms, std::move(done)});
   impl_->SendNext();
 }
 
--- a/src/node/refusal_guard.h
+++ b/src/node/refusal_guard.h
@@ -29,12 +29,16 @@
 /// Writes the keys of refusals, see RefusalKey(). Such a key makes the store
 /// reject earlier submissions of the same job that it has not carried out yet,
 /// so that a caller can be told that the job does not run. Refusals that wait
-/// at the same time share a commit. The store removes the keys after some time.
+/// at the same time share a commit, and a node delays its commits so that those
+/// of all nodes leave the store's write rate to accepted jobs. The store
+/// removes the keys after some time.
 class refusal_guard {
  public:
   using completion = std::function<void(const guard_outcome&)>;
 
-  explicit refusal_guard(node_context& context);
+  /// `count_nodes` returns the number of nodes that take submissions.
+  refusal_guard(node_context& context,
+                std::function<std::size_t()> count_nodes);
   ~refusal_guard();
 
   /// Guards the refusal of the job `id`, whose caller is told to submit it
--- a/src/sched/admission_policy.cc
+++ b/src/sched/admission_policy.cc
@@ -221,7 +221,7 @@
                                       millis now) {
   if (!IsJudgedByLoad(job.request) || !known_pools_.contains(job.pool)) return;
   accepted_work& work =
-      accepted_.try_emplace(KeyOf(job), 0.0, now).first->second;
+      accepted_.try_emplace(KeyOf(job), accepted_work{0, now}).first->second;
   work.core_ms += WorkOf(job);
 }
 
--- a/src/sched/admission_policy.h
+++ b/src/sched/admission_policy.h
@@ -81,6 +81,8 @@
   millis SummaryAge(millis now) const;
   std::uint64_t FencingToken() const { return summary_.fencing_token; }
   std::uint64_t Sequence() const { return summary_.sequence; }
+  /// Returns the number of nodes that take submissions.
+  std::uint64_t NodeCount() const { return summary_.nodes; }
 
  private:
   using pool_claim = std::pair<std::string, backlog_claim>;
--- a/tests/sched/shared_pool.h
+++ b/tests/sched/shared_pool.h
@@ -85,7 +85,6 @@
   std::map<std::string, team_result> results;
   int refused_after_flood = 0;
 
- private:
   struct node {
     admission_policy policy;
     millis updated_at = -1000;
