Count accepted work of a node once, and call summaries old after a failure

Work that a node had accepted since the summary was multiplied by the number of nodes, also for a single wide job and with a fresh summary, so that jobs were refused while the pool was idle. A node without submissions also took its own silence for the loss of the leader.

With a summary in use the node's work counts once. It is extrapolated to the other nodes only from 1.5 s after the first failed poll or notification, and without the largest job. While the leader can be reached, a summary older than 1.5 s is renewed and not used.

Two tests of the loss of the leader now report the failed contact that defines it; what they require is unchanged.

--- a/src/node/admission_control.cc
+++ b/src/node/admission_control.cc
@@ -10,10 +10,10 @@
 namespace radishwing::node {
 namespace {
 
-// Age from which a summary of a shortage is renewed before the next decision.
-constexpr millis kRefreshAgeMs = 300;
-// Time limit of a request for the summary, and the least time between two.
+// Time limit of a request for the summary.
 constexpr millis kPollTimeoutMs = 400;
+// Least time between two requests.
+constexpr millis kPollIntervalMs = 300;
 
 }  // namespace
 
@@ -40,28 +40,24 @@
   sched::admission_policy policy;
   std::uint64_t leader_revision = 0;  ///< Store revision seen by the leader.
   bool poll_in_flight = false;
-  millis polled_at = -kPollTimeoutMs;  ///< Time of the last request.
+  millis polled_at = -kPollIntervalMs;  ///< Time of the last request.
   bool damage_logged = false;
 };
 
 void admission_control::impl::Refresh() {
+  const millis now = context.now.Now();
   if (leader* local = local_leader()) {
-    if (!local->Ready()) return;
+    if (!local->Ready()) return policy.RecordFailedContact(now);
     const std::string refused =
         sched::EncodeRefusedWork(policy.TakeRefusedWork());
     return ApplyResponse(local->BacklogResponse(context.settings.name,
                                                 policy.FencingToken(),
                                                 policy.Sequence(), refused));
   }
-  const millis now = context.now.Now();
-  const bool is_due =
-      policy.HasRefusedWork() ||
-      (policy.HasBacklog() && policy.SummaryAge(now) >= kRefreshAgeMs);
+  const bool is_due = policy.HasRefusedWork() || policy.NeedsSummary(now);
+  if (!is_due || poll_in_flight || now - polled_at < kPollIntervalMs) return;
   const std::string& address = context.members.Leader().address;
-  if (!is_due || poll_in_flight || address.empty() ||
-      now - polled_at < kRefreshAgeMs) {
-    return;
-  }
+  if (address.empty()) return policy.RecordFailedContact(now);
   polled_at = now;
   PollLeader(address);
 }
@@ -78,6 +74,7 @@
                if (!self) return;
                self->poll_in_flight = false;
                if (Ok(response)) return self->ApplyResponse(Value(response));
+               self->policy.RecordFailedContact(self->context.now.Now());
                for (const sched::returning_work& work : refused) {
                  self->policy.AddRefusedWork(work);
                }
@@ -86,7 +83,7 @@
 
 void admission_control::impl::ApplyResponse(const std::string& body) {
   const millis now = context.now.Now();
-  if (body == kUnchangedBacklog) return;
+  if (body == kUnchangedBacklog) return policy.RecordContact();
   if (body.empty()) return policy.ApplyEmptySummary(now);
   auto decoded = sched::DecodeBacklog(body);
   if (!Ok(decoded)) {
@@ -134,6 +131,10 @@
   impl_->ApplyResponse(body);
 }
 
+void admission_control::RecordFailedContact() {
+  impl_->policy.RecordFailedContact(impl_->context.now.Now());
+}
+
 std::size_t admission_control::NodeCount() const {
   return impl_->policy.NodeCount();
 }
--- a/src/node/admission_control.h
+++ b/src/node/admission_control.h
@@ -41,6 +41,8 @@
   /// Applies the body of the leader's response to a notification or a poll.
   /// Ignores a damaged one.
   void ApplyResponse(const std::string& body);
+  /// Records that a notification or a poll of the leader failed.
+  void RecordFailedContact();
   /// Returns the number of nodes that take submissions, as the leader has told.
   std::size_t NodeCount() const;
   /// Returns the highest store revision of which this node knows.
--- a/src/node/leader_notifier.cc
+++ b/src/node/leader_notifier.cc
@@ -79,6 +79,7 @@
           }
           return;
         }
+        self->admission.RecordFailedContact();
         self->context.log.Warning(
             "front",
             std::string(notification.is_cancel ? "cancel notification failed"
--- a/src/sched/admission_policy.cc
+++ b/src/sched/admission_policy.cc
@@ -10,10 +10,12 @@
 namespace radishwing::sched {
 namespace {
 
-// Age from which a summary counts as old. The leader sends a new one several
-// times a second while jobs are submitted, so an older one means that the
-// leader is gone or out of reach.
+// Age up to which a summary is used while the leader can be reached, and time
+// after a failed contact from which it counts as old. The leader sends a new
+// one several times a second while jobs are submitted.
 constexpr millis kOldSummaryMs = 1500;
+// Age from which a summary of a shortage is renewed.
+constexpr millis kRefreshAgeMs = 300;
 // Least part of a queue's mean run time that the optimistic forecast assumes.
 constexpr double kLeastRatioShare = 0.5;
 // Work that stands for the start of a job without work ahead, which may have to
@@ -76,6 +78,7 @@
 }
 
 bool admission_policy::ApplySummary(backlog_summary summary, millis now) {
+  RecordContact();
   const millis computed_at = now - summary.age_ms;
   if (computed_at_ >= 0) {
     if (summary.fencing_token < summary_.fencing_token) return false;
@@ -108,6 +111,7 @@
 }
 
 void admission_policy::ApplyEmptySummary(millis now) {
+  RecordContact();
   for (auto& [name, known] : known_pools_) known.teams.clear();
   summary_.pools.clear();
   accepted_.clear();
@@ -119,21 +123,38 @@
                           : std::max<millis>(0, now - computed_at_);
 }
 
+bool admission_policy::NeedsSummary(millis now) const {
+  if (failed_since_ >= 0) return true;
+  const millis age = SummaryAge(now);
+  return HasBacklog() ? age >= kRefreshAgeMs
+                      : !known_pools_.empty() && age >= kOldSummaryMs;
+}
+
+bool admission_policy::IsSummaryOld(millis now) const {
+  return failed_since_ >= 0 && now - failed_since_ >= kOldSummaryMs;
+}
+
 const pool_backlog* admission_policy::FindPool(const std::string& pool,
                                                millis now) const {
+  // The leader is asked for a newer summary meanwhile, see NeedsSummary().
+  if (failed_since_ < 0 && SummaryAge(now) >= kOldSummaryMs) return nullptr;
   const bool in_summary =
       std::ranges::find(summary_.pools, pool, &pool_backlog::pool) !=
       summary_.pools.end();
-  if (!in_summary && SummaryAge(now) < kOldSummaryMs) return nullptr;
+  if (!in_summary && !IsSummaryOld(now)) return nullptr;
   const auto known = known_pools_.find(pool);
   return known == known_pools_.end() ? nullptr : &known->second;
 }
 
-double admission_policy::AcceptedSince(const pool_claim& key) const {
+double admission_policy::AcceptedSince(const pool_claim& key,
+                                       millis now) const {
   const auto it = accepted_.find(key);
   if (it == accepted_.end()) return 0;
-  return it->second.core_ms *
-         static_cast<double>(std::max<std::uint64_t>(1, summary_.nodes));
+  const accepted_work& work = it->second;
+  if (!IsSummaryOld(now)) return work.core_ms;
+  const std::uint64_t others = std::max<std::uint64_t>(1, summary_.nodes) - 1;
+  return work.core_ms +
+         (work.core_ms - work.largest_core_ms) * static_cast<double>(others);
 }
 
 millis admission_policy::ServedMs(const pool_claim& key, millis now) const {
@@ -162,7 +183,7 @@
   };
   const job_durations durations = DurationsOf(job, *pool);
   const waiting_work ahead =
-      WorkAhead(key, *pool, returning, durations.SlackMs());
+      WorkAhead(key, *pool, returning, durations.SlackMs(), now);
   // Jobs that can still meet their objective go before late ones of their team,
   // so only those delay a job that can meet its own.
   decision.forecast_ms =
@@ -185,9 +206,9 @@
 
 admission_policy::waiting_work admission_policy::WorkAhead(
     const pool_claim& key, const pool_backlog& pool, bool returning,
-    millis slack_ms) const {
+    millis slack_ms, millis now) const {
   waiting_work ahead;
-  ahead.feasible_core_ms = AcceptedSince(key);
+  ahead.feasible_core_ms = AcceptedSince(key, now);
   const team_backlog* team = FindClaim(pool, key.second);
   if (team) {
     ahead.feasible_core_ms +=
@@ -221,8 +242,10 @@
                                       millis now) {
   if (!IsJudgedByLoad(job.request) || !known_pools_.contains(job.pool)) return;
   accepted_work& work =
-      accepted_.try_emplace(KeyOf(job), accepted_work{0, now}).first->second;
-  work.core_ms += WorkOf(job);
+      accepted_.try_emplace(KeyOf(job), accepted_work{0, 0, now}).first->second;
+  const double core_ms = WorkOf(job);
+  work.core_ms += core_ms;
+  work.largest_core_ms = std::max(work.largest_core_ms, core_ms);
 }
 
 void admission_policy::RecordRefused(const fleet::job_record& job,
--- a/src/sched/admission_policy.h
+++ b/src/sched/admission_policy.h
@@ -55,6 +55,13 @@
   /// Applies a summary that arrived at `now`. Returns false if it is older than
   /// the current one.
   bool ApplySummary(backlog_summary summary, millis now);
+  /// Records that the leader answered that the current summary is its newest.
+  void RecordContact() { failed_since_ = -1; }
+  /// Records that a contact with the leader failed at `now`. Only then does a
+  /// summary become an old one: a quiet node may have had none for a long time.
+  void RecordFailedContact(millis now) {
+    if (failed_since_ < 0) failed_since_ = now;
+  }
   /// Records that the leader reported no backlog at `now`.
   void ApplyEmptySummary(millis now);
 
@@ -77,6 +84,8 @@
 
   /// Returns true if the newest summary has a backlog.
   bool HasBacklog() const { return !summary_.pools.empty(); }
+  /// Returns true if the newest summary has to be renewed before a decision.
+  bool NeedsSummary(millis now) const;
   /// Returns the age of the newest summary, or a large value if there is none.
   millis SummaryAge(millis now) const;
   std::uint64_t FencingToken() const { return summary_.fencing_token; }
@@ -101,16 +110,21 @@
   /// Work of one claim that this node has accepted since the summary.
   struct accepted_work {
     double core_ms = 0;
-    millis since = 0;  ///< Time of the first acceptance.
+    double largest_core_ms = 0;  ///< Of one job.
+    millis since = 0;            ///< Time of the first acceptance.
   };
 
-  /// Returns the work that nodes have accepted since the summary, if each has
-  /// accepted as much as this one.
-  double AcceptedSince(const pool_claim& key) const;
+  /// Returns true if the leader has been out of reach for so long that the
+  /// newest summary tells too little of what other nodes accepted.
+  bool IsSummaryOld(millis now) const;
+  /// Returns the work that was accepted since the summary: that of this node,
+  /// and with an old summary as much for each other node. The largest job
+  /// counts only once, since it says nothing about what other nodes got.
+  double AcceptedSince(const pool_claim& key, millis now) const;
   /// Returns the work ahead of a new job, or of one that was refused before.
   /// The job can wait for `slack_ms` to start.
   waiting_work WorkAhead(const pool_claim& key, const pool_backlog& pool,
-                         bool returning, millis slack_ms) const;
+                         bool returning, millis slack_ms, millis now) const;
   /// Returns the expected work of a job; 0 if its pool is not known.
   double WorkOf(const fleet::job_record& job) const;
   /// Returns the time for which the pool has worked on what `key` has waiting.
@@ -121,6 +135,9 @@
 
   backlog_summary summary_;
   millis computed_at_ = -1;  ///< Time of the summary; -1: there is none.
+  /// Time of the first contact with the leader that failed since the last one
+  /// that did not; -1: none.
+  millis failed_since_ = -1;
   /// Pools that have had a backlog, by name: the last known capacity, and the
   /// backlog if the newest summary has one.
   std::map<std::string, pool_backlog> known_pools_;
--- a/tests/sched/admission_policy_test.cc
+++ b/tests/sched/admission_policy_test.cc
@@ -189,11 +189,47 @@
   BOOST_TEST(Decide(Job("team")).accepted);
 }
 
+// Guards against counting one job of this node for each of the others.
+BOOST_AUTO_TEST_CASE(wide_job_counts_once_with_many_nodes) {
+  nodes = 30;
+  AddBacklog("team", 0.5);
+  ApplySummary();
+  fleet::job_record wide = Job("team");
+  wide.request.steps[0].count = 200;
+  BOOST_TEST(Decide(wide).accepted);
+  subject.RecordAccepted(wide, now);
+  BOOST_TEST(Decide(Job("team")).accepted);
+  subject.RecordFailedContact(now);
+  now += 2000;
+  BOOST_TEST(Decide(Job("team")).accepted);
+}
+
+// Guards against taking a node that had no submissions for one whose leader is
+// gone.
+BOOST_AUTO_TEST_CASE(quiet_node_accepts_until_it_has_a_newer_summary) {
+  nodes = 30;
+  fleet::job_record wide = Job("team");
+  wide.request.steps[0].count = 2000;
+  AddBacklog("team", 2000);
+  ApplySummary();
+  BOOST_TEST(!Decide(wide).accepted);
+  for (const bool is_empty : {false, true}) {
+    if (is_empty) subject.ApplyEmptySummary(now);
+    BOOST_TEST(!subject.NeedsSummary(now));
+    now += 600000;
+    BOOST_TEST(subject.NeedsSummary(now));
+    BOOST_TEST(Decide(wide).accepted);
+    subject.RecordAccepted(wide, now);
+    BOOST_TEST(Decide(wide).accepted);
+  }
+}
+
 // Guards against accepting all or refusing all while the leader is gone.
 BOOST_AUTO_TEST_CASE(old_summary_admits_what_the_pool_can_carry) {
   nodes = 10;
   AddBacklog("team", 4);
   ApplySummary();
+  subject.RecordFailedContact(now);
   int accepted = 0;
   for (; now < 20000; now += 10) {
     if (!Decide(Job("team")).accepted) continue;
@@ -210,6 +246,7 @@
   ApplySummary();
   subject.ApplyEmptySummary(now);
   BOOST_TEST(Decide(Job("team")).accepted);
+  subject.RecordFailedContact(now);
   now += 5000;
   fleet::job_record large = Job("team");
   large.request.steps[0].count = 2000;
