Use no capacity of an incomplete summary without a larger known one

A leader that had listed one of 100 runners published their capacity, and nodes without a larger known one refused jobs by it, and kept it as known. Such a pool now has no forecast, so its jobs are accepted, and only complete summaries set the known capacity.

--- a/src/sched/admission_policy.cc
+++ b/src/sched/admission_policy.cc
@@ -89,15 +89,8 @@
   }
   for (auto& [name, known] : known_pools_) known.teams.clear();
   for (pool_backlog& pool : summary.pools) {
-    pool_backlog& known = known_pools_[pool.pool];
-    // Runners that have not listed their runs to a new leader are missing from
-    // its capacities, so that the last known one is closer to the truth.
-    if ((!summary.complete || pool.room_millicores <= 0) &&
-        known.room_millicores > pool.room_millicores) {
-      pool.capacity = known.capacity;
-      pool.room_millicores = known.room_millicores;
-    }
-    known = pool;
+    CorrectCapacity(pool, summary.complete);
+    known_pools_[pool.pool] = pool;
   }
   // The leader knows of most jobs that were accepted before it computed the
   // summary.
@@ -110,6 +103,21 @@
   return true;
 }
 
+// Runners that have not listed their runs to a new leader are missing from its
+// capacities, so that a larger known one is closer to the truth. Without one,
+// nothing tells how many runners are missing.
+void admission_policy::CorrectCapacity(pool_backlog& pool, bool complete) {
+  pool_capacity& known = capacities_[pool.pool];
+  if (complete && pool.room_millicores > 0) {
+    known = {pool.capacity, pool.room_millicores};
+  } else if (known.room_millicores > pool.room_millicores) {
+    pool.capacity = known.capacity;
+    pool.room_millicores = known.room_millicores;
+  } else {
+    pool.room_millicores = 0;
+  }
+}
+
 void admission_policy::ApplyEmptySummary(millis now) {
   RecordContact();
   for (auto& [name, known] : known_pools_) known.teams.clear();
--- a/src/sched/admission_policy.h
+++ b/src/sched/admission_policy.h
@@ -107,6 +107,13 @@
     double late_core_ms = 0;       ///< See team_backlog.
     double returning_core_ms = 0;  ///< Of refused jobs that come back later.
   };
+  struct pool_capacity {
+    fleet::resources capacity;
+    double room_millicores = 0;
+  };
+  /// Replaces a capacity of `pool` that is not reliable by the last known one,
+  /// or by 0 if that is not larger.
+  void CorrectCapacity(pool_backlog& pool, bool complete);
   /// Work of one claim that this node has accepted since the summary.
   struct accepted_work {
     double core_ms = 0;
@@ -141,6 +148,8 @@
   /// Pools that have had a backlog, by name: the last known capacity, and the
   /// backlog if the newest summary has one.
   std::map<std::string, pool_backlog> known_pools_;
+  /// The last capacities of the pools that complete summaries had, by name.
+  std::map<std::string, pool_capacity> capacities_;
   std::map<pool_claim, accepted_work> accepted_;  ///< Since `computed_at_`.
   std::map<pool_claim, returning_work> refused_;  ///< Not taken yet.
 };
--- a/tests/sched/admission_policy_test.cc
+++ b/tests/sched/admission_policy_test.cc
@@ -272,6 +272,29 @@
   BOOST_TEST(!Decide(Job("team")).accepted);
 }
 
+// Guards against refusals by a leader that knows of one of its 100 runners.
+BOOST_AUTO_TEST_CASE(incomplete_capacity_is_neither_used_nor_kept) {
+  AddBacklog("team", 4);
+  pool.room_millicores = kRoom / 100;
+  ApplySummary(1, false);
+  BOOST_TEST(Decide(Job("team")).accepted);
+  // A takeover that reports less, without a complete summary in between.
+  pool.room_millicores = kRoom / 200;
+  ApplySummary(2, false);
+  BOOST_TEST(Decide(Job("team")).accepted);
+  pool.room_millicores = kRoom;
+  ApplySummary(2);
+  BOOST_TEST(Decide(Job("team")).accepted);
+  pool.teams[0].feasible_core_ms[0] = 20 * kRoom;
+  // More than is known: the pool has grown, by how much is not known yet.
+  pool.room_millicores = 2 * kRoom;
+  ApplySummary(3, false);
+  BOOST_TEST(Decide(Job("team")).accepted);
+  pool.room_millicores = kRoom / 2;
+  ApplySummary(3, false);
+  BOOST_TEST(!Decide(Job("team")).accepted);
+}
+
 BOOST_AUTO_TEST_CASE(summary_of_an_earlier_leader_or_time_is_ignored) {
   AddBacklog("team", 20);
   ApplySummary(2);
