Let only feasible work of others delay a job that can be in time

The forecast let late and blocked work of higher priorities go before a job that could be in time, while the order of starts puts such jobs first, then priority. Competitors now bring their feasible work to the first forecast, their late work only to the second, and blocked work to neither.

--- a/src/sched/admission_policy.cc
+++ b/src/sched/admission_policy.cc
@@ -183,22 +183,24 @@
   decision.summary_age_ms = SummaryAge(now);
   const pool_claim key = KeyOf(job);
   const millis served_ms = ServedMs(key, now);
-  const auto forecast = [&](double core_ms) {
-    work_forecast result = ForecastWork(*pool, key.second, weight,
-                                        std::max(core_ms, kLeastCoreMs));
+  const auto forecast = [&](double core_ms, competing_work competing) {
+    work_forecast result = ForecastWork(
+        *pool, key.second, weight, std::max(core_ms, kLeastCoreMs), competing);
     result.wait_ms = std::max<millis>(0, result.wait_ms - served_ms);
     return result;
   };
   const job_durations durations = DurationsOf(job, *pool);
   const waiting_work ahead =
       WorkAhead(key, *pool, returning, durations.SlackMs(), now);
-  // Jobs that can still meet their objective go before late ones of their team,
-  // so only those delay a job that can meet its own.
+  // Jobs that can still meet their objective go before late ones of any team
+  // and priority, so only those delay a job that can meet its own.
   decision.forecast_ms =
-      forecast(ahead.feasible_core_ms).wait_ms + durations.shortest_run_ms;
+      forecast(ahead.feasible_core_ms, competing_work::kFeasible).wait_ms +
+      durations.shortest_run_ms;
   if (decision.forecast_ms <= durations.objective_ms) return decision;
   const work_forecast last =
-      forecast(ahead.feasible_core_ms + ahead.late_core_ms);
+      forecast(ahead.feasible_core_ms + ahead.late_core_ms,
+               competing_work::kFeasibleAndLate);
   decision.forecast_ms = last.wait_ms + durations.shortest_run_ms;
   decision.accepted =
       decision.forecast_ms <= kValueLostFactor * durations.objective_ms;
@@ -207,7 +209,8 @@
                                              : refusal_reason::kPoolFull;
   // The callers that were refused before come first.
   const work_forecast clear = forecast(
-      ahead.feasible_core_ms + ahead.late_core_ms + ahead.returning_core_ms);
+      ahead.feasible_core_ms + ahead.late_core_ms + ahead.returning_core_ms,
+      competing_work::kFeasibleAndLate);
   decision.retry_after_s = RetryAfterSeconds(job.id, clear.wait_ms, durations);
   return decision;
 }
--- a/src/sched/backlog_forecast.cc
+++ b/src/sched/backlog_forecast.cc
@@ -49,7 +49,8 @@
 // priority do not delay it.
 std::vector<competitor> FindCompetitors(const pool_backlog& pool,
                                         const backlog_claim& target,
-                                        double target_weight, double core_ms) {
+                                        double target_weight, double core_ms,
+                                        competing_work competing) {
   std::vector<competitor> found{
       {target.priority, {target_weight, HUGE_VAL}, core_ms, 0}};
   for (const team_backlog& team : pool.teams) {
@@ -61,7 +62,9 @@
       continue;
     }
     const double demand = team.used_millicores + team.waiting_millicores;
-    const double work = team.WaitingCoreMs();
+    const double work =
+        team.FeasibleCoreMs() +
+        (competing == competing_work::kFeasibleAndLate ? team.late_core_ms : 0);
     if (work < kNoWorkCoreMs) continue;
     found.push_back(
         {team.claim.priority, {team.weight, std::min(limit, demand)}, work, 0});
@@ -83,8 +86,9 @@
 
 work_forecast ForecastWork(const pool_backlog& pool,
                            const backlog_claim& target, double target_weight,
-                           double core_ms) {
-  auto competitors = FindCompetitors(pool, target, target_weight, core_ms);
+                           double core_ms, competing_work competing) {
+  auto competitors =
+      FindCompetitors(pool, target, target_weight, core_ms, competing);
   work_forecast forecast;
   double elapsed = 0;
   double millicores = pool.room_millicores;
--- a/src/sched/pool_backlog.cc
+++ b/src/sched/pool_backlog.cc
@@ -16,8 +16,11 @@
 }
 
 double team_backlog::WaitingCoreMs() const {
-  return std::accumulate(feasible_core_ms.begin(), feasible_core_ms.end(),
-                         late_core_ms + blocked_core_ms);
+  return FeasibleCoreMs() + late_core_ms + blocked_core_ms;
+}
+
+double team_backlog::FeasibleCoreMs() const {
+  return std::accumulate(feasible_core_ms.begin(), feasible_core_ms.end(), 0.0);
 }
 
 // Counts half of the work in the job's own range.
--- a/src/sched/pool_backlog.h
+++ b/src/sched/pool_backlog.h
@@ -52,6 +52,8 @@
 
   /// Returns all work that waits.
   double WaitingCoreMs() const;
+  /// Returns the work of ready tasks of jobs that can meet their objective.
+  double FeasibleCoreMs() const;
   /// Returns the work of jobs that can meet their objective and have to start
   /// before a job that can wait for `slack_ms`.
   double FeasibleCoreMsBefore(double slack_ms) const;
--- a/tests/sched/admission_policy_test.cc
+++ b/tests/sched/admission_policy_test.cc
@@ -170,6 +170,26 @@
   BOOST_TEST(Decide(job).accepted);
 }
 
+// Guards against a forecast that differs from the order of starts: jobs that
+// can be in time first, then priority.
+BOOST_AUTO_TEST_CASE(only_feasible_work_of_others_delays_a_job_in_time) {
+  team_backlog& urgent = AddBacklog("urgent", 0);
+  urgent.late_core_ms = 30 * kRoom;
+  urgent.blocked_core_ms = 30 * kRoom;
+  ApplySummary();
+  fleet::job_record job = Job("team");
+  job.priority = 1;
+  BOOST_TEST(Decide(job).accepted);
+  // Work of its own that takes the time until its objective: the job would be
+  // late, so that the late work of a higher priority goes before it.
+  AddBacklog("team", 1.5).claim.priority = 1;
+  ApplySummary();
+  BOOST_TEST(!Decide(job).accepted);
+  pool.teams[0].late_core_ms = 0;
+  ApplySummary();
+  BOOST_TEST(Decide(job).accepted);
+}
+
 BOOST_AUTO_TEST_CASE(hosts_that_arrive_in_time_count) {
   AddBacklog("team", 20);
   pool.arrivals = {{1000, 9 * kRoom}};
