Count the work of a refused job once, when its refusal is made

Refused work was recorded before the guard told whether the job had been refused already, so that callers who came back were counted again, and so were submissions whose refusal failed.

--- a/src/node/job_submission.cc
+++ b/src/node/job_submission.cc
@@ -42,6 +42,9 @@
     std::uint64_t seen_revision = 0;  ///< See refusal_knowledge.
     sched::admission_decision decision;
     std::string_view reason;  ///< Reason of the refusal; empty if accepted.
+    /// Another refusal of the job was met, so that its work is expected back
+    /// already.
+    bool was_refused = false;
     int guard_attempts_left = kMaxGuardAttempts;
     responder respond;
   };
@@ -106,6 +109,7 @@
                                                     "the job may be stored"));
     case submission_outcome::kOverruled:
       entry->reason = kOverruled;
+      entry->was_refused = true;
       entry->decision.retry_after_s = kRetryAfterSeconds;
       return Refuse(entry, 0);
   }
@@ -125,11 +129,15 @@
   using kind = guard_outcome::kind;
   switch (outcome.result) {
     case kind::kGuarded:
+      if (!entry->was_refused) {
+        admission.RecordRefused(entry->job, entry->decision);
+      }
       return SendRefusal(*entry);
     case kind::kStored:
       on_stored(entry->job.id, outcome.record, outcome.revision);
       return entry->respond(http::MakeJsonResponse(200, boost::json::object{}));
     case kind::kOtherRefusal:
+      entry->was_refused = true;
       if (--entry->guard_attempts_left <= 0) break;
       return DecideAgain(entry, outcome);
     case kind::kUnavailable:
@@ -192,7 +200,6 @@
   entry->decision = impl_->admission.Decide(entry->job, false);
   if (entry->decision.accepted) return impl_->Store(entry, 0);
   entry->reason = sched::RefusalReasonName(entry->decision.reason);
-  impl_->admission.RecordRefused(entry->job, entry->decision);
   impl_->Refuse(entry, 0);
 }
 
--- a/tests/node/refusal_test.cc
+++ b/tests/node/refusal_test.cc
@@ -1,6 +1,8 @@
+#include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "src/node/record_keys.h"
+#include "src/sched/backlog_codec.h"
 #include "tests/node/node_fixture.h"
 
 namespace radishwing::node {
@@ -46,6 +48,34 @@
     store.DelayCommitsOf("");
   }
 
+  /// Returns the leader's next backlog summary.
+  sched::backlog_summary NextSummary() {
+    const auto record = boost::json::parse(store.Value("rw/n/shard/0"));
+    const std::string peer = record.at("address").as_string().c_str();
+    std::uint64_t first = 0;
+    sched::backlog_summary summary;
+    BOOST_REQUIRE(RunUntil([&] {
+      Call(peer, verb::post, "/peer/backlog?node=test", R"({"refused":[]})");
+      const auto decoded = sched::DecodeBacklog(response_body);
+      if (!Ok(decoded)) return false;
+      summary = Value(decoded);
+      if (first == 0) first = summary.sequence;
+      return summary.sequence > first;
+    }));
+    return summary;
+  }
+
+  /// Returns the work of refused jobs that the leader expects back.
+  double ReturningCoreMs() {
+    double sum = 0;
+    for (const sched::pool_backlog& pool : NextSummary().pools) {
+      for (const sched::team_backlog& team : pool.teams) {
+        sum += team.returning_core_ms;
+      }
+    }
+    return sum;
+  }
+
   bool IsStored() const { return !store.Value(JobKey(kJob)).empty(); }
 
   std::string address;  ///< Of the leader.
@@ -119,6 +149,19 @@
   BOOST_TEST(CallUntil(address, verb::post, kJobPath, 200, JobBody(1)));
 }
 
+// Guards against work that counts again with each return of its caller.
+BOOST_AUTO_TEST_CASE(refused_job_counts_once_when_its_caller_returns) {
+  Overload(address);
+  BOOST_REQUIRE(Submit(address) == 503u);
+  // A submission reports what was refused before it.
+  BOOST_REQUIRE(Submit(address) == 503u);
+  const double once = ReturningCoreMs();
+  BOOST_TEST(once > 0);
+  BOOST_REQUIRE(Submit(address) == 503u);
+  BOOST_REQUIRE(Submit(address) == 503u);
+  BOOST_TEST(ReturningCoreMs() < 1.5 * once);
+}
+
 // Guards against refusing what must always be possible during an overload.
 BOOST_AUTO_TEST_CASE(states_and_cancels_are_served_during_an_overload) {
   Overload(address);
