Clamp odd amounts in summaries, and identify empty ones

One odd value (a negative priority, a huge weight or estimate) made each node reject the whole summary, or overflowed a conversion. Amounts are now clamped at both ends where the leader encodes them and where they become times, and the decoder takes any priority that a configuration can have. A node that knows a summary is told of the end of a shortage by one without pools, with fence and sequence, so that a late one of a deposed leader is ignored; an answer of a deposed leader does not count as contact.

--- a/src/node/admission_control.cc
+++ b/src/node/admission_control.cc
@@ -83,8 +83,7 @@
 
 void admission_control::impl::ApplyResponse(const std::string& body) {
   const millis now = context.now.Now();
-  if (body == kUnchangedBacklog) return policy.RecordContact();
-  if (body.empty()) return policy.ApplyEmptySummary(now);
+  if (body.empty() || body == kUnchangedBacklog) return policy.RecordContact();
   auto decoded = sched::DecodeBacklog(body);
   if (!Ok(decoded)) {
     // One line is enough: the next good summary replaces a damaged one.
--- a/src/node/leader.h
+++ b/src/node/leader.h
@@ -62,10 +62,10 @@
   /// Returns the number of jobs of `queue` of which no task has started.
   std::size_t PendingCount(std::string_view queue) const;
   /// Returns the body that tells a node of the current backlog summary: empty
-  /// without a shortage, or kUnchangedBacklog if the node has that summary
-  /// already. `node` is its name; `fencing_token` and `sequence` identify the
-  /// summary that it has. `refused` is the encoded work that the node refused,
-  /// or empty.
+  /// without a shortage if the node has no summary, or kUnchangedBacklog if the
+  /// node has that summary already. `node` is its name; `fencing_token` and
+  /// `sequence` identify the summary that it has. `refused` is the encoded work
+  /// that the node refused, or empty.
   std::string BacklogResponse(const std::string& node,
                               std::uint64_t fencing_token,
                               std::uint64_t sequence, std::string_view refused);
--- a/src/node/leader_backlog.cc
+++ b/src/node/leader_backlog.cc
@@ -38,7 +38,9 @@
   const sched::backlog_summary& summary = impl_->backlog.Summary(
       now, impl_->context.MeasuredLink().IsCongested() ? kCongestedMaxAgeMs
                                                        : kMaxAgeMs);
-  if (impl_->backlog.IsIdle(now)) return "";
+  // A node that knows a summary is sent an empty one with token and sequence,
+  // so that it can tell it from a late one of an earlier leader.
+  if (fencing_token == 0 && impl_->backlog.IsIdle(now)) return "";
   if (fencing_token == impl_->fencing_token && sequence == summary.sequence) {
     return std::string(kUnchangedBacklog);
   }
--- a/src/sched/admission_policy.cc
+++ b/src/sched/admission_policy.cc
@@ -51,9 +51,9 @@
   const auto path = static_cast<double>(CriticalPathMs(job.request, nullptr));
   const double shortest = std::max(run_times.mean_ratio * kLeastRatioShare,
                                    run_times.mean_ratio - run_times.spread);
-  return {static_cast<millis>(job.stretch * path * run_times.mean_ratio) +
-              job.target_ms,
-          static_cast<millis>(path * shortest)};
+  return {RoundedAmount(job.stretch * path * run_times.mean_ratio +
+                        static_cast<double>(job.target_ms)),
+          RoundedAmount(path * shortest)};
 }
 
 // Returns the time after which a job that is submitted again can meet its
@@ -78,7 +78,6 @@
 }
 
 bool admission_policy::ApplySummary(backlog_summary summary, millis now) {
-  RecordContact();
   const millis computed_at = now - summary.age_ms;
   if (computed_at_ >= 0) {
     if (summary.fencing_token < summary_.fencing_token) return false;
@@ -87,6 +86,7 @@
       return false;
     }
   }
+  RecordContact();
   for (auto& [name, known] : known_pools_) known.teams.clear();
   for (pool_backlog& pool : summary.pools) {
     CorrectCapacity(pool, summary.complete);
@@ -118,14 +118,6 @@
   }
 }
 
-void admission_policy::ApplyEmptySummary(millis now) {
-  RecordContact();
-  for (auto& [name, known] : known_pools_) known.teams.clear();
-  summary_.pools.clear();
-  accepted_.clear();
-  computed_at_ = now;
-}
-
 millis admission_policy::SummaryAge(millis now) const {
   return computed_at_ < 0 ? std::numeric_limits<millis>::max()
                           : std::max<millis>(0, now - computed_at_);
--- a/src/sched/admission_policy.h
+++ b/src/sched/admission_policy.h
@@ -55,15 +55,13 @@
   /// Applies a summary that arrived at `now`. Returns false if it is older than
   /// the current one.
   bool ApplySummary(backlog_summary summary, millis now);
-  /// Records that the leader answered that the current summary is its newest.
+  /// Records that the leader answered without a newer summary.
   void RecordContact() { failed_since_ = -1; }
   /// Records that a contact with the leader failed at `now`. Only then does a
   /// summary become an old one: a quiet node may have had none for a long time.
   void RecordFailedContact(millis now) {
     if (failed_since_ < 0) failed_since_ = now;
   }
-  /// Records that the leader reported no backlog at `now`.
-  void ApplyEmptySummary(millis now);
 
   /// Decides about `job`, whose request is decoded. `weight` is the weight of
   /// its team. `returning` is true if the job was refused before and its caller
--- a/src/sched/backlog_codec.cc
+++ b/src/sched/backlog_codec.cc
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 #include <cmath>
 #include <cstdint>
+#include <limits>
 #include <span>
 
 #include "src/base/json_fields.h"
@@ -11,9 +12,7 @@
 namespace json = boost::json;
 namespace {
 
-// Largest amount of work, capacity or time in a summary. Sums of such amounts
-// stay exact.
-constexpr double kMaxAmount = 1e15;
+constexpr auto kMaxAmount = static_cast<double>(kMaxBacklogAmount);
 // Factor of weights and ratios, which are encoded as whole numbers.
 constexpr double kFraction = 1000;
 constexpr std::size_t kTeamFieldCount = 11;
@@ -21,11 +20,6 @@
 constexpr std::size_t kArrivalFieldCount = 2;
 constexpr std::size_t kRefusedFieldCount = 5;
 
-std::int64_t Rounded(double amount) {
-  if (std::isnan(amount)) return 0;
-  return std::llround(std::min(amount, kMaxAmount));
-}
-
 /// Reads the fields of a row, which is an array, one after another.
 class row_reader {
  public:
@@ -40,11 +34,15 @@
     if (!text) return Reject<std::string>();
     return {text->begin(), text->end()};
   }
-  double Amount(double minimum = 0) {
+  int Priority() {
+    return static_cast<int>(Amount(std::numeric_limits<int>::min(),
+                                   std::numeric_limits<int>::max()));
+  }
+  double Amount(double minimum = 0, double maximum = kMaxAmount) {
     const json::value* field = Next();
     boost::system::error_code error;
     const double amount = field ? field->to_number<double>(error) : 0;
-    if (!field || error || amount < minimum || amount > kMaxAmount) {
+    if (!field || error || amount < minimum || amount > maximum) {
       return Reject<double>();
     }
     return amount;
@@ -82,7 +80,7 @@
 json::array EncodeFeasible(const team_backlog& team) {
   json::array amounts;
   for (const double core_ms : team.feasible_core_ms) {
-    amounts.push_back(Rounded(core_ms));
+    amounts.push_back(RoundedAmount(core_ms));
   }
   while (!amounts.empty() && amounts.back() == 0) amounts.pop_back();
   return amounts;
@@ -92,27 +90,33 @@
   json::array teams;
   for (const team_backlog& team : pool.teams) {
     teams.push_back(json::array{
-        team.claim.team, team.claim.priority, Rounded(team.weight * kFraction),
-        Rounded(team.used_millicores), Rounded(team.waiting_millicores),
-        EncodeFeasible(team), Rounded(team.late_core_ms),
-        Rounded(team.blocked_core_ms), Rounded(team.returning_core_ms),
-        Rounded(team.due_core_ms), Rounded(team.limit_millicores)});
+        team.claim.team, team.claim.priority,
+        RoundedAmount(team.weight * kFraction, -kMaxAmount),
+        RoundedAmount(team.used_millicores),
+        RoundedAmount(team.waiting_millicores), EncodeFeasible(team),
+        RoundedAmount(team.late_core_ms), RoundedAmount(team.blocked_core_ms),
+        RoundedAmount(team.returning_core_ms), RoundedAmount(team.due_core_ms),
+        RoundedAmount(team.limit_millicores, -1)});
   }
   json::array arrivals;
   for (const capacity_arrival& arrival : pool.arrivals) {
-    arrivals.push_back(json::array{arrival.in_ms, Rounded(arrival.millicores)});
+    arrivals.push_back(
+        json::array{RoundedAmount(static_cast<double>(arrival.in_ms)),
+                    RoundedAmount(arrival.millicores)});
   }
   json::array queues;
   for (const queue_run_times& queue : pool.queues) {
     queues.push_back(json::array{queue.queue,
-                                 Rounded(queue.mean_ratio * kFraction),
-                                 Rounded(queue.spread * kFraction)});
+                                 RoundedAmount(queue.mean_ratio * kFraction),
+                                 RoundedAmount(queue.spread * kFraction)});
   }
   return {{"pool", pool.pool},
           {"capacity",
-           json::array{pool.capacity.cpu_millicores, pool.capacity.memory_mb,
-                       pool.capacity.accelerators}},
-          {"room", Rounded(pool.room_millicores)},
+           json::array{
+               RoundedAmount(static_cast<double>(pool.capacity.cpu_millicores)),
+               RoundedAmount(static_cast<double>(pool.capacity.memory_mb)),
+               RoundedAmount(static_cast<double>(pool.capacity.accelerators))}},
+          {"room", RoundedAmount(pool.room_millicores)},
           {"arrivals", std::move(arrivals)},
           {"teams", std::move(teams)},
           {"queues", std::move(queues)}};
@@ -122,7 +126,7 @@
   row_reader row(value, kTeamFieldCount);
   team_backlog team;
   team.claim.team = row.Text();
-  team.claim.priority = static_cast<int>(row.Amount());
+  team.claim.priority = row.Priority();
   team.weight = row.Amount(-kMaxAmount) / kFraction;
   team.used_millicores = row.Amount();
   team.waiting_millicores = row.Amount();
@@ -218,8 +222,10 @@
 std::string EncodeRefusedWork(std::span<const returning_work> refused) {
   json::array rows;
   for (const returning_work& work : refused) {
-    rows.push_back(json::array{work.pool, work.claim.team, work.claim.priority,
-                               Rounded(work.core_ms), work.due_in_ms});
+    rows.push_back(
+        json::array{work.pool, work.claim.team, work.claim.priority,
+                    RoundedAmount(work.core_ms),
+                    RoundedAmount(static_cast<double>(work.due_in_ms))});
   }
   return json::serialize(json::object{{"refused", std::move(rows)}});
 }
@@ -234,7 +240,7 @@
     returning_work work;
     work.pool = row.Text();
     work.claim.team = row.Text();
-    work.claim.priority = static_cast<int>(row.Amount());
+    work.claim.priority = row.Priority();
     work.core_ms = row.Amount();
     work.due_in_ms = static_cast<millis>(row.Amount());
     if (!row.Valid()) fields.Reject("refused");
--- a/src/sched/backlog_collector.cc
+++ b/src/sched/backlog_collector.cc
@@ -31,8 +31,12 @@
 }
 
 fleet::resources Times(const fleet::resources& needs, std::int64_t count) {
-  return {needs.cpu_millicores * count, needs.memory_mb * count,
-          needs.accelerators * count};
+  if (count <= 0) return {};
+  const auto product = [count](std::int64_t need) {
+    return std::min(need, kMaxBacklogAmount / count) * count;
+  };
+  return {product(needs.cpu_millicores), product(needs.memory_mb),
+          product(needs.accelerators)};
 }
 
 bool HasBacklog(const team_backlog& team, double room_millicores) {
--- a/src/sched/pool_backlog.cc
+++ b/src/sched/pool_backlog.cc
@@ -1,10 +1,17 @@
 #include "src/sched/pool_backlog.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 
 namespace radishwing::sched {
 
+std::int64_t RoundedAmount(double amount, double minimum) {
+  if (std::isnan(amount)) return 0;
+  return std::llround(
+      std::clamp(amount, minimum, static_cast<double>(kMaxBacklogAmount)));
+}
+
 std::size_t SlackIndex(double slack_ms) {
   constexpr double kFirstBoundMs = 250;
   std::size_t index = 0;
@@ -73,8 +80,7 @@
       if (other.pool == pool.pool || other.room_millicores <= 0) continue;
       double work = 0;
       for (const team_backlog& team : other.teams) work += team.WaitingCoreMs();
-      const auto done_ms =
-          static_cast<millis>(work * 1000 / other.room_millicores);
+      const millis done_ms = RoundedAmount(work * 1000 / other.room_millicores);
       pool.arrivals.push_back({done_ms + move_ms, other.room_millicores});
     }
     std::ranges::sort(pool.arrivals, {}, &capacity_arrival::in_ms);
--- a/src/sched/pool_backlog.h
+++ b/src/sched/pool_backlog.h
@@ -13,6 +13,14 @@
 
 namespace radishwing::sched {
 
+/// Largest amount of work, capacity or time in a summary. Sums and small
+/// multiples of such amounts stay exact.
+inline constexpr std::int64_t kMaxBacklogAmount = 1'000'000'000'000'000;
+
+/// Rounds an amount to a whole number in the range from `minimum` to
+/// kMaxBacklogAmount; one that is not a number counts as 0.
+std::int64_t RoundedAmount(double amount, double minimum = 0);
+
 /// Number of ranges into which times that jobs can wait are divided.
 inline constexpr std::size_t kSlackSteps = 8;
 
