Spread callers that are told the longest time, and keep computed times

The limit of Retry-After came after the spread, so that a burst with a long wait was told the same second. If the store refuses the write of a guard, the caller is told the computed time instead of 1 s.

--- a/src/node/job_submission.cc
+++ b/src/node/job_submission.cc
@@ -17,6 +17,8 @@
 // Tolerated difference between the clocks of two nodes, and time by which a
 // caller may come back too early.
 constexpr millis kEarlyReturnMs = 1000;
+// Reason of the answer if the store did not take a write.
+constexpr std::string_view kStoreUnreachable = "store_unreachable";
 // Reason of the refusal of a job that another node may have refused after it
 // received this submission.
 constexpr std::string_view kOverruled = "refused_elsewhere";
@@ -102,7 +104,7 @@
       return entry->respond(http::MakeJsonResponse(200, boost::json::object{}));
     case submission_outcome::kRefused:
       CountOutcome(*entry, "refused");
-      return entry->respond(MakeRetryLaterResponse("store_unreachable"));
+      return entry->respond(MakeRetryLaterResponse(kStoreUnreachable));
     case submission_outcome::kUnknown:
       CountOutcome(*entry, "unknown");
       return entry->respond(http::MakeErrorResponse(504, "outcome_unknown",
@@ -141,7 +143,11 @@
       if (--entry->guard_attempts_left <= 0) break;
       return DecideAgain(entry, outcome);
     case kind::kUnavailable:
-      return OnStoreOutcome(entry, submission_outcome::kRefused);
+      // The store may refuse the guard because of the load, too.
+      CountOutcome(*entry, "refused");
+      return entry->respond(MakeRetryResponse(
+          503, kStoreUnreachable,
+          std::max(kRetryAfterSeconds, entry->decision.retry_after_s)));
     case kind::kUnknown:
       break;
   }
--- a/src/sched/admission_policy.cc
+++ b/src/sched/admission_policy.cc
@@ -59,14 +59,20 @@
 // Returns the time after which a job that is submitted again can meet its
 // objective: the work ahead, which takes `wait_ms`, has shrunk to what the job
 // can wait for. The id spreads the callers over the time in which that much
-// work is done, so that they do not come back at once.
+// work is done, so that they do not come back at once. If that time is beyond
+// the longest one, they are spread over the last part up to it.
 int RetryAfterSeconds(const std::string& id, millis wait_ms,
                       const job_durations& durations) {
   constexpr std::size_t kSteps = 4096;
+  constexpr millis kLongestMs = kMaxRetryAfterSeconds * 1000;
+  constexpr millis kLatestStartMs = kLongestMs - kLongestMs / 3;
   const millis slack = durations.SlackMs();
-  const millis spread = static_cast<millis>(std::hash<std::string>{}(id) %
-                                            kSteps * slack / kSteps);
-  const millis delay = std::max<millis>(0, wait_ms - slack) + spread;
+  const millis start = std::clamp<millis>(wait_ms - slack, 0, kLatestStartMs);
+  const millis rest = kLongestMs - start;
+  const millis range = start == kLatestStartMs ? rest : std::min(slack, rest);
+  const millis delay =
+      start + static_cast<millis>(std::hash<std::string>{}(id) % kSteps) *
+                  range / static_cast<millis>(kSteps);
   return static_cast<int>(
       std::clamp<millis>(delay / 1000 + 1, 1, kMaxRetryAfterSeconds));
 }
--- a/tests/node/refusal_test.cc
+++ b/tests/node/refusal_test.cc
@@ -137,6 +137,16 @@
   BOOST_TEST(!IsStored());
 }
 
+// Guards against callers that come back at once while the store refuses writes.
+BOOST_AUTO_TEST_CASE(computed_time_is_kept_if_the_store_refuses_the_guard) {
+  Overload(address);
+  store.SetUnavailable(true);
+  BOOST_TEST(Submit(address) == 503u);
+  store.SetUnavailable(false);
+  BOOST_TEST(response_body.find("store_unreachable") != std::string::npos);
+  BOOST_TEST(std::stoi(retry_after) > 1);
+}
+
 // Guards against storing a job whose later submission was refused by another
 // node while this one was under way.
 BOOST_AUTO_TEST_CASE(submission_is_overruled_by_a_refusal_after_its_arrival) {
--- a/tests/sched/admission_policy_test.cc
+++ b/tests/sched/admission_policy_test.cc
@@ -368,6 +368,20 @@
   BOOST_TEST(counts.size() >= 5u);
 }
 
+// Guards against a burst that is told to come back in the same second.
+BOOST_AUTO_TEST_CASE(longest_times_are_spread_as_well) {
+  AddBacklog("team", 300);
+  ApplySummary();
+  std::map<int, int> counts;
+  for (int i = 0; i < 500; ++i) {
+    ++counts[Decide(Job("team", "job" + std::to_string(i))).retry_after_s];
+  }
+  BOOST_TEST(counts.size() >= 10u);
+  BOOST_TEST(counts.begin()->first > kMaxRetryAfterSeconds / 2);
+  BOOST_TEST(counts.rbegin()->first <= kMaxRetryAfterSeconds);
+  for (const auto& [second, count] : counts) BOOST_TEST(count < 100);
+}
+
 // Guards against one odd value of a configuration or a job that makes all nodes
 // reject the whole summary.
 BOOST_AUTO_TEST_CASE(odd_values_reach_nodes_within_limits) {
