Refuse submissions that come before the time of their refusal

A node that is paused may read a submission after a later one of the same job was refused, and knew the refusal's revision by then, so that the intake went on with it. A guard whose time to return still lies ahead now overrules the intake too, as it does when a refused job is decided again. The guard keeps its time: each early return had moved it by up to a second, and the time told was rounded up by one second too much.

The test of a job that is accepted after the overload came back before its time, which is now refused; it lets that time pass before. A new test requires that earlier returns are refused without a load.

--- a/src/node/job_intake.cc
+++ b/src/node/job_intake.cc
@@ -9,6 +9,7 @@
 
 #include "src/node/job_record_codec.h"
 #include "src/node/record_keys.h"
+#include "src/node/refusal_guard.h"
 
 namespace radishwing::node {
 namespace {
@@ -164,7 +165,11 @@
         FindItem(outcome.current, RefusalKey(job.job.id));
     if (refusal && refusal->revision != job.refusal.revision) {
       conflict_reported = true;
-      if (refusal->revision > job.refusal.seen_revision) {
+      // A submission that is read before its caller should come back may be one
+      // that the node received before the refusal and read late.
+      const bool is_early = DecodeRetryTime(refusal->value) >
+                            context.unix_now.Now() + kEarlyReturnMs;
+      if (refusal->revision > job.refusal.seen_revision || is_early) {
         Complete(job, submission_outcome::kOverruled);
         continue;
       }
--- a/src/node/job_submission.cc
+++ b/src/node/job_submission.cc
@@ -14,9 +14,6 @@
 constexpr int kRetryAfterSeconds = 1;
 // Refusals of the same job by other nodes that a submission may meet.
 constexpr int kMaxGuardAttempts = 3;
-// Tolerated difference between the clocks of two nodes, and time by which a
-// caller may come back too early.
-constexpr millis kEarlyReturnMs = 1000;
 // Reason of the answer if the store did not take a write.
 constexpr std::string_view kStoreUnreachable = "store_unreachable";
 // Reason of the refusal of a job that another node may have refused after it
@@ -47,6 +44,8 @@
     /// Another refusal of the job was met, so that its work is expected back
     /// already.
     bool was_refused = false;
+    /// Unix time that a caller keeps who came back too early; 0: none.
+    millis kept_retry_at_unix_ms = 0;
     int guard_attempts_left = kMaxGuardAttempts;
     responder respond;
   };
@@ -77,7 +76,11 @@
                                            outcome);
   }
   millis RetryTime(const submission& entry) const {
-    return context.unix_now.Now() + entry.decision.retry_after_s * 1000;
+    const millis latest =
+        context.unix_now.Now() + entry.decision.retry_after_s * 1000;
+    return entry.kept_retry_at_unix_ms > 0
+               ? std::min(entry.kept_retry_at_unix_ms, latest)
+               : latest;
   }
 
   node_context& context;
@@ -156,14 +159,15 @@
 
 void job_submission::impl::DecideAgain(const shared_submission& entry,
                                        const guard_outcome& earlier) {
-  if (earlier.revision > entry->seen_revision || entry->reason == kOverruled) {
-    return Refuse(entry, earlier.revision);
-  }
   const millis early = earlier.retry_at_unix_ms - context.unix_now.Now();
   if (early > kEarlyReturnMs) {
     // The caller came back too early and keeps its place.
     entry->decision.retry_after_s = static_cast<int>(
-        std::min<millis>(early / 1000 + 1, sched::kMaxRetryAfterSeconds));
+        std::min<millis>((early + 999) / 1000, sched::kMaxRetryAfterSeconds));
+    entry->kept_retry_at_unix_ms = earlier.retry_at_unix_ms;
+    return Refuse(entry, earlier.revision);
+  }
+  if (earlier.revision > entry->seen_revision || entry->reason == kOverruled) {
     return Refuse(entry, earlier.revision);
   }
   entry->decision = admission.Decide(entry->job, true);
--- a/src/node/refusal_guard.cc
+++ b/src/node/refusal_guard.cc
@@ -46,12 +46,6 @@
       boost::json::object{{"retry_at", retry_at_unix_ms}});
 }
 
-// Returns 0 if `text` is malformed.
-millis DecodeRetryTime(std::string_view text) {
-  auto parsed = json_fields::Parse("refusal", text);
-  return Ok(parsed) ? Value(parsed).Signed("retry_at") : 0;
-}
-
 guard_outcome MakeOutcome(outcome_kind kind, std::uint64_t revision = 0) {
   guard_outcome outcome;
   outcome.result = kind;
@@ -68,6 +62,11 @@
 
 }  // namespace
 
+millis DecodeRetryTime(std::string_view guard) {
+  auto parsed = json_fields::Parse("refusal", guard);
+  return Ok(parsed) ? Value(parsed).Signed("retry_at") : 0;
+}
+
 struct refusal_guard::impl : std::enable_shared_from_this<refusal_guard::impl> {
   struct pending_guard {
     std::string id;  ///< Of the job.
--- a/src/node/refusal_guard.h
+++ b/src/node/refusal_guard.h
@@ -4,11 +4,20 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "src/node/node_context.h"
 
 namespace radishwing::node {
 
+/// Tolerated difference between the clocks of two nodes, and time by which a
+/// caller may come back too early.
+inline constexpr millis kEarlyReturnMs = 1000;
+
+/// Returns the Unix time at which a caller was told to submit a job again, from
+/// the value of the refusal's key, or 0 if that is malformed.
+millis DecodeRetryTime(std::string_view guard);
+
 /// Result of an attempt to guard the refusal of a job.
 struct guard_outcome {
   enum class kind {
--- a/tests/node/refusal_test.cc
+++ b/tests/node/refusal_test.cc
@@ -121,6 +121,8 @@
   Overload(address);
   BOOST_REQUIRE(Submit(address) == 503u);
   BOOST_REQUIRE(Call(address, verb::delete_, kFloodPath) == 200u);
+  // The time that the caller was told has passed.
+  store.Put(RefusalKey(kJob), R"({"retry_at":0})");
   BOOST_TEST(CallUntil(other_address, verb::post, kJobPath, 200, JobBody(1)));
   BOOST_TEST(WaitForState(other_address, kJob, "succeeded"));
 }
@@ -172,6 +174,23 @@
   BOOST_TEST(ReturningCoreMs() < 1.5 * once);
 }
 
+// Guards against storing a submission that a paused node reads after the
+// refusal of a later one, and against a time that grows with each early return.
+BOOST_AUTO_TEST_CASE(submission_before_its_time_is_not_stored_without_a_load) {
+  Overload(address);
+  BOOST_REQUIRE(Submit(address) == 503u);
+  const std::string guard = store.Value(RefusalKey(kJob));
+  const int first_s = std::stoi(retry_after);
+  BOOST_REQUIRE(Call(address, verb::delete_, kFloodPath) == 200u);
+  for (int i = 0; i < 3; ++i) {
+    BOOST_TEST(Submit(other_address) == 503u);
+    BOOST_TEST(std::stoi(retry_after) > 1);
+    BOOST_TEST(std::stoi(retry_after) <= first_s);
+    BOOST_TEST(!IsStored());
+    BOOST_TEST(store.Value(RefusalKey(kJob)) == guard);
+  }
+}
+
 // Guards against refusing what must always be possible during an overload.
 BOOST_AUTO_TEST_CASE(states_and_cancels_are_served_during_an_overload) {
   Overload(address);
