Store a changed runner set with the next periodic check

Since the runner set is rewritten for a changed address, each entry of a runner built the text of the whole set, so a read of all entries took the square of their number. Only a changed pool, address or data centre counts now, and the next check stores the set.

--- a/src/node/leader_runners.cc
+++ b/src/node/leader_runners.cc
@@ -110,9 +110,13 @@
     AddLink(report, 0);
     SaveRunnerSet();
   } else {
+    const fleet::runner_report& before = it->second->Report();
+    // The next periodic check stores the set: building it for each of thousands
+    // of entries would block the leader.
+    runner_set_dirty |= before.pool != report.pool ||
+                        before.address != report.address ||
+                        before.data_centre != report.data_centre;
     it->second->UpdateReport(report);
-    runner_set_dirty = true;
-    SaveRunnerSet();
   }
   SchedulePass();
 }
