--- /dev/null
+++ b/review/world-2/json_impl.cc
@@ -0,0 +1,2 @@
+// Boost.JSON, compiled once for all cases.
+#include <boost/json/src.hpp>
