Add review case 9: stopped copies hold a runner's room until the next leader

The leader is killed while the tasks of a speculative step end. The next leader places copies that wait for the job's record, learns of the ends, stops the copies and starts them all the same. The runner refuses; the outcome is ignored, and the runs hold their room until the term ends: a later job never starts (LOST).

--- /dev/null
+++ b/review/9/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec bash "$(dirname "$0")/../world-2/run.sh" "$(dirname "$0")"
--- a/review/world-2/runner.h
+++ b/review/world-2/runner.h
@@ -28,6 +28,7 @@
   std::int64_t cpu = 16000;
   std::int64_t memory_mb = 65536;
   millis heartbeat_ms = 1500;
+  millis answer_ms = 0;  ///< Time that an answer takes.
   millis max_hold_ms = 6000;
   millis gang_timeout_ms = 3000;
   millis checkpoint_ms = 2000;
@@ -236,6 +237,7 @@
 
   net::awaitable<reply> Serve(request call) {
     if (call.method == "GET") co_return reply{200};
+    if (settings_.answer_ms > 0) co_await Sleep(settings_.answer_ms);
     const json::object body = ParseBody(call.body);
     const auto expected = call.headers.find("Expect-Instance");
     if (expected != call.headers.end() && expected->second != settings_.id) {
