--- a/review/world-2/nodes.h
+++ b/review/world-2/nodes.h
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -43,6 +44,8 @@
     const std::string output = folder_ + "/" + Name(i) + ".log";
     const pid_t pid = fork();
     if (pid == 0) {
+      // The daemon ends with this process, also if that is killed.
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
       const int file =
           open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(file, 1);
