Take a host of a wave for gone only after a list that is newer than the wave

Cause: a host that was missing from the last list of the hosts counted as gone, whatever the age of that list. During an outage of the host service the list is older than the host. A reported wave was not looked at again.

Change: sched::PresenceOf tells apart hosts that are listed, gone, awaited or never listed. A host is gone if a list had it and one that was requested after the wave was known has not; a host that no list had holds its wave for the wave's time limit. The hosts that a list has shown are stored with the progress of the wave, in the commit that reports it as running, for the next leader. A host that returns in time takes its wave up again. Related path: a host that is down counted against the limit of its wave no longer once a list from before its order did not have it.

Ruled out: an order whose outcome was misread; the host service got none.

--- a/src/ctl/fleet_commands.cc
+++ b/src/ctl/fleet_commands.cc
@@ -11,6 +11,7 @@
 #include "src/node/member_table.h"
 #include "src/node/record_keys.h"
 #include "src/node/term_record.h"
+#include "src/node/wave_record.h"
 #include "src/sched/progress_codec.h"
 
 namespace radishwing::ctl {
@@ -132,12 +133,11 @@
     if (!Ok(wave)) return ReportFailure(context, Error(wave));
     auto begun = context.store.get(node::WaveKey(Value(wave).number));
     if (!Ok(begun)) return ReportFailure(context, Error(begun));
-    boost::system::error_code error;
-    const json::value hosts = json::parse(Value(begun).value, error);
     rows.push_back(json::object{
         {"wave", Value(wave).number},
         {"hosts", Value(wave).hosts.size()},
-        {"begun", !error && hosts.is_array() ? hosts.get_array().size() : 0},
+        {"begun",
+         node::DecodeWaveRecord(Value(begun).value).started_hosts.size()},
         {"max_down", Value(wave).max_down},
         {"duration_ms", Value(wave).time_limit_ms}});
   }
--- a/src/node/host_controller.cc
+++ b/src/node/host_controller.cc
@@ -70,22 +70,22 @@
   if (fenced) return;
   for (auto& [number, wave] : waves) {
     const millis now = context.now.Now();
-    if (wave.reported_finished || wave.started_hosts_loaded ||
-        now < wave.next_load_at)
-      continue;
+    if (wave.progress_loaded || now < wave.next_load_at) continue;
     wave.next_load_at = now + kHostOrderRetryMs;
-    LoadStartedHosts(number);
+    LoadWaveProgress(number);
   }
   RequestHostList();
   if (listed_hosts.empty() || !orders_loaded) return;
   RemoveEndedMoves();
   ApplyHolds();
   ReportHolds();
+  for (auto& [number, wave] : waves) {
+    if (wave.progress_loaded) NoteListedHosts(wave);
+  }
   if (!hooks.may_order_hosts()) return;
   RepeatUnansweredOrders();
   for (auto& [number, wave] : waves) {
-    if (wave.started_hosts_loaded && !wave.reported_finished)
-      ContinueWave(wave);
+    if (wave.progress_loaded && !wave.reported_finished) ContinueWave(wave);
   }
   if (IsHostListCurrent()) PlanMoves();
   StoreOrders();
@@ -110,6 +110,7 @@
     return;
   }
   state.request = wave;
+  state.known_since = impl_->context.now.Now();
   impl_->context.log.Info(
       "hosts", "wave requested, wave=" + std::to_string(wave.number) +
                    " hosts=" + std::to_string(wave.hosts.size()) +
--- a/src/node/host_controller_impl.h
+++ b/src/node/host_controller_impl.h
@@ -10,14 +10,16 @@
 #include "platform/host_client.h"
 #include "src/node/host_controller.h"
 #include "src/node/host_order_record.h"
+#include "src/node/wave_record.h"
 #include "src/sched/host_pause.h"
 #include "src/sched/pool_planner.h"
 #include "src/sched/runner_holds.h"
+#include "src/sched/wave_presence.h"
 
 namespace radishwing::node {
 
 /// Delay before a failed order to a host, or a failed read of a wave's
-/// started hosts from the store, is retried.
+/// progress from the store, is retried.
 inline constexpr millis kHostOrderRetryMs = 700;
 
 /// Implementation of host_controller, split over the files host_*.cc.
@@ -26,9 +28,13 @@
   /// A maintenance wave. The maps and sets are keyed by host name.
   struct wave_state {
     fleet::wave_request request;
-    /// Hosts that need no further order: maintenance has begun or was refused
-    /// for good.
-    std::set<std::string> started_hosts;
+    millis known_since = 0;  ///< Time when this leader learned of the wave.
+    /// Started hosts, and hosts that a list has shown, in this or an earlier
+    /// term.
+    wave_record progress;
+    /// Hosts that do not hold the wave although their maintenance has not
+    /// begun: they are gone or were never listed.
+    std::set<std::string> absent_hosts;
     /// Time of the accepted maintenance order, for hosts that are not up again.
     std::map<std::string, millis> down_since;
     /// Time when draining began, for hosts whose maintenance order is not
@@ -36,10 +42,10 @@
     std::map<std::string, millis> draining_since;
     /// Earliest time of the next maintenance order to the host.
     std::map<std::string, millis> next_order_at;
-    /// Earliest time to read `started_hosts` from the store again.
+    /// Earliest time to read `progress` from the store again.
     millis next_load_at = 0;
-    /// True once `started_hosts` has been read from the store.
-    bool started_hosts_loaded = false;
+    /// True once `progress` has been read from the store.
+    bool progress_loaded = false;
     /// True once the wave's state that the operator reads in the store was set
     /// to "running" in this term.
     bool reported_running = false;
@@ -138,8 +144,17 @@
   void ConfirmEndedRunners();
   /// Requests a list of the hosts if the last request is old enough.
   void RequestHostList();
-  /// Reads `started_hosts` of wave number `number` from the store.
-  void LoadStartedHosts(std::int64_t number);
+  /// Reads `progress` of wave number `number` from the store.
+  void LoadWaveProgress(std::int64_t number);
+  /// Returns what the newest list shows about the host `name` of a wave.
+  sched::host_presence Presence(const wave_state& wave,
+                                const std::string& name) const;
+  /// Updates `listed_hosts` and `absent_hosts` of a wave from the newest list.
+  /// If a host has returned to the list within the time limit of a wave that
+  /// was reported as succeeded, the wave goes on.
+  void NoteListedHosts(wave_state& wave);
+  /// Sets the metrics of a wave.
+  void ReportWaveHosts(const wave_state& wave, int waiting, int not_listed);
   /// Continues a wave as far as possible now: reports its state to the
   /// operator, or drains hosts and orders their maintenance.
   void ContinueWave(wave_state& wave);
@@ -154,11 +169,11 @@
   int CountHostsDown(const wave_state& wave) const;
   void ApplyMaintenanceOutcome(const std::string& host, const open_order& sent,
                                fleet::order_outcome outcome);
-  /// Writes `started_hosts` to the store, so that the next leader does not
-  /// repeat the orders to these hosts.
-  void StoreStartedHosts(wave_state& wave);
-  /// Writes the wave's state to the store key that the operator reads:
-  /// "succeeded" if `finished`, else "running".
+  /// Writes `progress` to the store, so that the next leader does not repeat
+  /// orders and knows which hosts existed.
+  void StoreWaveProgress(const wave_state& wave);
+  /// Writes the wave's state to the store key that the operator reads,
+  /// "succeeded" if `finished`, else "running", together with `progress`.
   void ReportWaveState(wave_state& wave, bool finished);
   /// Reads the record of the orders that earlier leaders may have sent.
   void LoadOrders();
--- a/src/node/host_orders.cc
+++ b/src/node/host_orders.cc
@@ -64,7 +64,7 @@
   } else {
     const auto wave = waves.find(order.wave);
     const bool progress_known =
-        wave == waves.end() || wave->second.started_hosts_loaded;
+        wave == waves.end() || wave->second.progress_loaded;
     if (now < waves_allowed_at || !progress_known) return false;
   }
   for (const std::string& runner : {order.runner, host.runner}) {
@@ -79,7 +79,8 @@
 bool host_controller::impl::IsMaintenanceKnownAsStarted(
     const std::string& host, const host_order& order) const {
   const auto wave = waves.find(order.wave);
-  return wave != waves.end() && wave->second.started_hosts.contains(host);
+  return wave != waves.end() &&
+         wave->second.progress.started_hosts.contains(host);
 }
 
 void host_controller::impl::RepeatUnansweredOrders() {
--- a/src/node/host_waves.cc
+++ b/src/node/host_waves.cc
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <boost/json.hpp>
 #include <utility>
 
 #include "platform/config_codec.h"
@@ -11,7 +10,6 @@
 // The part of host_controller that carries out maintenance waves.
 
 namespace radishwing::node {
-namespace json = boost::json;
 namespace {
 
 // Time after which batch tasks that still run on a draining host are stopped.
@@ -19,25 +17,51 @@
 
 }  // namespace
 
-void host_controller::impl::LoadStartedHosts(std::int64_t number) {
+void host_controller::impl::LoadWaveProgress(std::int64_t number) {
   context.store->Get(WaveKey(number), [weak = weak_from_this(),
                                        number](result<store::store_item> item) {
     const auto self = weak.lock();
     if (!self) return;
     if (!Ok(item)) return;  // Tick() retries the read later.
     wave_state& wave = self->waves[number];
-    boost::system::error_code error;
-    const json::value stored = json::parse(
-        Value(item).value.empty() ? "[]" : Value(item).value, error);
-    if (!error && stored.is_array()) {
-      for (const json::value& host : stored.get_array()) {
-        if (host.is_string()) {
-          wave.started_hosts.insert(host.get_string().c_str());
-        }
+    wave.progress = DecodeWaveRecord(Value(item).value);
+    wave.progress_loaded = true;
+  });
+}
+
+sched::host_presence host_controller::impl::Presence(
+    const wave_state& wave, const std::string& name) const {
+  return sched::PresenceOf(
+      {.in_newest_list = FindHost(name) != nullptr,
+       .in_any_list = wave.progress.listed_hosts.contains(name)},
+      listed_hosts_as_of, wave.known_since, wave.request.time_limit_ms);
+}
+
+void host_controller::impl::NoteListedHosts(wave_state& wave) {
+  using sched::host_presence;
+  const std::string number = std::to_string(wave.request.number);
+  const bool time_left =
+      listed_hosts_as_of - wave.known_since <= wave.request.time_limit_ms;
+  for (const std::string& name : wave.request.hosts) {
+    if (wave.progress.started_hosts.contains(name)) continue;
+    const host_presence presence = Presence(wave, name);
+    if (presence == host_presence::kListed) {
+      wave.progress.listed_hosts.insert(name);
+      if (wave.absent_hosts.erase(name) > 0 && wave.reported_finished &&
+          time_left) {
+        context.log.Info("hosts", "host has returned, wave goes on, host=" +
+                                      name + " wave=" + number);
+        wave.reported_running = false;
+        wave.reported_finished = false;
       }
+    } else if (presence != host_presence::kAwaited &&
+               wave.absent_hosts.insert(name).second) {
+      const bool gone = presence == host_presence::kGone;
+      context.log.Warning(
+          "hosts", "host has no maintenance, host=" + name + " wave=" + number +
+                       " why=" + (gone ? "gone" : "never_listed"));
     }
-    wave.started_hosts_loaded = true;
-  });
+  }
 }
 
 bool host_controller::impl::IsInMaintenance(const std::string& host) const {
@@ -52,7 +76,7 @@
   for (auto it = open_orders.begin(); it != open_orders.end();) {
     const auto& [host, open] = *it++;
     if (open.order.wave != wave.request.number) continue;
-    if (wave.started_hosts.contains(host)) {
+    if (wave.progress.started_hosts.contains(host)) {
       // The record of the orders is older than the list of started hosts.
       DropOrder(std::string(host));
     } else {
@@ -61,10 +85,11 @@
   }
   std::erase_if(wave.down_since, [&](const auto& entry) {
     const fleet::host_info* host = FindHost(entry.first);
-    const bool up_again =
-        host && host->state == fleet::host_state::kUp &&
-        listed_hosts_as_of > entry.second + context.settings.maintenance_ms;
-    return !host || up_again;
+    // A list that was requested before the order was accepted says nothing
+    // about the time since.
+    if (!host) return listed_hosts_as_of > entry.second;
+    return host->state == fleet::host_state::kUp &&
+           listed_hosts_as_of > entry.second + context.settings.maintenance_ms;
   });
   // A host that comes back later must not be held for a wave that is over.
   std::erase_if(wave.draining_since, [&](const auto& entry) {
@@ -73,20 +98,21 @@
     return true;
   });
   std::vector<std::string> remaining;
+  int not_listed = 0;
   bool all_started = true;
   for (const std::string& name : wave.request.hosts) {
-    if (wave.started_hosts.contains(name) || !FindHost(name)) continue;
+    if (wave.progress.started_hosts.contains(name) ||
+        wave.absent_hosts.contains(name)) {
+      continue;
+    }
     all_started = false;
-    if (!wave.draining_since.contains(name)) remaining.push_back(name);
+    if (!FindHost(name)) {
+      ++not_listed;
+    } else if (!wave.draining_since.contains(name)) {
+      remaining.push_back(name);
+    }
   }
-  const std::string number = std::to_string(wave.request.number);
-  context.metrics.SetWaveHosts(number, "waiting",
-                               static_cast<int>(remaining.size()));
-  context.metrics.SetWaveHosts(
-      number, "in_progress",
-      static_cast<int>(wave.draining_since.size() + wave.down_since.size()));
-  context.metrics.SetWaveHosts(number, "done",
-                               static_cast<int>(wave.started_hosts.size()));
+  ReportWaveHosts(wave, static_cast<int>(remaining.size()), not_listed);
   if (all_started) {
     scheduler.SetMaintenanceDue({});
     return ReportWaveState(wave, true);
@@ -102,6 +128,18 @@
   }
 }
 
+void host_controller::impl::ReportWaveHosts(const wave_state& wave, int waiting,
+                                            int not_listed) {
+  const std::string number = std::to_string(wave.request.number);
+  context.metrics.SetWaveHosts(number, "waiting", waiting);
+  context.metrics.SetWaveHosts(number, "not_listed", not_listed);
+  context.metrics.SetWaveHosts(
+      number, "in_progress",
+      static_cast<int>(wave.draining_since.size() + wave.down_since.size()));
+  context.metrics.SetWaveHosts(
+      number, "done", static_cast<int>(wave.progress.started_hosts.size()));
+}
+
 void host_controller::impl::StartDraining(
     wave_state& wave, const std::vector<std::string>& remaining) {
   std::vector<sched::due_host> due_hosts;
@@ -180,14 +218,14 @@
   wave_state& wave = waves[number];
   switch (outcome) {
     case order_outcome::kAccepted:
-      wave.started_hosts.insert(host);
+      wave.progress.started_hosts.insert(host);
       wave.down_since[host] = context.now.Now();
       wave.draining_since.erase(host);
-      StoreStartedHosts(wave);
+      StoreWaveProgress(wave);
       return;
     case order_outcome::kNotInWave:
     case order_outcome::kInvalid:
-      wave.started_hosts.insert(host);
+      wave.progress.started_hosts.insert(host);
       wave.draining_since.erase(host);
       return;
     case order_outcome::kBusy:
@@ -203,19 +241,18 @@
   }
 }
 
-void host_controller::impl::StoreStartedHosts(wave_state& wave) {
-  json::array names;
-  for (const std::string& host : wave.started_hosts) names.emplace_back(host);
+void host_controller::impl::StoreWaveProgress(const wave_state& wave) {
   store::store_commit commit;
   commit.preconditions = {{ShardKey(), fencing_token}};
-  commit.writes = {{WaveKey(wave.request.number), json::serialize(names), 0}};
+  commit.writes = {
+      {WaveKey(wave.request.number), EncodeWaveRecord(wave.progress), 0}};
   context.store->Commit(
       commit,
       [weak = weak_from_this()](const result<store::commit_outcome>& outcome) {
         const auto self = weak.lock();
         if (self && !Ok(outcome)) {
-          // Without the stored names, the next leader repeats orders that were
-          // carried out, which is harmless.
+          // Without the stored progress, the next leader repeats orders that
+          // were carried out, which is harmless.
           self->context.log.Warning(
               "hosts",
               "wave progress not stored, error=" + Error(outcome).message);
@@ -228,9 +265,10 @@
   wave.report_in_flight = true;
   store::store_commit commit;
   commit.preconditions = {{ShardKey(), fencing_token}};
-  commit.writes = {{platform::WaveStateKey(wave.request.number),
-                    platform::EncodeWaveState(wave.request.number, finished),
-                    0}};
+  commit.writes = {
+      {platform::WaveStateKey(wave.request.number),
+       platform::EncodeWaveState(wave.request.number, finished), 0},
+      {WaveKey(wave.request.number), EncodeWaveRecord(wave.progress), 0}};
   context.store->Commit(
       commit, [weak = weak_from_this(), number = wave.request.number,
                finished](const result<store::commit_outcome>& outcome) {
--- a/src/node/record_keys.h
+++ b/src/node/record_keys.h
@@ -39,8 +39,8 @@
 /// Key of the orders to hosts that may still be carried out, as encoded by
 /// EncodeHostOrders().
 inline std::string HostOrdersKey() { return "rw/h/" + std::to_string(kShard); }
-/// Key of the names of the hosts that need no further order in wave number
-/// `wave`.
+/// Key of the progress of wave number `wave`, as encoded by
+/// EncodeWaveRecord().
 inline std::string WaveKey(std::int64_t wave) {
   return "rw/w/" + std::to_string(wave);
 }
