Report runs that hold room on a runner that does not list them

The leader now logs and counts, once a run, that the listings of the runner have not had it for 3 s, and what it waits for.

--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -176,6 +176,13 @@
         context.log.Info(component, "stop ordered, task=" + task + run_fields +
                                         " why=" + event.detail);
         break;
+      case sched::event_kind::kRunNotListed:
+        context.metrics.CountRunNotListed(event.detail);
+        context.log.Warning(
+            component, "run holds room but is not listed, task=" + task +
+                           run_fields + " awaits=" + event.detail +
+                           " missing_ms=" + std::to_string(event.elapsed_ms));
+        break;
       case sched::event_kind::kPlaceWaitStarted:
       case sched::event_kind::kPlaceWaitEnded:
         ReportPlaceWait(event);
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -69,6 +69,9 @@
   /// Counts a progress record in the store that was merged into the leader's
   /// state of the job.
   void CountMergedRecord();
+  /// Counts a run that has held room for long although its runner does not list
+  /// it, by what it waits for.
+  void CountRunNotListed(std::string_view awaits);
   /// Counts an invalid entry of a runner in the store.
   void CountIgnoredRunnerEntry();
   /// Records the time from the election until the leader was ready, `took`.
@@ -110,6 +113,7 @@
   prometheus::Family<prometheus::Counter>& orders_;
   prometheus::Family<prometheus::Counter>& removals_;
   prometheus::Counter& merged_records_;
+  prometheus::Family<prometheus::Counter>& runs_not_listed_;
   prometheus::Counter& ignored_runner_entries_;
   prometheus::Histogram& takeover_seconds_;
   prometheus::Family<prometheus::Counter>& submission_outcomes_;
--- a/src/sched/run_state.h
+++ b/src/sched/run_state.h
@@ -41,6 +41,10 @@
   /// first listing to this leader; else -1.
   millis adopted_clock_ms = -1;
   int progress_percent = 0;  ///< Progress in the most recent listing.
+  /// Time of the first of the listings that do not have the run; -1: the most
+  /// recent one has it.
+  millis missing_since = -1;
+  bool missing_reported = false;  ///< There was an event about its absence.
 
   /// Begins to measure the time without progress with the next listing.
   void RestartProgressTimer() { progress_clock_ms = -1; }
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -260,6 +260,10 @@
   void DropMissingRuns(const std::string& runner,
                        const fleet::runner_listing& listing, millis sent_at,
                        millis now);
+  /// Records whether the listing of its runner has a run. Emits an event if the
+  /// run has been missing for long.
+  void NoteListed(const fleet::task_name& name, run_state& run, bool listed,
+                  millis now);
   /// Removes a run from its task and frees its resources.
   void DetachRun(const fleet::task_name& name, const task_ref& ref,
                  const std::string& runner, int run);
--- a/src/sched/scheduler_event.h
+++ b/src/sched/scheduler_event.h
@@ -15,6 +15,9 @@
   /// A run did not start, or was lost before a runner listed its end.
   kTaskLost,
   kStopOrdered,
+  /// A run has held room on its runner for some time although the runner's
+  /// listings do not have it.
+  kRunNotListed,
   /// Tasks of a step wait for room at their place although they could start
   /// elsewhere.
   kPlaceWaitStarted,
@@ -32,12 +35,14 @@
   /// Id of the runner; name of the queue for kJobFinished, of the pool for
   /// kTeamHeldBack, and of the rack for kPlaceWaitStarted.
   std::string runner;
-  /// How the run ended, why it was lost or stopped, why a task no longer waits
+  /// How the run ended, why it was lost or stopped, what a run that is not
+  /// listed waits for, why a task no longer waits
   /// for its place, the final phase of the job, or the share of the team; empty
   /// for other events.
   std::string detail;
   /// Run time for kTaskEnded, time since the start order for kTaskLost and
-  /// kStopOrdered, longest remaining wait for kPlaceWaitStarted, length of the
+  /// kStopOrdered, time since the first listing without the run for
+  /// kRunNotListed, longest remaining wait for kPlaceWaitStarted, length of the
   /// wait for kPlaceWaitEnded, time since the acceptance of the job otherwise.
   millis elapsed_ms = 0;
   /// For kPlaceWaitStarted, the time until room is expected at the place.
--- a/src/sched/scheduler_listing.cc
+++ b/src/sched/scheduler_listing.cc
@@ -14,6 +14,9 @@
 constexpr millis kRefusalBackoffMs = 300;
 // Maximum number of ended runs in one listing, as the runner API defines it.
 constexpr std::size_t kMaxListedEnds = 500;
+// Time for which a run may be missing from the listings of its runner before
+// this is reported. Orders and writes to the store are answered or fail sooner.
+constexpr millis kMissingReportMs = 3000;
 
 std::string_view EndName(fleet::run_end how) {
   switch (how) {
@@ -33,6 +36,14 @@
   return "failed";
 }
 
+// Returns what a run that its runner does not list waits for.
+std::string_view AwaitedBy(const run_state& run) {
+  if (run.start_deferred) return "record";
+  if (run.order_in_flight) return "order_outcome";
+  if (run.phase == run_phase::kStopping && !run.stop_confirmed) return "stop";
+  return run.phase == run_phase::kStarting ? "start" : "newer_listing";
+}
+
 }  // namespace
 
 std::vector<recorded_end> scheduler::ApplyListing(
@@ -237,18 +248,20 @@
     const task_ref ref = FindTask(name);
     if (!ref.task) continue;
     const auto it = std::ranges::find(ref.task->runs, id, &run_state::runner);
-    if (it == ref.task->runs.end() || it->order_in_flight) continue;
+    if (it == ref.task->runs.end()) continue;
+    const bool present =
+        std::ranges::any_of(listing.running, [&](const fleet::listed_run& run) {
+          return run.task == name && run.run == it->run;
+        });
+    NoteListed(name, *it, present, now);
+    if (present || it->order_in_flight) continue;
     const bool settled =
         it->phase == run_phase::kRunning ||
         (it->phase == run_phase::kStopping && it->stop_confirmed);
     // If the leader sent the poll before the runner confirmed the start or
     // stop, the run's absence from the listing proves nothing.
     if (!settled || it->confirmed_at >= sent_at) continue;
-    const bool present =
-        std::ranges::any_of(listing.running, [&](const fleet::listed_run& run) {
-          return run.task == name && run.run == it->run;
-        });
-    if (!present) missing.push_back(name);
+    missing.push_back(name);
   }
   for (const fleet::task_name& name : missing) {
     const task_ref ref = FindTask(name);
@@ -257,6 +270,21 @@
   }
 }
 
+void scheduler::NoteListed(const fleet::task_name& name, run_state& run,
+                           bool listed, millis now) {
+  if (listed) {
+    run.missing_since = -1;
+    run.missing_reported = false;
+    return;
+  }
+  if (run.missing_since < 0) run.missing_since = now;
+  const millis missing_ms = now - run.missing_since;
+  if (run.missing_reported || missing_ms < kMissingReportMs) return;
+  run.missing_reported = true;
+  events_.push_back({event_kind::kRunNotListed, name, run.run, run.runner,
+                     std::string(AwaitedBy(run)), missing_ms});
+}
+
 void scheduler::ApplyOrderOutcome(const order& order,
                                   fleet::order_outcome outcome, millis now) {
   if (order.kind == order_kind::kPace) return;
--- a/tests/sched/scheduler_deferred_starts_test.cc
+++ b/tests/sched/scheduler_deferred_starts_test.cc
@@ -143,6 +143,23 @@
   BOOST_TEST(used.size() == 1u);
 }
 
+// Guards against a run that holds the room of its runner without a trace in
+// logs and metrics.
+BOOST_AUTO_TEST_CASE(run_that_is_not_listed_for_long_is_reported_once) {
+  AddRunner("r1");
+  AddJob("a", {Step(1)});
+  BOOST_TEST(Plan().size() == 1u);
+  subject.TakeEvents();
+  for (int i = 0; i < 10; ++i) {
+    ReportListing("r1", {});
+    now += 500;
+  }
+  const auto events = subject.TakeEvents();
+  BOOST_REQUIRE_EQUAL(events.size(), 1u);
+  BOOST_TEST((events[0].kind == event_kind::kRunNotListed));
+  BOOST_TEST(events[0].detail == "order_outcome");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
