Drop a run whose start was not sent instead of stopping it

Cause: copies of a speculative step wait for the job's record before their start is sent. When the end of the task was listed meanwhile they were stopped, and started once the record was stored. The runner refuses such a start, and its outcome was ignored because the run was being stopped; the flag for an order in flight stayed set, so the run held its room until the term ended.

Change: a run whose start was not sent is dropped (StopRuns), also when the end comes from a merged record or another run is a duplicate. Start and stop are in flight on their own, so that the outcome of one no longer stands for that of the other: a stopped run keeps its room until its start has an outcome too.

Evidence: deferred_copies/* and start_in_flight/stopped_run_keeps_its_room_until_the_start_has_an_outcome fail without the change. Ruled out: an outcome that never arrived ("order not accepted, kind=start outcome=old_run" is logged), and listings that did not show it.

--- a/src/sched/run_state.h
+++ b/src/sched/run_state.h
@@ -20,11 +20,14 @@
   run_phase phase = run_phase::kStarting;
   /// A start order got no answer, so the runner may still carry it out.
   bool start_unanswered = false;
-  /// The scheduler issued an order for the run, and the outcome of the order is
-  /// not reported yet.
-  bool order_in_flight = false;
+  // The scheduler issued a start or a stop order for the run, and the outcome
+  // of the order is not reported yet. Both may be in flight at once, and their
+  // outcomes arrive in any order.
+  bool start_in_flight = false;
+  bool stop_in_flight = false;
   /// The run has reserved resources, but its start order waits until the job's
   /// progress record in the store names the runner's data centre.
+  /// Nothing was sent to the runner.
   bool start_deferred = false;
   bool stop_confirmed = false;  ///< The runner has accepted the stop order.
   millis ordered_at = 0;        ///< Time of the start order.
@@ -46,6 +49,7 @@
   millis missing_since = -1;
   bool missing_reported = false;  ///< There was an event about its absence.
 
+  bool HasOrderInFlight() const { return start_in_flight || stop_in_flight; }
   /// Begins to measure the time without progress with the next listing.
   void RestartProgressTimer() { progress_clock_ms = -1; }
   /// Returns the time without progress, as far as listings show it.
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -1,6 +1,7 @@
 #include "src/sched/scheduler.h"
 
 #include <algorithm>
+#include <cassert>
 #include <iterator>
 
 #include "src/sched/job_steps.h"
@@ -187,7 +188,7 @@
     // The new incarnation may have accepted the start after its listing.
     const bool maybe_accepted =
         run->phase == run_phase::kRunning && run->confirmed_at >= sent_at;
-    if (run->start_unanswered || run->order_in_flight || maybe_accepted) {
+    if (run->start_unanswered || run->HasOrderInFlight() || maybe_accepted) {
       // The new incarnation may still carry out the start.
       run->start_unanswered = true;
       RequestStop(name, *run, "runner_reborn", now);
@@ -384,8 +385,10 @@
 void scheduler::AbandonRun(const fleet::task_name& name, const task_ref& ref,
                            const run_state& run, std::string_view why,
                            millis now) {
-  events_.push_back({event_kind::kTaskLost, name, run.run, run.runner,
-                     std::string(why), now - run.ordered_at});
+  if (!run.start_deferred) {
+    events_.push_back({event_kind::kTaskLost, name, run.run, run.runner,
+                       std::string(why), now - run.ordered_at});
+  }
   // Copied because DetachRun destroys `run`.
   const std::string runner = run.runner;
   DetachRun(name, ref, runner, run.run);
@@ -399,12 +402,29 @@
   job.record.request = {};
 }
 
+void scheduler::StopRuns(const fleet::task_name& name,
+                         const std::function<bool(const run_state&)>& include,
+                         std::string_view reason, millis now) {
+  const task_ref ref = FindTask(name);
+  std::vector<run_name> unsent;
+  for (run_state& run : ref.task->runs) {
+    if (!include(run)) continue;
+    if (run.start_deferred) {
+      unsent.push_back({name, run.runner, run.run});
+    } else {
+      RequestStop(name, run, reason, now);
+    }
+  }
+  for (const run_name& run : unsent) DetachRun(name, ref, run.runner, run.run);
+}
+
 void scheduler::RequestStop(const fleet::task_name& name, run_state& run,
                             std::string_view reason, millis now) {
+  assert(!run.start_deferred);
   if (run.phase == run_phase::kStopping) return;
   run.phase = run_phase::kStopping;
   run.stop_confirmed = false;
-  run.order_in_flight = true;
+  run.stop_in_flight = true;
   run.retry_at = now;
   queued_orders_.push_back(
       {order_kind::kStop, run.runner, name, run.run, "", "", 100, reason});
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -435,7 +435,13 @@
   /// Returns true if the job may have runs on a runner whose first listing to
   /// this leader has not arrived.
   bool MayHaveUnlistedRuns(const job_state& job) const;
-  /// Queues a stop order for a run, unless it is stopping already.
+  /// Ends the runs of a task for which `include` returns true: drops those
+  /// whose start was never sent, and stops the others.
+  void StopRuns(const fleet::task_name& name,
+                const std::function<bool(const run_state&)>& include,
+                std::string_view reason, millis now);
+  /// Queues a stop order for a run, unless it is stopping already. Requires
+  /// that a start order for the run may have been sent.
   void RequestStop(const fleet::task_name& name, run_state& run,
                    std::string_view reason, millis now);
   /// Returns the start order for a placed run.
--- a/src/sched/scheduler_deferred_starts.cc
+++ b/src/sched/scheduler_deferred_starts.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cassert>
 #include <utility>
 
 #include "src/sched/scheduler.h"
@@ -43,8 +44,9 @@
 void scheduler::IssueStart(const task_ref& ref, run_state& run,
                            const order& start, millis now,
                            std::vector<order>& out) {
+  assert(run.phase == run_phase::kStarting);
   run.start_deferred = false;
-  run.order_in_flight = true;
+  run.start_in_flight = true;
   run.ordered_at = now;
   ref.job->phase = job_phase::kRunning;
   out.push_back(start);
--- a/src/sched/scheduler_listing.cc
+++ b/src/sched/scheduler_listing.cc
@@ -39,7 +39,7 @@
 // Returns what a run that its runner does not list waits for.
 std::string_view AwaitedBy(const run_state& run) {
   if (run.start_deferred) return "record";
-  if (run.order_in_flight) return "order_outcome";
+  if (run.HasOrderInFlight()) return "order_outcome";
   if (run.phase == run_phase::kStopping && !run.stop_confirmed) return "stop";
   return run.phase == run_phase::kStarting ? "start" : "newer_listing";
 }
@@ -153,9 +153,9 @@
   }
   RecordTaskOutcome(ref, end);
   if (task.done) {
-    for (run_state& copy : task.runs) {
-      if (copy.run != end.run) RequestStop(name, copy, "copy_done", now);
-    }
+    StopRuns(
+        name, [&](const run_state& copy) { return copy.run != end.run; },
+        "copy_done", now);
   }
   const bool exhausted =
       !task.done && !ref.step->long_running &&
@@ -214,6 +214,7 @@
   }
   ref.job->started = true;
   run_state& run = *it;
+  run.start_deferred = false;
   if (run.phase == run_phase::kStarting) {
     run.phase = run_phase::kRunning;
     run.confirmed_at = now;
@@ -232,11 +233,10 @@
   } else if (ref.task->runs.size() > 1 && !ref.step->speculative) {
     // Only an earlier leader can have started a second run of the task. The
     // scheduler stops all runs of the task except the newest run.
-    for (run_state& other : ref.task->runs) {
-      if (other.run < ref.task->last_run) {
-        RequestStop(listed.task, other, "duplicate", now);
-      }
-    }
+    const int newest = ref.task->last_run;
+    StopRuns(
+        listed.task, [&](const run_state& other) { return other.run < newest; },
+        "duplicate", now);
   }
 }
 
@@ -254,7 +254,7 @@
           return run.task == name && run.run == it->run;
         });
     NoteListed(name, *it, present, now);
-    if (present || it->order_in_flight) continue;
+    if (present || it->HasOrderInFlight()) continue;
     const bool settled =
         it->phase == run_phase::kRunning ||
         (it->phase == run_phase::kStopping && it->stop_confirmed);
@@ -293,8 +293,10 @@
   const auto it = FindRun(*ref.task, order.runner, order.run);
   if (it == ref.task->runs.end()) return;
   if (order.kind == order_kind::kStop) {
-    ApplyStopOutcome(*it, outcome, now);
-  } else if (it->phase == run_phase::kStopping) {
+    return ApplyStopOutcome(*it, outcome, now);
+  }
+  it->start_in_flight = false;
+  if (it->phase == run_phase::kStopping) {
     if (outcome == fleet::order_outcome::kUnknown) it->start_unanswered = true;
   } else {
     ApplyStartOutcome(order, ref, *it, outcome, now);
@@ -303,7 +305,7 @@
 
 void scheduler::ApplyStopOutcome(run_state& run, fleet::order_outcome outcome,
                                  millis now) {
-  run.order_in_flight = false;
+  run.stop_in_flight = false;
   run.retry_at = now + kRefusalBackoffMs;
   if (outcome != fleet::order_outcome::kAccepted &&
       outcome != fleet::order_outcome::kStaleRun) {
@@ -317,7 +319,6 @@
                                   run_state& run, fleet::order_outcome outcome,
                                   millis now) {
   using fleet::order_outcome;
-  run.order_in_flight = false;
   switch (outcome) {
     case order_outcome::kAccepted:
     case order_outcome::kStaleRun:  // A later listing has the end of the run.
--- a/src/sched/scheduler_records.cc
+++ b/src/sched/scheduler_records.cc
@@ -100,7 +100,8 @@
   if (!stored.done || task.done) return;
   task.done = true;
   ++step.done_count;
-  for (run_state& run : task.runs) RequestStop(name, run, "copy_done", now);
+  StopRuns(
+      name, [](const run_state&) { return true; }, "copy_done", now);
 }
 
 void scheduler::FinishMergedJob(job_state& job, millis now) {
--- a/src/sched/scheduler_runs.cc
+++ b/src/sched/scheduler_runs.cc
@@ -40,9 +40,11 @@
 void scheduler::RetryOrder(const fleet::task_name& name, const task_ref& ref,
                            run_state& run, const runner_state& runner,
                            millis now, std::vector<order>& out) {
-  if (run.order_in_flight || now < run.retry_at) return;
-  const bool stop = run.phase == run_phase::kStopping && !run.stop_confirmed;
-  const bool start = run.phase == run_phase::kStarting && run.start_unanswered;
+  if (now < run.retry_at) return;
+  const bool stop = run.phase == run_phase::kStopping && !run.stop_confirmed &&
+                    !run.stop_in_flight;
+  const bool start = run.phase == run_phase::kStarting &&
+                     run.start_unanswered && !run.start_in_flight;
   if (!stop && !start) return;
   if (start && IsEvacuated(runner)) {
     // A repeated order could be the first one that the runner carries out.
@@ -52,7 +54,7 @@
   // extend the leader's lease on the runner, which has to expire before the
   // task can start on another runner.
   if (start && !runner.reachable) return;
-  run.order_in_flight = true;
+  (stop ? run.stop_in_flight : run.start_in_flight) = true;
   order retry = MakeStartOrder(name, ref, run.runner, run.run, now);
   if (stop) retry = {order_kind::kStop, run.runner, name, run.run, "", "", 100};
   retry.reason = "retry";
--- a/tests/sched/scheduler_deferred_starts_test.cc
+++ b/tests/sched/scheduler_deferred_starts_test.cc
@@ -162,5 +162,97 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/// A restored job whose first task an earlier leader started on r1. The copies
+/// of this leader on r2 wait until the record names the data centre of r2.
+struct deferred_copies_fixture : scheduler_deferred_starts_fixture {
+  deferred_copies_fixture() {
+    AddRunner("r2", 4000, "far");
+    fleet::task_step step = Step(1);
+    step.speculative = true;
+    fleet::task_step second = Step(1);
+    second.predecessors = {0};
+    AddJob("a", {step, second}, true);
+    BOOST_TEST(PlanOnce().empty());
+    BOOST_TEST(subject.TaskCount("r2") == 1);
+    AddRunner("r1");
+  }
+
+  void EndTaskOnR1() {
+    ReportListing("r1",
+                  End(1, {"a", 0, 0, 0}, kEarlierRun, fleet::run_end::kDone));
+  }
+
+  /// Numbers of the runs of earlier leaders are lower than those of this one.
+  static constexpr int kEarlierRun = 0;
+};
+
+BOOST_FIXTURE_TEST_SUITE(deferred_copies, deferred_copies_fixture)
+
+// Guards against copies that hold the room of their runner until the next
+// leader: they were stopped before their starts were sent, and started after.
+BOOST_AUTO_TEST_CASE(copy_without_a_start_is_dropped_when_the_task_is_done) {
+  EndTaskOnR1();
+  BOOST_TEST(subject.TaskCount("r2") == 0);
+  for (const order& given : Plan()) {
+    BOOST_TEST(given.task.step == 1);
+  }
+}
+
+// Guards against the same when the end comes from a record in the store.
+BOOST_AUTO_TEST_CASE(copy_without_a_start_is_dropped_when_a_record_is_merged) {
+  subject.MergeProgress(
+      "a",
+      R"({"state":"running","created":1,"data_centres":["dc"],)"
+      R"("repetitions":[{"number":0,"done":false,"steps":[)"
+      R"({"done":"1","tasks":[]},{"done":"0","tasks":[]}]}]})",
+      9, now);
+  BOOST_TEST(subject.TaskCount("r2") == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+/// A job whose start order got no response yet when its task is stopped.
+struct start_in_flight_fixture : scheduler_deferred_starts_fixture {
+  start_in_flight_fixture() {
+    AddRunner("r1");
+    AddJob("a", {Step(1)});
+    start = Plan().at(0);
+    subject.CancelJob("a", now);
+    stop = PlanOnce().at(0);
+  }
+
+  order start;
+  order stop;
+};
+
+BOOST_FIXTURE_TEST_SUITE(start_in_flight, start_in_flight_fixture)
+
+// Guards against room that is given away while a start is on its way: the
+// outcome of the stop arrives first, and a listing has not the run.
+BOOST_AUTO_TEST_CASE(
+    stopped_run_keeps_its_room_until_the_start_has_an_outcome) {
+  subject.ApplyOrderOutcome(stop, fleet::order_outcome::kAccepted, now);
+  ++now;
+  ReportListing("r1", {});
+  BOOST_TEST(subject.TaskCount("r1") == 1);
+  subject.ApplyOrderOutcome(start, fleet::order_outcome::kStaleRun, now);
+  ReportListing("r1", {});
+  BOOST_TEST(subject.TaskCount("r1") == 0);
+}
+
+// Guards against a stop that is not repeated because the outcome of the start
+// arrived meanwhile.
+BOOST_AUTO_TEST_CASE(
+    unanswered_stop_is_repeated_after_the_outcome_of_the_start) {
+  subject.ApplyOrderOutcome(stop, fleet::order_outcome::kUnknown, now);
+  subject.ApplyOrderOutcome(start, fleet::order_outcome::kAccepted, now);
+  now += 1000;
+  const auto orders = PlanOnce();
+  BOOST_REQUIRE_EQUAL(orders.size(), 1u);
+  BOOST_TEST((orders[0].kind == order_kind::kStop));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
 }  // namespace radishwing::sched
