Keep the progress record of a schedule within a value of the store

Cause: the record had a row for each occurrence that was due, begun or not, done or not, and nothing knew the length of the longest value. The store refused the record for good.

Change: occurrences without progress are not in the record, done ones are in ranges, and checkpoints are left out if the record would be too long. At most as many occurrences of a job are worked on at once as fit into a value if each task has failed as often as it may. The length is read from the settings of the platform (platform.value-bytes).

Records of earlier releases are read as before. An earlier release that reads a record of this one runs the done occurrences of a schedule again.

--- a/src/fleet/node_settings.h
+++ b/src/fleet/node_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,8 @@
   int first_port = 0;
   int last_port = 0;
   std::string store_address;  ///< Address of the store.
+  /// Length of the longest value that the store accepts, in bytes.
+  std::size_t max_value_bytes = 1u << 20;
   /// Address of the platform's API for host moves and maintenance.
   std::string host_api_address;
   std::string advice_address;   ///< Address of the advice service.
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -40,6 +40,7 @@
       load_started_at(context.now.Now()),
       lease(won.lease_renewed_at) {
   scheduler.SetMaxStopDuration(context.settings.max_stop_ms);
+  scheduler.SetMaxRecordBytes(context.settings.max_value_bytes);
   scheduler.SetEvacuatedDataCentres(context.evacuated_data_centres);
   scheduler.Places().speeds.SetInitialFactor(context.settings.remote_factor);
 }
--- a/src/sched/job_state.h
+++ b/src/sched/job_state.h
@@ -35,6 +35,7 @@
 
 /// Progress of one repetition of a job's steps.
 struct repetition_state {
+  /// Empty if an earlier leader has finished the repetition.
   std::vector<step_state> steps;
   bool done = false;  ///< True if all steps are done.
 };
@@ -74,6 +75,8 @@
   std::uint64_t data_centres_version = 0;
   int created_repetitions = 0;  ///< Number of repetitions created so far.
   int active_runs = 0;          ///< Number of runs that may exist on a runner.
+  /// Number of repetitions that may be begun and not done at once.
+  int max_open_repetitions = 1;
   /// Repetitions whose due time has come, by number.
   std::map<int, repetition_state> repetitions;
   /// Version of the job's progress. Every change that has to be persisted
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -31,6 +31,8 @@
   slot->account = &shares_.Account(slot->record.pool, slot->record.team);
   slot->record.body.clear();
   slot->record.body.shrink_to_fit();
+  slot->max_open_repetitions =
+      MaxOpenRepetitions(slot->record, max_record_bytes_);
   slot->critical_path_ms = CriticalPathMs(slot->record.request, nullptr);
   slot->remaining_critical_path_ms = slot->critical_path_ms;
   CreateRepetitions(*slot, unix_now);
@@ -227,7 +229,7 @@
     job.write_queued = false;
     job.write_urgent = false;
     job.write_in_flight = true;
-    write.text = EncodeProgress(job);
+    write.text = EncodeProgress(job, max_record_bytes_);
     writes.push_back(std::move(write));
   }
   write_queue_.insert(write_queue_.begin(),
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -56,6 +56,9 @@
   /// Sets the time within which runners end a run that they were ordered to
   /// stop, on their clocks.
   void SetMaxStopDuration(millis duration) { max_stop_ms_ = duration; }
+  /// Sets the length of the longest progress record that the store accepts, in
+  /// bytes. Also limits how many repetitions of a job are worked on at once.
+  void SetMaxRecordBytes(std::size_t bytes) { max_record_bytes_ = bytes; }
   /// Returns what is known about places, to set how waits are decided.
   place_book& Places() { return places_; }
   /// Adds an accepted job. `restored` is true if an earlier leader may have
@@ -295,6 +298,9 @@
   void IndexRunners(millis now);
   /// Merges the repetitions of `stored`, a decoded progress record, into `job`.
   void MergeRepetitions(job_state& job, const job_state& stored, millis now);
+  void MergeRepetition(const std::string& id, int number,
+                       const repetition_state& from,
+                       repetition_state& repetition, millis now);
   void MergeTask(const fleet::task_name& name, const task_state& stored,
                  step_state& step, millis now);
   /// Finishes the job if its merged tasks are all done, or if one of them has
@@ -471,9 +477,10 @@
   int min_run_;                   ///< Lowest number of a new run.
   std::uint64_t added_jobs_ = 0;  ///< Number of calls of AddJob so far.
   millis max_stop_ms_ = 1000;     ///< See SetMaxStopDuration().
-  fleet::fleet_config config_;    ///< Configuration of queues, pools and teams.
-  run_time_model run_times_;      ///< Ratios of actual to estimated run times.
-  place_book places_;             ///< What is known about places of tasks.
+  std::size_t max_record_bytes_ = 1u << 20;  ///< See SetMaxRecordBytes().
+  fleet::fleet_config config_;  ///< Configuration of queues, pools and teams.
+  run_time_model run_times_;    ///< Ratios of actual to estimated run times.
+  place_book places_;           ///< What is known about places of tasks.
   /// Jobs by id.
   std::unordered_map<std::string, std::unique_ptr<job_state>> jobs_;
   /// Jobs that were not finished at the start of the last pass, and jobs added
--- a/src/sched/scheduler_plan.cc
+++ b/src/sched/scheduler_plan.cc
@@ -202,8 +202,12 @@
 
 void scheduler::StartTasksOf(job_state& job, millis now,
                              std::vector<order>& out) {
+  // Later repetitions wait, so that the progress record stays short enough for
+  // the store.
+  int open = 0;
   for (auto& [number, repetition] : job.repetitions) {
     if (repetition.done) continue;
+    if (++open > job.max_open_repetitions) return;
     const auto& request = job.record.request;
     for (std::size_t s = 0; s < repetition.steps.size(); ++s) {
       const step_state& step = repetition.steps[s];
--- a/src/sched/scheduler_records.cc
+++ b/src/sched/scheduler_records.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "src/sched/job_steps.h"
 #include "src/sched/progress_codec.h"
 #include "src/sched/scheduler.h"
 
@@ -73,19 +74,32 @@
       std::max(job.created_repetitions, stored.created_repetitions);
   for (const auto& [number, from] : stored.repetitions) {
     const auto [slot, inserted] = job.repetitions.try_emplace(number, from);
-    if (inserted) continue;
-    for (std::size_t s = 0; s < from.steps.size(); ++s) {
-      for (std::size_t i = 0; i < from.steps[s].tasks.size(); ++i) {
-        MergeTask(
-            {job.record.id, number, static_cast<int>(s), static_cast<int>(i)},
-            from.steps[s].tasks[i], slot->second.steps[s], now);
+    if (inserted || slot->second.done) continue;
+    repetition_state merged = from;
+    if (from.done) {
+      // All tasks are done, whether or not the record names them.
+      merged = MakeRepetition(job.record.request);
+      for (step_state& step : merged.steps) {
+        for (task_state& task : step.tasks) task.done = true;
       }
     }
+    MergeRepetition(job.record.id, number, merged, slot->second, now);
   }
   UpdateCriticalPath(job);
   FinishMergedJob(job, now);
 }
 
+void scheduler::MergeRepetition(const std::string& id, int number,
+                                const repetition_state& from,
+                                repetition_state& repetition, millis now) {
+  for (std::size_t s = 0; s < from.steps.size(); ++s) {
+    for (std::size_t i = 0; i < from.steps[s].tasks.size(); ++i) {
+      MergeTask({id, number, static_cast<int>(s), static_cast<int>(i)},
+                from.steps[s].tasks[i], repetition.steps[s], now);
+    }
+  }
+}
+
 void scheduler::MergeTask(const fleet::task_name& name,
                           const task_state& stored, step_state& step,
                           millis now) {
--- a/tests/platform/node_settings_codec_test.cc
+++ b/tests/platform/node_settings_codec_test.cc
@@ -38,6 +38,24 @@
   }
 }
 
+// Guards against records that are longer than the store accepts because the
+// length of the longest value is not read.
+BOOST_AUTO_TEST_CASE(value_bytes_are_decoded_and_checked) {
+  const auto decode = [](const std::string& bytes) {
+    return DecodeNodeSettings(
+        "f", R"({"node":"n","port-range":[7000,7015],)"
+             R"("bind":{"front":"10.0.0.1:1","readiness":"10.0.0.1:2"},)"
+             R"("platform":{"address":"10.0.0.2:1","value-bytes":)" +
+                 bytes + "}}");
+  };
+  BOOST_TEST(decode("65536").settings.max_value_bytes == 65536u);
+  BOOST_TEST(decode("65536").findings.empty());
+  for (const char* bytes : {"0", "-1", "100"}) {
+    BOOST_REQUIRE_EQUAL(decode(bytes).findings.size(), 1u);
+    BOOST_TEST(decode(bytes).findings[0].path == "platform.value-bytes");
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/sched/scheduler_pending_test.cc
+++ b/tests/sched/scheduler_pending_test.cc
@@ -49,7 +49,7 @@
 BOOST_AUTO_TEST_CASE(restored_job_without_begun_tasks_is_pending) {
   AddJob("a1", {Step(1)});
   Plan();
-  const std::string record = EncodeProgress(*subject.FindJob("a1"));
+  const std::string record = EncodeProgress(*subject.FindJob("a1"), 1u << 20);
   scheduler_fixture next;
   next.AddJob("a1", {Step(1)});
   BOOST_REQUIRE(Ok(next.subject.RestoreProgress("a1", record, 5, now)));
