Let a write that the store refuses hold up only its own job

Cause: each failed write counted as a store that cannot be written, and jobs without a record then waited for a write that succeeds. The refused write was repeated for ever, together with those of the other jobs in its commit, and no other was left that could succeed.

Change: a refusal (HTTP 4xx but 429) is told apart from a store without an answer. The jobs of a refused commit are written alone; one that is refused alone, or whose record is longer than the store accepts, is held for 2 s and logged and counted. A conflict no longer counts as a store that is down, and jobs that meet a second one in a row are written alone. If all writes that are left are held, the next job may show whether the store is back.

Evidence: leader_jobs/refused_record_holds_up_only_its_own_job does not end without the change. scheduler_writes/* covers the split, the hold, the store that is back and the record that is too long.

--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -196,6 +196,12 @@
                         " queue=" + event.runner + " state=" + event.detail +
                         " age_ms=" + std::to_string(event.elapsed_ms));
         break;
+      case sched::event_kind::kRecordRefused:
+        context.metrics.CountRefusedRecord(event.detail);
+        context.log.Warning("jobs",
+                            "progress record refused, job=" + event.task.job +
+                                " why=" + event.detail);
+        break;
       case sched::event_kind::kTeamHeldBack:
         context.log.Info("shares", "team held back, pool=" + event.runner +
                                        " " + event.detail);
--- a/src/node/leader_records.cc
+++ b/src/node/leader_records.cc
@@ -115,8 +115,16 @@
     SchedulePass();
     return SaveProgress();
   }
+  using sched::write_failure;
+  const bool refused =
+      !Ok(outcome) && Error(outcome).kind == failure_kind::kInvalid;
+  const write_failure kind = Ok(outcome) ? write_failure::kConflict
+                             : !refused  ? write_failure::kUnavailable
+                             : writes.size() > 1
+                                 ? write_failure::kRefusedWithOthers
+                                 : write_failure::kRefused;
   for (const sched::pending_write& write : writes) {
-    scheduler.ReportWriteFailure(write.job);
+    scheduler.ReportWriteFailure(write.job, kind, context.now.Now());
   }
   if (Ok(outcome)) {
     ResolveConflict(Value(outcome));
@@ -126,6 +134,7 @@
   context.log.Warning(
       "store", "progress write failed, jobs=" + std::to_string(writes.size()) +
                    " error=" + Error(outcome).message);
+  if (refused) return SaveProgress();
   RetryLater([this] { SaveProgress(); });
 }
 
--- a/src/node/node_metrics.cc
+++ b/src/node/node_metrics.cc
@@ -63,6 +63,9 @@
           CounterFamily(registry_, "radishwing_node_merged_records_total",
                         "Progress records merged into the leader's state")
               .Add({})),
+      refused_records_(
+          CounterFamily(registry_, "radishwing_node_refused_records_total",
+                        "Progress records that the store refuses")),
       runs_not_listed_(
           CounterFamily(registry_, "radishwing_node_runs_not_listed_total",
                         "Runs that held room for long without being listed")),
@@ -233,6 +236,10 @@
 
 void node_metrics::CountMergedRecord() { merged_records_.Increment(); }
 
+void node_metrics::CountRefusedRecord(std::string_view why) {
+  refused_records_.Add({{"why", std::string(why)}}).Increment();
+}
+
 void node_metrics::CountRunNotListed(std::string_view awaits) {
   runs_not_listed_.Add({{"awaits", std::string(awaits)}}).Increment();
 }
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -69,6 +69,8 @@
   /// Counts a progress record in the store that was merged into the leader's
   /// state of the job.
   void CountMergedRecord();
+  /// Counts a progress record that the store refuses, by the reason.
+  void CountRefusedRecord(std::string_view why);
   /// Counts a run that has held room for long although its runner does not list
   /// it, by what it waits for.
   void CountRunNotListed(std::string_view awaits);
@@ -113,6 +115,7 @@
   prometheus::Family<prometheus::Counter>& orders_;
   prometheus::Family<prometheus::Counter>& removals_;
   prometheus::Counter& merged_records_;
+  prometheus::Family<prometheus::Counter>& refused_records_;
   prometheus::Family<prometheus::Counter>& runs_not_listed_;
   prometheus::Counter& ignored_runner_entries_;
   prometheus::Histogram& takeover_seconds_;
--- a/src/sched/job_state.h
+++ b/src/sched/job_state.h
@@ -95,6 +95,11 @@
   /// The caller took a write of the progress and has not reported the result of
   /// the write yet.
   bool write_in_flight = false;
+  /// The job is written in a commit of its own, as it may fail that of others.
+  bool write_alone = false;
+  int write_conflicts = 0;  ///< Number of conflicts since the last write.
+  /// Time until which the job is not written, because the store refuses it.
+  millis write_held_until = -1;
 
   bool IsFinished() const { return phase >= job_phase::kSucceeded; }
   /// Returns the target for the time from the acceptance of the job to its end,
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -34,6 +34,7 @@
 #include "src/sched/start_queue.h"
 #include "src/sched/team_shares.h"
 #include "src/sched/ticket_cache.h"
+#include "src/sched/write_failure.h"
 
 namespace radishwing::sched {
 
@@ -183,8 +184,11 @@
       std::size_t limit, millis now = 0, millis deferral = 0,
       std::size_t max_entries = std::numeric_limits<std::size_t>::max());
   /// Reports that the write of `job` failed or got no answer, so that the
-  /// scheduler queues it again.
-  void ReportWriteFailure(const std::string& job);
+  /// scheduler queues it again. A write that the store refuses for good holds
+  /// up only its own job.
+  void ReportWriteFailure(const std::string& job,
+                          write_failure kind = write_failure::kUnavailable,
+                          millis now = 0);
   /// Reports the success of a write: the store has this version of the progress
   /// of `job`, and `revision` is the new store revision of the progress record.
   void ReportWriteSuccess(const std::string& job, std::uint64_t version,
@@ -290,6 +294,11 @@
   void MarkChanged(job_state& job);
   /// As MarkChanged, for a change whose write may wait for further ones.
   void MarkChangedByEnd(job_state& job);
+  /// Delays the next write of a job that the store refuses. The job's deferred
+  /// starts are dropped, as they wait for that write.
+  void HoldWrite(job_state& job, millis now);
+  /// Returns true if the store does not accept writes, as far as is known.
+  bool IsStoreBlocked(millis now) const;
   /// Queues a write of the job's progress, unless one is queued or in flight.
   void QueueWrite(job_state& job);
   static void UpdateCriticalPath(job_state& job);
@@ -533,10 +542,10 @@
   std::vector<advice_request> advice_requests_;
   /// Ids of jobs whose progress record was written since the last pass.
   std::vector<std::string> newly_recorded_jobs_;
-  /// False if the most recent write of a progress record failed. While it is
-  /// false, jobs whose start orders need a write of the progress record start
-  /// no tasks.
+  /// False if the store did not answer the most recent write of a progress
+  /// record. See IsStoreBlocked().
   bool store_writable_ = true;
+  int writes_in_flight_ = 0;  ///< Number of writes without an outcome.
   std::vector<scheduler_event> events_;  ///< Events not taken yet.
   team_shares shares_;                   ///< What each team uses of each pool.
   std::vector<share_report> share_reports_;  ///< See TeamShares().
--- a/src/sched/scheduler_event.h
+++ b/src/sched/scheduler_event.h
@@ -23,13 +23,16 @@
   kPlaceWaitStarted,
   kPlaceWaitEnded,  ///< All tasks of the step have started.
   kJobFinished,
+  /// The store refuses the progress record of a job, or would refuse it.
+  kRecordRefused,
   kTeamHeldBack,  ///< A team has used its share of a pool and has more work.
 };
 
 /// A scheduler decision or observation, for logs and metrics.
 struct scheduler_event {
   event_kind kind = event_kind::kTaskStarted;
-  /// Only the job id is set for kJobFinished; empty for kTeamHeldBack.
+  /// Only the job id is set for kJobFinished and kRecordRefused; empty for
+  /// kTeamHeldBack.
   fleet::task_name task;
   int run = 0;  ///< Number of the run; 0 for kJobFinished.
   /// Id of the runner; name of the queue for kJobFinished, of the pool for
@@ -37,8 +40,8 @@
   std::string runner;
   /// How the run ended, why it was lost or stopped, what a run that is not
   /// listed waits for, why a task no longer waits
-  /// for its place, the final phase of the job, or the share of the team; empty
-  /// for other events.
+  /// for its place, the final phase of the job, why the record is refused, or
+  /// the share of the team; empty for other events.
   std::string detail;
   /// Run time for kTaskEnded, time since the start order for kTaskLost and
   /// kStopOrdered, time since the first listing without the run for
--- a/src/sched/scheduler_plan.cc
+++ b/src/sched/scheduler_plan.cc
@@ -129,11 +129,13 @@
   blocked_demand_.clear();
   advice_requests_.clear();
   start_queue queue(shares_, std::move(short_pools));
+  const bool store_blocked = IsStoreBlocked(now);
   for (job_state* job : active_jobs_) {
     if (job->awaits_listings) job->awaits_listings = MayHaveUnlistedRuns(*job);
     // While writes to the store fail, a job gets capacity only if its start
     // orders need no write of its progress record.
-    if (!store_writable_ && !RecordCoversStarts(*job)) continue;
+    const bool record_blocked = store_blocked || now < job->write_held_until;
+    if (record_blocked && !RecordCoversStarts(*job)) continue;
     queue.Add(*job,
               RankJob(*job, run_times_.MeanRatio(job->record.queue), now));
   }
--- a/tests/node/leader_jobs_test.cc
+++ b/tests/node/leader_jobs_test.cc
@@ -66,6 +66,26 @@
   BOOST_TEST(!store.Value(ProgressKey(kJob)).empty());
 }
 
+// Guards against one job that stops all others because the store refuses its
+// record for good: those in the same commit, and those without a record.
+BOOST_AUTO_TEST_CASE(refused_record_holds_up_only_its_own_job) {
+  BecomeReady();
+  store.RefuseCommitsOf(ProgressKey(kJob));
+  subject->AddJob(kJob, JobRecord(), StoreJob(kJob));
+  subject->AddJob(kOtherJob, JobRecord(), StoreJob(kOtherJob));
+  RunUntil([&] { return !HasNoRun(kOtherJob); });
+  BOOST_TEST(HasNoRun(kJob));
+  // The record may be accepted later.
+  store.RefuseCommitsOf("");
+  for (int i = 0; i < 100 && HasNoRun(kJob); ++i) {
+    time.Advance(100);
+    const auto begin = store.CommitCount();
+    RunUntil([&] { return !HasNoRun(kJob) || store.CommitCount() >= begin; });
+    io.run_one();
+  }
+  RunUntil([&] { return !HasNoRun(kJob); });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/sched/scheduler_writes_test.cc
+++ b/tests/sched/scheduler_writes_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 #include "tests/sched/scheduler_fixture.h"
@@ -120,6 +121,82 @@
   BOOST_TEST(second[2].job_revision == 0u);
 }
 
+// Guards against a job that fails the commits of others for ever.
+BOOST_AUTO_TEST_CASE(jobs_of_a_refused_commit_are_written_alone) {
+  AddRunner("r1");
+  AddJob("a", {Step(1)});
+  AddJob("b", {Step(1)});
+  subject.Plan(now, now);
+  BOOST_TEST(TakeWrittenJobs(5).size() == 2u);
+  for (const char* job : {"a", "b"}) {
+    subject.ReportWriteFailure(job, write_failure::kRefusedWithOthers, now);
+  }
+  BOOST_TEST(TakeWrittenJobs(5) == std::vector<std::string>{"a"});
+  subject.ReportWriteFailure("a", write_failure::kRefused, now);
+  BOOST_TEST(TakeWrittenJobs(5) == std::vector<std::string>{"b"});
+}
+
+// Guards against a refusal that is taken for a store that is down, and against
+// room that a job without a record holds until its next write.
+BOOST_AUTO_TEST_CASE(refused_job_is_held_and_the_others_start) {
+  AddRunner("r1", 1000);
+  AddJob("a", {Step(1)});
+  subject.Plan(now, now);
+  BOOST_TEST(TakeWrittenJobs(5) == std::vector<std::string>{"a"});
+  subject.ReportWriteFailure("a", write_failure::kRefused, now);
+  AddJob("b", {Step(1)});
+  const auto orders = Plan();
+  BOOST_REQUIRE_EQUAL(orders.size(), 1u);
+  BOOST_TEST(orders[0].task.job == "b");
+  now += 5000;
+  BOOST_TEST(subject.TakeWrites(5, now).size() == 1u);
+}
+
+// Guards against jobs that wait for ever for a write that shows that the store
+// is back: the only one left is of a job that is held.
+BOOST_AUTO_TEST_CASE(held_job_does_not_keep_the_store_down) {
+  AddRunner("r1");
+  AddJob("a", {Step(1)});
+  subject.Plan(now, now);
+  TakeWrittenJobs(5);
+  subject.ReportWriteFailure("a", write_failure::kRefused, now);
+  AddJob("b", {Step(1)});
+  subject.Plan(now, now);
+  for (const pending_write& write : subject.TakeWrites(5, now)) {
+    subject.ReportWriteFailure(write.job);
+  }
+  subject.CancelJob("b", now);
+  for (const pending_write& write : subject.TakeWrites(5, now)) {
+    subject.ReportWriteFailure(write.job);
+  }
+  subject.DropJob("b");
+  AddJob("c", {Step(1)});
+  subject.Plan(now, now);
+  BOOST_TEST(subject.TakeWrites(5, now).size() == 1u);
+}
+
+// Guards against a record that the store would refuse, and would refuse again.
+BOOST_AUTO_TEST_CASE(record_that_is_too_long_is_not_sent) {
+  AddRunner("r1");
+  subject.SetMaxRecordBytes(16384);
+  // The steps before the last one have no room, but are in the record.
+  std::vector<fleet::task_step> steps(12, Step(2000, 1000000));
+  steps.back() = Step(1);
+  AddJob("a", std::move(steps));
+  AddJob("b", {Step(1)});
+  for (const order& start : PlanAndAccept()) {
+    ReportListing(
+        "r1", End(++end_count, start.task, start.run, fleet::run_end::kDone));
+  }
+  subject.TakeEvents();
+  BOOST_TEST(end_count == 2u);
+  const auto jobs = TakeWrittenJobs(5);
+  BOOST_TEST((std::ranges::find(jobs, "a") == jobs.end()));
+  const auto events = subject.TakeEvents();
+  BOOST_TEST(std::ranges::count(events, event_kind::kRecordRefused,
+                                &scheduler_event::kind) == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tools/fleet_fake/fake_store.cc
+++ b/tools/fleet_fake/fake_store.cc
@@ -173,6 +173,9 @@
                              const http::server::responder& respond) {
   const json::object commit = json::parse(request.body).as_object();
   http::server_response response;
+  if (!refused_key_.empty() && Changes(commit, refused_key_)) {
+    return respond(http::MakeErrorResponse(400, "invalid", "refused"));
+  }
   const bool is_held = !delayed_key_.empty() && Changes(commit, delayed_key_);
   if (is_held || commits_to_delay_ > 0) {
     if (is_held) {
--- a/tools/fleet_fake/fake_store.h
+++ b/tools/fleet_fake/fake_store.h
@@ -68,6 +68,9 @@
   /// Makes responses to commits whose preconditions do not hold omit the keys
   /// that do not exist.
   void OmitAbsentItems() { omits_absent_items_ = true; }
+  /// Makes the store refuse commits that write `key` with 400; an empty key
+  /// ends that.
+  void RefuseCommitsOf(const std::string& key) { refused_key_ = key; }
   /// Calls `action` once, before the next commit that writes or removes `key`
   /// is carried out.
   void BeforeNextCommitOf(const std::string& key,
@@ -150,6 +153,7 @@
   int commit_responses_to_drop_ = 0;
   std::string delayed_key_;  ///< See DelayCommitsOf; empty: none.
   std::vector<boost::json::object> delayed_commits_;
+  std::string refused_key_;   ///< See RefuseCommitsOf; empty: none.
   int commits_to_delay_ = 0;  ///< See DelayCommits.
   millis commit_delay_ms_ = 0;
   std::size_t timed_commit_count_ = 0;  ///< Commits that wait for their delay.
