Refuse a job that is larger than a value of the store at once

Seen by callers: a job whose record is longer than the store accepts (a body of 1 to 2 MiB) was answered 504, as if it might be stored, and with it up to nine jobs of other callers that shared its commit.

Change: a job that is too large is answered 413 before anything is sent. The jobs of a commit that the store refuses for good are sent alone, so that one does not fail the others; one that is refused alone is answered 413 too, unless an earlier commit of it got no response.

--- a/src/node/client_api.cc
+++ b/src/node/client_api.cc
@@ -257,6 +257,11 @@
       case submission_outcome::kRefused:
         count_outcome("refused");
         return respond(MakeRetryLaterResponse("store_unreachable"));
+      case submission_outcome::kTooLarge:
+        count_outcome("too_large");
+        return respond(http::MakeErrorResponse(
+            413, "job_too_large",
+            "the job is larger than the store accepts; it was not stored"));
       case submission_outcome::kUnknown:
         count_outcome("unknown");
         return respond(http::MakeErrorResponse(504, "outcome_unknown",
--- a/src/node/job_intake.cc
+++ b/src/node/job_intake.cc
@@ -43,6 +43,8 @@
     /// An earlier commit of the job got no response, so the store may have
     /// applied it.
     bool may_be_stored = false;
+    /// The store has refused a commit with this job and others for good.
+    bool alone = false;
   };
   /// The jobs of one commit.
   using batch = std::shared_ptr<std::vector<pending_job>>;
@@ -52,6 +54,9 @@
 
   void SendCommits();
   void OnCommit(const batch& jobs, result<store::commit_outcome> outcome);
+  /// Handles a commit that the store refused for good: sends its jobs alone, so
+  /// that one of them does not fail the others.
+  void OnRefused(const batch& jobs);
   void ResolveConflict(const batch& jobs, const store::commit_outcome& outcome);
   /// Reads the job's key to determine whether the job is stored, after a commit
   /// without a clear response.
@@ -76,17 +81,24 @@
           })) {
         break;
       }
+      if (waiting_jobs.front().alone && !jobs->empty()) break;
       pending_job job = std::move(waiting_jobs.front());
       waiting_jobs.pop_front();
       const std::string key = JobKey(job.job.id);
       job.job.cancelled = job.cancel_revision > 0;
       job.record = EncodeJobRecord(job.job, job.leader_fencing_token);
+      if (job.record.size() > context.settings.max_value_bytes) {
+        Complete(job, submission_outcome::kTooLarge);
+        continue;
+      }
       commit.preconditions.push_back({key, 0});
       commit.preconditions.push_back(
           {CancelKey(job.job.id), job.cancel_revision});
       commit.writes.push_back({key, job.record, 0});
       jobs->push_back(std::move(job));
+      if (jobs->back().alone) break;
     }
+    if (jobs->empty()) continue;
     ++commits_in_flight;
     context.store->Commit(commit, [weak = weak_from_this(), jobs](
                                       result<store::commit_outcome> outcome) {
@@ -110,12 +122,26 @@
       Complete(job, job.may_be_stored ? submission_outcome::kUnknown
                                       : submission_outcome::kRefused);
     }
+  } else if (Error(outcome).kind == failure_kind::kInvalid) {
+    OnRefused(jobs);
   } else {
     for (pending_job& job : *jobs) ReadBack(std::move(job));
   }
   SendCommits();
 }
 
+void job_intake::impl::OnRefused(const batch& jobs) {
+  if (jobs->size() == 1) {
+    pending_job& job = jobs->front();
+    if (job.may_be_stored) return ReadBack(std::move(job));
+    return Complete(job, submission_outcome::kTooLarge);
+  }
+  for (pending_job& job : *jobs) {
+    job.alone = true;
+    waiting_jobs.push_back(std::move(job));
+  }
+}
+
 // The store rejected the whole commit. Accepts the jobs that are already stored
 // and retries the others.
 void job_intake::impl::ResolveConflict(const batch& jobs,
--- a/src/node/job_intake.h
+++ b/src/node/job_intake.h
@@ -14,7 +14,9 @@
 enum class submission_outcome {
   kAccepted,  ///< The job is stored, by this or an earlier submission.
   kRefused,   ///< This submission did not store the job and never will.
-  kUnknown,   ///< This submission may have stored the job, or may do so later.
+  /// As kRefused; the store would refuse the job again, as it is too large.
+  kTooLarge,
+  kUnknown,  ///< This submission may have stored the job, or may do so later.
 };
 
 /// Stores submitted jobs. While earlier commits are in flight, new jobs may
