review: case 13, jobs of a queue with advice never start in a larger pool

Shown: tickets count as expired on arrival if the answer about all runners takes as long as a ticket is valid less 300 ms; the call is repeated for ever (LOST).

--- a/review/world-3/runner.cc
+++ b/review/world-3/runner.cc
@@ -372,6 +372,18 @@
   }
   if (Number(body, "deadline-ms") <= Clock()) return Reject(respond, "late");
   const task_id id = task_id::Parse(task);
+  const job_plan* job = world_.records.FindJob(id.job);
+  if (job && !world_.ticket_path_prefix.empty() &&
+      job->path_prefix == world_.ticket_path_prefix) {
+    const auto found = world_.tickets.find({id.StepText(), place_.id});
+    if (found == world_.tickets.end() ||
+        found->second.text != Text(body, "ticket") ||
+        found->second.life != life_ ||
+        found->second.valid_until < world_.records.Now()) {
+      world_.records.Note("ticket refused " + task + " at " + place_.id);
+      return Reject(respond, "ticket");
+    }
+  }
   const step_plan* step = world_.records.FindStep(id);
   std::int64_t used = 0;
   for (const auto& [name, run] : active_) {
--- a/review/world-3/runner.h
+++ b/review/world-3/runner.h
@@ -33,6 +33,15 @@
     class runner* at;
   };
   std::map<std::string, std::vector<gang_member>> gangs;
+  /// A ticket of the advice service.
+  struct ticket {
+    std::string text;
+    std::uint64_t life = 0;  ///< Life of the runner for which it was issued.
+    millis valid_until = 0;  ///< Time of the book.
+  };
+  /// By step and runner id. Only starts of `ticket_path_prefix` need one.
+  std::map<std::pair<std::string, std::string>, ticket> tickets;
+  std::string ticket_path_prefix;
 };
 
 /// Stand-in of a worker's runner, as PROTOCOL.md describes it.
@@ -54,6 +63,7 @@
 
   const place& Place() const { return place_; }
   bool IsUp() const { return up_; }
+  std::uint64_t Life() const { return life_; }
   /// Cut off: neither executes requests nor answers them, runs on.
   void SetCut(bool cut);
   bool IsCut() const { return cut_; }
--- a/review/world-3/world.cc
+++ b/review/world-3/world.cc
@@ -106,7 +106,9 @@
       runner_world{.io = io_,
                    .records = records_,
                    .registry = *store_,
-                   .gangs = {}});
+                   .gangs = {},
+                   .tickets = {},
+                   .ticket_path_prefix = {}});
   shared_->stop_ms = plan_.stop_ms;
   http::server_options options;
   options.address = network_ + "201:0";
@@ -117,6 +119,17 @@
       });
   if (!Ok(cloud)) throw std::runtime_error(Error(cloud).message);
   cloud_ = std::move(radishwing::Value(std::move(cloud)));
+  options.address = network_ + "203:0";
+  auto advice = http::server::Make(
+      io_, options,
+      [this](const http::server_request& request, auto respond) {
+        ServeAdvice(request, std::move(respond));
+      });
+  if (!Ok(advice)) throw std::runtime_error(Error(advice).message);
+  advice_ = std::move(radishwing::Value(std::move(advice)));
+  for (const queue_plan& queue : plan_.queues) {
+    if (queue.valid_ms > 0) shared_->ticket_path_prefix = queue.prefix;
+  }
 }
 
 world::~world() { nodes_.clear(); }
@@ -211,20 +224,62 @@
   respond(http::MakeJsonResponse(200, json::object{}));
 }
 
+// Allows each worker that is named. One queue at most has advice.
+void world::ServeAdvice(const http::server_request& request,
+                        http::server::responder respond) {
+  const json::object body = json::parse(request.body).as_object();
+  const std::string step(body.at("step").as_string());
+  const json::array workers = body.at("workers").as_array();
+  queue_plan queue;
+  for (const queue_plan& entry : plan_.queues) {
+    if (entry.valid_ms > 0) queue = entry;
+  }
+  ++advice_calls_;
+  const millis now = records_.Now();
+  const millis takes = queue.decide_ms +
+                       queue.period_ms * static_cast<millis>(workers.size());
+  advice_busy_until_ = std::max(advice_busy_until_, now) + takes;
+  records_.Note("advise " + step + " on " + std::to_string(workers.size()) +
+                " workers, takes " + std::to_string(takes) + " ms");
+  After(io_, advice_busy_until_ - now,
+        [this, step, workers, queue, respond = std::move(respond)] {
+          json::array allowed;
+          for (const json::value& worker : workers) {
+            const std::string id(worker.as_string());
+            for (const auto& runner : runners_) {
+              if (runner->Place().id != id || !runner->IsUp()) continue;
+              const std::string text = "t-" + std::to_string(random_());
+              shared_->tickets[{step, id}] = {text, runner->Life(),
+                                              records_.Now() + queue.valid_ms};
+              allowed.push_back(json::array{id, text});
+            }
+          }
+          respond(http::MakeJsonResponse(
+              200, json::object{{"allowed", std::move(allowed)},
+                                {"valid-ms", queue.valid_ms}}));
+        });
+}
+
 std::string world::ConfigText() const {
   json::array routes;
   for (const queue_plan& queue : plan_.queues) {
-    routes.push_back(json::object{{"name", queue.name},
-                                  {"host", kHost},
-                                  {"prefix", queue.prefix},
-                                  {"type", "unsafe"},
-                                  {"timeout-ms", 3000},
-                                  {"target-latency-ms", queue.target_ms},
-                                  {"priority", queue.priority},
-                                  {"backend", queue.pool},
-                                  {"attempts", queue.attempts},
-                                  {"stretch", queue.stretch},
-                                  {"public", false}});
+    json::object route{{"name", queue.name},
+                       {"host", kHost},
+                       {"prefix", queue.prefix},
+                       {"type", "unsafe"},
+                       {"timeout-ms", 3000},
+                       {"target-latency-ms", queue.target_ms},
+                       {"priority", queue.priority},
+                       {"backend", queue.pool},
+                       {"attempts", queue.attempts},
+                       {"stretch", queue.stretch},
+                       {"public", false}};
+    if (queue.valid_ms > 0) {
+      route["advice"] = json::object{{"decide-ms", queue.decide_ms},
+                                     {"period-ms", queue.period_ms},
+                                     {"valid-ms", queue.valid_ms}};
+    }
+    routes.push_back(std::move(route));
   }
   json::array services;
   const auto add_service = [&](const std::string& name, bool standby) {
@@ -318,6 +373,7 @@
                               {"pace-ms", 100},
                               {"harm-ms", 4000}}},
       {"orders", "request"},
+      {"advice", advice_->Address()},
       {"platform", json::object{{"address", store_->Address(i)},
                                 {"form", "kv"},
                                 {"writes-per-s", 400},
--- a/review/world-3/world.h
+++ b/review/world-3/world.h
@@ -48,6 +48,10 @@
   int attempts = 3;
   double stretch = 1.6;
   millis target_ms = 600;
+  // Times of the advice service; 0: the queue has none.
+  millis decide_ms = 0;
+  millis period_ms = 0;
+  millis valid_ms = 0;
 };
 
 struct world_plan {
@@ -106,7 +110,7 @@
             const std::string& target, const std::string& key,
             const std::string& body, millis timeout,
             std::function<void(unsigned, std::string)> done);
-  std::string Network() const { return network_; }
+  int AdviceCalls() const { return advice_calls_; }
 
  private:
   struct machine {
@@ -122,6 +126,8 @@
   void WriteSettings(int i);
   void ServeCloud(const radishwing::http::server_request& request,
                   radishwing::http::server::responder respond);
+  void ServeAdvice(const radishwing::http::server_request& request,
+                   radishwing::http::server::responder respond);
   void TrySubmit(const std::string& id, int node, int attempts_left);
 
   world_plan plan_;
@@ -137,6 +143,9 @@
   std::vector<std::unique_ptr<node_process>> nodes_;
   std::vector<std::unique_ptr<radishwing::http::client>> clients_;
   std::unique_ptr<radishwing::http::server> cloud_;
+  std::unique_ptr<radishwing::http::server> advice_;
+  millis advice_busy_until_ = 0;
+  int advice_calls_ = 0;
   std::map<std::string, machine> machines_;
   int next_runner_id_ = 1;
   std::mt19937 random_{20261207};
