--- a/review/world-3/book.h
+++ b/review/world-3/book.h
@@ -20,8 +20,8 @@
 
   static task_id Parse(const std::string& name);
   std::string Text() const {
-    return job + "." + std::to_string(repetition) + "." +
-           std::to_string(step) + "." + std::to_string(index);
+    return job + "." + std::to_string(repetition) + "." + std::to_string(step) +
+           "." + std::to_string(index);
   }
   std::string StepText() const {
     return job + "." + std::to_string(repetition) + "." + std::to_string(step);
--- a/review/world-3/case_advice.cc
+++ b/review/world-3/case_advice.cc
@@ -53,8 +53,8 @@
   const char* setting = std::getenv("TROUBLE");
   const bool trouble = !setting || std::strcmp(setting, "0") != 0;
   world_plan plan;
-  plan.queues = {{"checked", "/puxa400/", "huvo11a", 1, 4, 1.6, 600, 200, 100,
-                  3000}};
+  plan.queues = {
+      {"checked", "/puxa400/", "huvo11a", 1, 4, 1.6, 600, 200, 100, 3000}};
   plan.pools = {"huvo11a"};
   plan.tenants = {"cugo130"};
   plan.cap_cpu = 200000;
@@ -83,10 +83,10 @@
     // It is watched for as long again, to show that no wait ends it.
     deployment.RunFor(kFinishMs + kIdleMs);
     deployment.Book().Break(
-        "LOST", after + " was accepted and nothing of it has run " +
-                    (HasBegun(deployment, after) ? "in time" : "at all") +
-                    ", calls for advice: " +
-                    std::to_string(deployment.AdviceCalls()));
+        "LOST",
+        after + " was accepted and nothing of it has run " +
+            (HasBegun(deployment, after) ? "in time" : "at all") +
+            ", calls for advice: " + std::to_string(deployment.AdviceCalls()));
   }
   for (const std::string& broken : deployment.Book().Breaks()) {
     std::cout << broken << '\n';
--- a/review/world-3/case_large_jobs.cc
+++ b/review/world-3/case_large_jobs.cc
@@ -63,8 +63,7 @@
 
   /// A job of two steps whose estimates are too low.
   void SubmitSmallJob(int number) {
-    job_plan job =
-        world_.MakeJob("inline-" + std::to_string(number), "tena2");
+    job_plan job = world_.MakeJob("inline-" + std::to_string(number), "tena2");
     for (int i = 0; i < 2; ++i) {
       step_plan step;
       step.cpu = 880;
@@ -94,8 +93,9 @@
     for (const std::string& id : idle) {
       if (!IsIdle(id)) continue;
       world_.Book().Break(
-          "LOST", id + " has nothing at work though the turn of its second "
-                       "step has come; its state is " +
+          "LOST", id +
+                      " has nothing at work though the turn of its second "
+                      "step has come; its state is " +
                       world_.StateOf(id, 1).second);
     }
   }
--- a/review/world-3/case_outage.cc
+++ b/review/world-3/case_outage.cc
@@ -108,21 +108,20 @@
     const std::string job = SubmitQuickJob();
     world_.RunFor(kRecoveredMs - 4000);
     const auto recovered = [&] {
-      return CountIdleTasks(0) == 0 &&
-             world_.Book().IsDone(job + ".0.0.0") &&
+      return CountIdleTasks(0) == 0 && world_.Book().IsDone(job + ".0.0.0") &&
              world_.Book().IsDone(job + ".0.0.1");
     };
     if (recovered()) return true;
     world_.RunUntil(calm_since + kObservedMs - world_.Book().Now(), recovered);
     const int idle = CountIdleTasks(kMaxIdleMs);
     if (idle > 0) {
-      world_.Book().Break("LOST", std::to_string(idle) +
-                                      " lasting tasks are not at work");
+      world_.Book().Break(
+          "LOST", std::to_string(idle) + " lasting tasks are not at work");
     }
     if (world_.Book().FindJob(job)->accepted &&
         world_.Book().Runs(job + ".0.0.0").empty()) {
-      world_.Book().Break("LOST", "the job " + job +
-                                      " was accepted and nothing of it runs");
+      world_.Book().Break(
+          "LOST", "the job " + job + " was accepted and nothing of it runs");
     }
     return !world_.Book().Broken();
   }
--- a/review/world-3/job.h
+++ b/review/world-3/job.h
@@ -45,8 +45,6 @@
   bool accepted = false;
   bool may_be_stored = false;  ///< An attempt ended without a rejection.
   millis accepted_at = -1;
-  millis cancel_acked_at = -1;
-  bool cancel_sent = false;
 
   std::string Body() const {
     namespace json = boost::json;
--- a/review/world-3/runner.cc
+++ b/review/world-3/runner.cc
@@ -29,10 +29,10 @@
            std::function<void()> action) {
   auto timer = std::make_shared<boost::asio::steady_timer>(
       io, std::chrono::milliseconds(delay));
-  timer->async_wait([timer, action = std::move(action)](
-                        boost::system::error_code error) {
-    if (!error) action();
-  });
+  timer->async_wait(
+      [timer, action = std::move(action)](boost::system::error_code error) {
+        if (!error) action();
+      });
 }
 
 // Checkpoints hold the work done in ms and a hash of the task or gang.
@@ -99,25 +99,8 @@
   server_.reset();
 }
 
-void runner::SetCut(bool cut) {
-  cut_ = cut;
-  world_.records.Note(std::string(cut ? "cut " : "healed ") + place_.id);
-  if (cut) {
-    http::server_response silence;
-    silence.action = http::response_action::kNeverRespond;
-    for (waiting_hold& hold : std::exchange(holds_, {})) hold.respond(silence);
-  } else {
-    Beat();
-  }
-}
-
-void runner::SetDraining(bool draining) {
-  draining_ = draining;
-  Register();
-}
-
 void runner::Register() {
-  if (!up_ || cut_) return;
+  if (!up_) return;
   world_.registry.Put(
       "servers/" + place_.id,
       json::serialize(json::object{
@@ -126,11 +109,11 @@
           {"zone", place_.zone},
           {"version", "v1"},
           {"capacity", 8},
-          {"state", draining_ ? "draining" : "ready"},
+          {"state", "ready"},
           {"cold-ms", 0},
-          {"free-resources", json::object{{"cpu", place_.cpu},
-                                          {"mem-mb", place_.mem_mb},
-                                          {"gpu", 0}}},
+          {"free-resources",
+           json::object{
+               {"cpu", place_.cpu}, {"mem-mb", place_.mem_mb}, {"gpu", 0}}},
           {"labels", json::array{"a", place_.rack}},
           {"born", born_unix_},
           {"clock-ms", Clock()},
@@ -139,10 +122,9 @@
 
 void runner::Beat() {
   Register();
-  After(world_.io, world_.heartbeat_ms,
-        [this, life = life_, alive = alive_] {
-          if (*alive && up_ && life == life_ && !cut_) Beat();
-        });
+  After(world_.io, world_.heartbeat_ms, [this, life = life_, alive = alive_] {
+    if (*alive && up_ && life == life_) Beat();
+  });
 }
 
 void runner::ScheduleTick() {
@@ -189,9 +171,9 @@
 void runner::EndGang(const std::string& gang, const std::string& by,
                      const std::string& how_by, const std::string& how_others) {
   const auto it = world_.gangs.find(gang);
-  const auto members =
-      it == world_.gangs.end() ? std::vector<runner_world::gang_member>{}
-                               : it->second;
+  const auto members = it == world_.gangs.end()
+                           ? std::vector<runner_world::gang_member>{}
+                           : it->second;
   world_.gangs.erase(gang);
   if (!how_by.empty()) End(by, how_by);
   for (const auto& member : members) {
@@ -241,7 +223,7 @@
       }
     }
   }
-  if (!holds_.empty() && !cut_) {
+  if (!holds_.empty()) {
     std::vector<waiting_hold> due;
     std::erase_if(holds_, [&](waiting_hold& hold) {
       if (ended_.empty() && now < hold.until) return false;
@@ -260,10 +242,11 @@
     const step_plan* step = world_.records.FindStep(task_id::Parse(task));
     millis percent = 0;
     if (step && !run.present_only) {
-      percent = step->long_running
-                    ? std::min<millis>(100, Work(run) * 100 / kStartupMs)
-                    : std::min<millis>(99, Work(run) * 100 /
-                                               std::max<millis>(1, step->run_ms));
+      percent =
+          step->long_running
+              ? std::min<millis>(100, Work(run) * 100 / kStartupMs)
+              : std::min<millis>(
+                    99, Work(run) * 100 / std::max<millis>(1, step->run_ms));
     }
     running.push_back(json::array{task, run.number, Saved(task, run), percent,
                                   step ? step->cpu : 0});
@@ -303,11 +286,6 @@
 
 void runner::Serve(const http::server_request& request, responder respond) {
   if (!up_) return;
-  if (cut_) {
-    http::server_response silence;
-    silence.action = http::response_action::kNeverRespond;
-    return respond(silence);
-  }
   Tick();
   const std::string_view instance = request.HeaderValue("Expect-Instance");
   if (!instance.empty() && instance != place_.id) {
@@ -329,38 +307,12 @@
 }
 
 void runner::Start(const json::object& body, const responder& respond) {
-  if (starts_to_delay_ > 0) {
-    --starts_to_delay_;
-    world_.records.Note("start order held back by " + place_.id + " " +
-                        Text(body, "task") + " run " +
-                        std::to_string(Number(body, "run")));
-    http::server_response silence;
-    silence.action = http::response_action::kNeverRespond;
-    respond(silence);
-    After(world_.io, start_delay_ms_,
-          [this, alive = alive_, life = life_, body] {
-            if (!*alive || !up_ || life != life_) return;
-            world_.records.Note("late start order at " + place_.id);
-            Execute(body, [](const http::server_response&) {});
-          });
-    return;
-  }
-  Execute(body, respond);
-}
-
-void runner::Execute(const json::object& body, const responder& respond) {
   if (!Raise(body, respond)) return;
   const std::string task = Text(body, "task");
   const auto number = static_cast<int>(Number(body, "run"));
   const auto accept = [&] {
     Extend(body);
-    http::server_response response = http::MakeJsonResponse(
-        200, json::object{{"clock-ms", Clock()}});
-    if (start_answers_to_lose_ > 0) {
-      --start_answers_to_lose_;
-      response.action = http::response_action::kCloseConnection;
-    }
-    respond(response);
+    respond(http::MakeJsonResponse(200, json::object{{"clock-ms", Clock()}}));
   };
   const auto current = active_.find(task);
   if (current != active_.end() && current->second.number == number) {
@@ -399,14 +351,13 @@
   }
   active_run run;
   run.number = number;
-  run.record = world_.records.RecordStart(task, number, place_.id,
-                                          Text(body, "spec"));
+  run.record =
+      world_.records.RecordStart(task, number, place_.id, Text(body, "spec"));
   run.begun_at = Clock();
   run.work_from = Clock();
   run.checkpoint = Text(body, "checkpoint");
   if (!run.checkpoint.empty()) {
-    const millis work =
-        std::stoll(run.checkpoint.substr(0, 8), nullptr, 16);
+    const millis work = std::stoll(run.checkpoint.substr(0, 8), nullptr, 16);
     const std::string owner = step && step->gang ? id.StepText() : task;
     if (run.checkpoint != MakeCheckpoint(work, owner)) {
       world_.records.Break("UNASKED", task + " with a foreign checkpoint");
@@ -424,9 +375,8 @@
       for (const auto& member : members) {
         active_run& entry = member.at->active_.at(member.task);
         entry.present_only = false;
-        entry.work_from =
-            member.at->Clock() +
-            (entry.checkpoint.empty() ? 0 : world_.restore_ms);
+        entry.work_from = member.at->Clock() +
+                          (entry.checkpoint.empty() ? 0 : world_.restore_ms);
         if (entry.checkpoint != run.checkpoint) {
           world_.records.Note("gang " + gang + " with unlike checkpoints");
         }
@@ -453,7 +403,6 @@
 
 void runner::Hold(const json::object& body, responder respond) {
   if (!Raise(body, respond)) return;
-  last_poll_at_ = world_.records.Now();
   const auto cursor = static_cast<std::uint64_t>(Number(body, "ack-cursor"));
   while (!ended_.empty() && ended_.front().number <= cursor) {
     world_.records.RecordNoted(ended_.front().task, ended_.front().record);
--- a/review/world-3/runner.h
+++ b/review/world-3/runner.h
@@ -64,34 +64,19 @@
   const place& Place() const { return place_; }
   bool IsUp() const { return up_; }
   std::uint64_t Life() const { return life_; }
-  /// Cut off: neither executes requests nor answers them, runs on.
-  void SetCut(bool cut);
-  bool IsCut() const { return cut_; }
   /// Ends the process of the runner; nothing of it is known any more.
   void Crash();
   /// Starts again under its id and address.
   void Restart();
-  /// Leaves start orders unanswered and carries them out after `delay`.
-  void DelayStarts(int count, millis delay) {
-    starts_to_delay_ = count;
-    start_delay_ms_ = delay;
-  }
-  /// Carries out the next `count` starts without an answer.
-  void LoseStartAnswers(int count) { start_answers_to_lose_ = count; }
-  void SetDraining(bool draining);
-  millis LastPollAt() const { return last_poll_at_; }
-  std::size_t ActiveRuns() const { return active_.size(); }
-  bool Runs(const std::string& task) const { return active_.contains(task); }
 
  private:
-  friend struct runner_world;
   struct active_run {
     int number = 0;
-    std::size_t record = 0;   ///< Position in the book.
-    millis begun_at = 0;      ///< Clock time of the start.
-    millis work_from = 0;     ///< Clock time from which it works; gang: set late.
-    millis work_before = 0;   ///< Work that the checkpoint has saved.
-    millis stop_at = -1;      ///< Clock time at which an ordered stop ends it.
+    std::size_t record = 0;  ///< Position in the book.
+    millis begun_at = 0;     ///< Clock time of the start.
+    millis work_from = 0;  ///< Clock time from which it works; gang: set late.
+    millis work_before = 0;  ///< Work that the checkpoint has saved.
+    millis stop_at = -1;     ///< Clock time at which an ordered stop ends it.
     bool present_only = false;  ///< Gang member that waits for the others.
     std::string checkpoint;
   };
@@ -112,9 +97,9 @@
   void Listen();
   void Beat();
   void Register();
-  void Serve(const radishwing::http::server_request& request, responder respond);
+  void Serve(const radishwing::http::server_request& request,
+             responder respond);
   void Start(const boost::json::object& body, const responder& respond);
-  void Execute(const boost::json::object& body, const responder& respond);
   void Stop(const boost::json::object& body, const responder& respond);
   void Hold(const boost::json::object& body, responder respond);
   void Tick();
@@ -146,12 +131,6 @@
   std::uint64_t seq_ = 0;
   std::uint64_t life_ = 0;
   bool up_ = false;
-  bool cut_ = false;
-  bool draining_ = false;
-  int starts_to_delay_ = 0;
-  millis start_delay_ms_ = 0;
-  int start_answers_to_lose_ = 0;
-  millis last_poll_at_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/review/world-3/store.cc
+++ b/review/world-3/store.cc
@@ -71,15 +71,6 @@
   down_ = down;
 }
 
-void store::SilenceConnections() {
-  for (door& entry : doors_) {
-    entry.silent_up_to = entry.server->LastConnectionId();
-  }
-  for (waiting_watch& watch : std::exchange(watches_, {})) {
-    watch.respond(NoAnswer());
-  }
-}
-
 void store::ScheduleTick() {
   auto timer = std::make_shared<boost::asio::steady_timer>(
       io_, std::chrono::milliseconds(10));
@@ -95,8 +86,8 @@
     });
     for (waiting_watch& watch : due) {
       watch.respond(http::MakeJsonResponse(
-          200, json::object{{"events", json::array{}},
-                            {"current-rev", revision_}}));
+          200,
+          json::object{{"events", json::array{}}, {"current-rev", revision_}}));
     }
     ScheduleTick();
   });
@@ -166,11 +157,6 @@
 void store::Serve(int node, const http::server_request& request,
                   responder respond) {
   door& entry = doors_.at(static_cast<std::size_t>(node));
-  if (on_call) {
-    on_call(node, std::string(to_string(request.method)) + " " +
-                      request.target.path);
-  }
-  if (request.connection_id <= entry.silent_up_to) return respond(NoAnswer());
   switch (entry.mode) {
     case store_mode::kUp:
       break;
@@ -181,17 +167,6 @@
     case store_mode::kSilent:
       return respond(NoAnswer());
   }
-  if (delay_ms_ == 0) return ServeNow(node, request, std::move(respond));
-  auto timer = std::make_shared<boost::asio::steady_timer>(
-      io_, std::chrono::milliseconds(delay_ms_));
-  timer->async_wait([this, timer, node, request,
-                     respond = std::move(respond)](boost::system::error_code) {
-    ServeNow(node, request, respond);
-  });
-}
-
-void store::ServeNow(int node, const http::server_request& request,
-                     responder respond) {
   ExpireLeases();
   const std::string& path = request.target.path;
   const auto parameter = [&](std::string_view name) {
@@ -221,24 +196,17 @@
       }
       items.push_back(Encode(it->first, it->second));
     }
-    return respond(http::MakeJsonResponse(
-        200, json::object{{"items", std::move(items)},
-                          {"has-more", more},
-                          {"current-rev", revision_}}));
+    return respond(
+        http::MakeJsonResponse(200, json::object{{"items", std::move(items)},
+                                                 {"has-more", more},
+                                                 {"current-rev", revision_}}));
   }
   if (path == "/kv-watch") {
-    return ServeWatch(node, request, std::move(respond),
+    return ServeWatch(request, std::move(respond),
                       clock_.Now() + std::atoll(parameter("wait-ms").c_str()));
   }
   if (path == "/kv-txn") {
-    http::server_response response =
-        Commit(json::parse(request.body).as_object());
-    door& entry = doors_.at(static_cast<std::size_t>(node));
-    if (entry.answers_to_lose > 0) {
-      --entry.answers_to_lose;
-      return respond(NoAnswer());
-    }
-    return respond(std::move(response));
+    return respond(Commit(json::parse(request.body).as_object()));
   }
   if (path == "/kv-lease") {
     const auto ttl = static_cast<millis>(
@@ -253,7 +221,6 @@
     const auto it = leases_.find(id);
     if (it == leases_.end()) return respond(Plain(404));
     it->second.expires_at = clock_.Now() + it->second.ttl_ms;
-    if (on_renewed) on_renewed(node, id);
     return respond(http::MakeJsonResponse(
         200, json::object{{"ttl-ms", it->second.ttl_ms}}));
   }
@@ -268,12 +235,12 @@
   respond(Plain(400));
 }
 
-void store::ServeWatch(int node, const http::server_request& request,
-                       responder respond, millis until) {
+void store::ServeWatch(const http::server_request& request, responder respond,
+                       millis until) {
   const std::string prefix(request.target.QueryParameter("prefix"));
   const std::uint64_t after = std::strtoull(
       std::string(request.target.QueryParameter("after")).c_str(), nullptr, 10);
-  watches_.push_back({node, prefix, after, until, std::move(respond)});
+  watches_.push_back({prefix, after, until, std::move(respond)});
   WakeWatches();
 }
 
@@ -281,8 +248,8 @@
   std::vector<std::pair<waiting_watch, json::array>> ready;
   std::erase_if(watches_, [&](waiting_watch& watch) {
     json::array events;
-    const auto first = std::ranges::upper_bound(history_, watch.after, {},
-                                                &change::revision);
+    const auto first =
+        std::ranges::upper_bound(history_, watch.after, {}, &change::revision);
     for (auto it = first; it != history_.end(); ++it) {
       const change& entry = *it;
       if (!entry.key.starts_with(watch.prefix)) continue;
@@ -299,9 +266,9 @@
     return true;
   });
   for (auto& [watch, events] : ready) {
-    watch.respond(http::MakeJsonResponse(
-        200, json::object{{"events", std::move(events)},
-                          {"current-rev", revision_}}));
+    watch.respond(
+        http::MakeJsonResponse(200, json::object{{"events", std::move(events)},
+                                                 {"current-rev", revision_}}));
   }
 }
 
@@ -312,8 +279,7 @@
     const json::object& row = entry.as_object();
     const std::string key(row.at("key").as_string());
     const auto it = items_.find(key);
-    const std::uint64_t revision =
-        it == items_.end() ? 0 : it->second.revision;
+    const std::uint64_t revision = it == items_.end() ? 0 : it->second.revision;
     if (revision != Number(row, "revision")) met = false;
     if (it != items_.end()) current.push_back(Encode(key, it->second));
   }
--- a/review/world-3/store.h
+++ b/review/world-3/store.h
@@ -19,38 +19,25 @@
 enum class store_mode { kUp, kBusy, kReset, kSilent };
 
 /// Stand-in of the platform's metadata store, as PROTOCOL.md describes it. Each
-/// node gets an address of its own, so that the store can turn one of them away.
+/// node gets an address of its own.
 class store {
  public:
   store(boost::asio::io_context& io, const std::vector<std::string>& addresses);
 
-  std::string Address(int node) const { return doors_.at(node).server->Address(); }
-  void SetMode(int node, store_mode mode) { doors_.at(node).mode = mode; }
+  std::string Address(int node) const {
+    return doors_.at(node).server->Address();
+  }
   /// While down, leases pause.
   void SetModeForAll(store_mode mode);
-  /// Connections that are open now get no more answers.
-  void SilenceConnections();
-  /// Delay of each answer.
-  void SetDelay(millis delay) { delay_ms_ = delay; }
-  /// Carries out the next `count` commits of node `node` but does not answer.
-  void LoseCommitAnswers(int node, int count) {
-    doors_.at(node).answers_to_lose = count;
-  }
   std::uint64_t Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
   std::string Value(const std::string& key) const;
   std::uint64_t Revision(const std::string& key) const;
-  /// Called for each successful renewal of a lease by a node.
-  std::function<void(int node, std::uint64_t lease)> on_renewed;
-  /// Called for each call that arrives: node, method, path, accepted.
-  std::function<void(int node, const std::string& line)> on_call;
 
  private:
   struct door {
     std::unique_ptr<radishwing::http::server> server;
     store_mode mode = store_mode::kUp;
-    std::uint64_t silent_up_to = 0;
-    int answers_to_lose = 0;
   };
   struct item {
     std::string value;
@@ -72,9 +59,7 @@
 
   void Serve(int node, const radishwing::http::server_request& request,
              responder respond);
-  void ServeNow(int node, const radishwing::http::server_request& request,
-                responder respond);
-  void ServeWatch(int node, const radishwing::http::server_request& request,
+  void ServeWatch(const radishwing::http::server_request& request,
                   responder respond, millis until);
   radishwing::http::server_response Commit(const boost::json::object& body);
   void ExpireLeases();
@@ -92,11 +77,9 @@
   std::vector<change> history_;
   std::uint64_t revision_ = 1;
   std::uint64_t next_lease_ = 1000;
-  millis delay_ms_ = 0;
   bool down_ = false;
   millis down_since_ = 0;
   struct waiting_watch {
-    int node;
     std::string prefix;
     std::uint64_t after;
     millis until;
--- a/review/world-3/world.cc
+++ b/review/world-3/world.cc
@@ -1,10 +1,10 @@
 #include "review/world-3/world.h"
 
+#include <fcntl.h>
 #include <signal.h>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
-#include <fcntl.h>
 
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
@@ -29,10 +29,10 @@
            std::function<void()> action) {
   auto timer = std::make_shared<boost::asio::steady_timer>(
       io, std::chrono::milliseconds(delay));
-  timer->async_wait([timer, action = std::move(action)](
-                        boost::system::error_code error) {
-    if (!error) action();
-  });
+  timer->async_wait(
+      [timer, action = std::move(action)](boost::system::error_code error) {
+        if (!error) action();
+      });
 }
 
 }  // namespace
@@ -68,10 +68,6 @@
   posix_spawn_file_actions_destroy(&actions);
 }
 
-void node_process::Signal(int number) {
-  if (pid_ > 0) kill(pid_, number);
-}
-
 bool node_process::IsAlive() {
   if (pid_ <= 0) return false;
   int status = 0;
@@ -102,27 +98,25 @@
   std::vector<std::string> doors;
   for (int i = 0; i < plan_.nodes; ++i) doors.push_back(network_ + "200:0");
   store_ = std::make_unique<store>(io_, doors);
-  shared_ = std::make_unique<runner_world>(
-      runner_world{.io = io_,
-                   .records = records_,
-                   .registry = *store_,
-                   .gangs = {},
-                   .tickets = {},
-                   .ticket_path_prefix = {}});
+  shared_ =
+      std::make_unique<runner_world>(runner_world{.io = io_,
+                                                  .records = records_,
+                                                  .registry = *store_,
+                                                  .gangs = {},
+                                                  .tickets = {},
+                                                  .ticket_path_prefix = {}});
   shared_->stop_ms = plan_.stop_ms;
   http::server_options options;
   options.address = network_ + "201:0";
   auto cloud = http::server::Make(
-      io_, options,
-      [this](const http::server_request& request, auto respond) {
+      io_, options, [this](const http::server_request& request, auto respond) {
         ServeCloud(request, std::move(respond));
       });
   if (!Ok(cloud)) throw std::runtime_error(Error(cloud).message);
   cloud_ = std::move(radishwing::Value(std::move(cloud)));
   options.address = network_ + "203:0";
   auto advice = http::server::Make(
-      io_, options,
-      [this](const http::server_request& request, auto respond) {
+      io_, options, [this](const http::server_request& request, auto respond) {
         ServeAdvice(request, std::move(respond));
       });
   if (!Ok(advice)) throw std::runtime_error(Error(advice).message);
@@ -167,7 +161,8 @@
           {"free-resources",
            json::object{{"cpu", entry.cpu}, {"mem-mb", 65536}, {"gpu", 0}}}};
       if (entry.runner >= 0) {
-        row["id"] = runners_[static_cast<std::size_t>(entry.runner)]->Place().id;
+        row["id"] =
+            runners_[static_cast<std::size_t>(entry.runner)]->Place().id;
       }
       rows.push_back(std::move(row));
     }
@@ -236,8 +231,8 @@
   }
   ++advice_calls_;
   const millis now = records_.Now();
-  const millis takes = queue.decide_ms +
-                       queue.period_ms * static_cast<millis>(workers.size());
+  const millis takes =
+      queue.decide_ms + queue.period_ms * static_cast<millis>(workers.size());
   advice_busy_until_ = std::max(advice_busy_until_, now) + takes;
   records_.Note("advise " + step + " on " + std::to_string(workers.size()) +
                 " workers, takes " + std::to_string(takes) + " ms");
@@ -303,15 +298,15 @@
         {"cap",
          json::object{{"cpu", plan_.cap_cpu}, {"mem-mb", 0}, {"gpu", 0}}}});
   }
-  return json::serialize(json::object{
-      {"version", 7},
-      {"routes", routes},
-      {"services", services},
-      {"limits", json::object{{"max-header-bytes", 16384},
-                              {"max-body-bytes", 262144},
-                              {"header-timeout-ms", 3000},
-                              {"idle-timeout-ms", 15000}}},
-      {"tenants", tenants}});
+  return json::serialize(
+      json::object{{"version", 7},
+                   {"routes", routes},
+                   {"services", services},
+                   {"limits", json::object{{"max-header-bytes", 16384},
+                                           {"max-body-bytes", 262144},
+                                           {"header-timeout-ms", 3000},
+                                           {"idle-timeout-ms", 15000}}},
+                   {"tenants", tenants}});
 }
 
 void world::WriteSettings(int i) {
@@ -330,8 +325,8 @@
       {"zone", "z" + std::to_string(i + 1)},
       {"region", "region"},
       {"zones", zones},
-      {"bind", json::object{{"front", ip + ":8340"},
-                            {"readiness", ip + ":8343"}}},
+      {"bind",
+       json::object{{"front", ip + ":8340"}, {"readiness", ip + ":8343"}}},
       {"port-range", json::array{7000, 7015}},
       {"seeds", json::array{}},
       {"bootstrap", true},
@@ -407,8 +402,8 @@
 }
 
 void world::RunFor(millis duration) {
-  const auto until = std::chrono::steady_clock::now() +
-                     std::chrono::milliseconds(duration);
+  const auto until =
+      std::chrono::steady_clock::now() + std::chrono::milliseconds(duration);
   io_.run_until(until);
 }
 
@@ -499,27 +494,10 @@
              status == 429 || status == 503 || status == 404 || status == 400;
          if (!rejected) job.may_be_stored = true;
          if (attempts_left <= 0 || status == 400 || status == 404) return;
-         After(io_, status == 503 ? 1000 : 300, [this, id, node, attempts_left] {
-           TrySubmit(id, (node + 1) % NodeCount(), attempts_left - 1);
-         });
-       });
-}
-
-void world::Cancel(const std::string& id, int node) {
-  job_plan& job = *records_.FindJob(id);
-  job.cancel_sent = true;
-  Call(node, verb::delete_, job.host, job.path_prefix + job.id, job.key, "",
-       3000, [this, id, node](unsigned status, std::string) {
-         records_.Note("DELETE " + id + " at edge-" + std::to_string(node + 1) +
-                       " -> " + std::to_string(status));
-         job_plan& job = *records_.FindJob(id);
-         if (status >= 200 && status < 300) {
-           job.cancel_acked_at = records_.Now();
-         } else if (status != 410) {
-           After(io_, 500, [this, id, node] {
-             Cancel(id, (node + 1) % NodeCount());
-           });
-         }
+         After(io_, status == 503 ? 1000 : 300,
+               [this, id, node, attempts_left] {
+                 TrySubmit(id, (node + 1) % NodeCount(), attempts_left - 1);
+               });
        });
 }
 
--- a/review/world-3/world.h
+++ b/review/world-3/world.h
@@ -25,7 +25,6 @@
                std::string log_path);
   ~node_process();
   void Start();
-  void Signal(int number);
   /// Returns true if the process runs (or is stopped by a signal).
   bool IsAlive();
   /// SIGKILL, then waits for the end.
@@ -86,9 +85,6 @@
 
   book& Book() { return records_; }
   store& Store() { return *store_; }
-  runner& Runner(std::size_t i) { return *runners_.at(i); }
-  std::size_t RunnerCount() const { return runners_.size(); }
-  node_process& Node(int i) { return *nodes_.at(static_cast<std::size_t>(i)); }
   int NodeCount() const { return static_cast<int>(nodes_.size()); }
   /// Number of the node that holds the leader's key in the store, or -1.
   int Leader();
@@ -99,17 +95,8 @@
   job_plan MakeJob(const std::string& queue, const std::string& tenant);
   /// Submits a job at `node`, with the client's retries at other nodes.
   void Submit(job_plan job, int node);
-  void Cancel(const std::string& id, int node);
-  /// Asks for the state of a job; `done` gets the status and the state.
-  void AskState(const std::string& id, int node,
-                std::function<void(unsigned, std::string)> done);
-  /// Asks a state and waits for the answer.
+  /// Asks for the state of a job and waits for the answer's status and state.
   std::pair<unsigned, std::string> StateOf(const std::string& id, int node);
-  /// A call of a client with any method.
-  void Call(int node, boost::beast::http::verb method, const std::string& host,
-            const std::string& target, const std::string& key,
-            const std::string& body, millis timeout,
-            std::function<void(unsigned, std::string)> done);
   int AdviceCalls() const { return advice_calls_; }
 
  private:
@@ -122,6 +109,14 @@
     int runner = -1;  ///< Position in runners_; -1: none.
     std::uint64_t fence = 0;
   };
+  /// A call of a client.
+  void Call(int node, boost::beast::http::verb method, const std::string& host,
+            const std::string& target, const std::string& key,
+            const std::string& body, millis timeout,
+            std::function<void(unsigned, std::string)> done);
+  /// Asks for the state of a job; `done` gets the status and the state.
+  void AskState(const std::string& id, int node,
+                std::function<void(unsigned, std::string)> done);
   std::string ConfigText() const;
   void WriteSettings(int i);
   void ServeCloud(const radishwing::http::server_request& request,
