Report runners that are not polled and the age of a new leader's lease

Its log showed a takeover and then nothing: neither that no runner was polled, nor that the term had begun on a lease whose last renewal was too old for orders.

- `member: leading` has lease_age_ms, the time since the last renewal.
- `leader: orders permitted again` tells a term that goes on after its permission to send orders has lapsed.
- `runner: runners not polled`, once a second while any runner has not been polled for 5 s, and radishwing_node_oldest_poll_seconds.

Ruled out: runners that do not answer, listings that are discarded (reading all jobs again), a resignation that is not stored.

--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -113,6 +113,7 @@
         }
         self->CompleteOverdueHandOver();
         self->NoteUnconfirmedRunners();
+        self->ReportUnpolledRunners();
         self->DropUnregisteredRunners();
         self->SaveRunnerSet();
         self->RemoveExpiredKeys();
@@ -136,6 +137,7 @@
   const auto reachable = static_cast<std::size_t>(std::ranges::count_if(
       links, [](const auto& entry) { return entry.second->Reachable(); }));
   context.metrics.SetRunnerCounts(reachable, links.size() - reachable);
+  context.metrics.SetOldestPollAge(FindUnpolledRunners().oldest_age);
   context.metrics.SetUnansweredStarts(scheduler.CountUnansweredStarts());
   context.metrics.SetTeamShares(scheduler.TeamShares());
 }
@@ -247,7 +249,14 @@
 }
 
 void leader::impl::OnLeaseRenewed(millis sent_at) {
+  const millis lapsed_ms = lease.OrdersLapsedFor(context.now.Now());
   lease.RecordRenewal(sent_at);
+  if (lapsed_ms >= 0 && MaySendOrders()) {
+    context.log.InfoUnlimited(
+        "leader",
+        "orders permitted again, fence=" + std::to_string(fencing_token) +
+            " lapsed_ms=" + std::to_string(lapsed_ms));
+  }
   if (!jobs_skipped || !lease.IsExclusive(context.now.Now())) return;
   jobs_skipped = false;
   // WatchJobs replaces the watch for jobs. The call is deferred because a
--- a/src/node/leader_impl.h
+++ b/src/node/leader_impl.h
@@ -35,6 +35,13 @@
     std::uint64_t progress_version = 0;
   };
 
+  /// The runners that have not been polled for long.
+  struct unpolled_runners {
+    std::size_t count = 0;
+    std::string oldest;     ///< Id of the one polled the longest ago.
+    millis oldest_age = 0;  ///< Time since the last poll of that one.
+  };
+
   impl(node_context& context, const election& won,
        std::function<void()> on_lost);
 
@@ -94,6 +101,11 @@
   /// runner has expired. If another node may be the leader and extend that
   /// lease, changes nothing and returns false.
   bool DiscardRuns(const std::string& id);
+  /// Logs how many runners have not been polled for long, if there are any.
+  void ReportUnpolledRunners();
+  /// Returns the runner whose last poll was sent the longest ago, and how many
+  /// have not been polled for long.
+  unpolled_runners FindUnpolledRunners() const;
   /// Drops the runners that have had no store entry for some time and on which
   /// no task can run.
   void DropUnregisteredRunners();
@@ -209,6 +221,7 @@
   /// Run ends that are not acknowledged yet, keyed by runner id. The ends of
   /// each runner are in the order of their numbers.
   std::map<std::string, std::deque<pending_ack>> pending_acks;
+  millis unpolled_reported_at = 0;  ///< See ReportUnpolledRunners().
   /// Time at which the leader first noticed that a runner has no store entry,
   /// keyed by runner id.
   std::map<std::string, millis> unregistered_since;
--- a/src/node/leader_runners.cc
+++ b/src/node/leader_runners.cc
@@ -19,6 +19,10 @@
 // Number of heartbeats after which a runner whose entry another writer has
 // overwritten, and which has not restored it, counts as unregistered.
 constexpr int kMissedHeartbeats = 3;
+// Time since the last poll from which a runner counts as not polled. A poll
+// that gets no response, and the pause after it, are shorter.
+constexpr millis kMaxPollAgeMs = 5000;
+constexpr millis kUnpolledReportIntervalMs = 1000;
 
 }  // namespace
 
@@ -93,6 +97,31 @@
   }
 }
 
+leader::impl::unpolled_runners leader::impl::FindUnpolledRunners() const {
+  unpolled_runners found;
+  for (const auto& [id, link] : links) {
+    const millis age = link->TimeSincePoll();
+    if (age >= kMaxPollAgeMs) ++found.count;
+    if (age <= found.oldest_age) continue;
+    found.oldest = id;
+    found.oldest_age = age;
+  }
+  return found;
+}
+
+void leader::impl::ReportUnpolledRunners() {
+  const millis now = context.now.Now();
+  if (now - unpolled_reported_at < kUnpolledReportIntervalMs) return;
+  unpolled_reported_at = now;
+  const unpolled_runners unpolled = FindUnpolledRunners();
+  if (unpolled.count == 0) return;
+  context.log.Warning(
+      "runner",
+      "runners not polled, runners=" + std::to_string(unpolled.count) +
+          " oldest=" + unpolled.oldest +
+          " polled_ms_ago=" + std::to_string(unpolled.oldest_age));
+}
+
 void leader::impl::UpdateRunner(const fleet::runner_report& report) {
   unregistered_since.erase(report.id);
   const sched::runner_state* known = scheduler.FindRunner(report.id);
--- a/src/node/membership.cc
+++ b/src/node/membership.cc
@@ -444,8 +444,10 @@
   context.log.InfoUnlimited(
       "member",
       "leading, fence=" + std::to_string(fencing_token) +
-          " term=" + std::to_string(won.term) + " predecessor_silent=" +
-          (predecessor_stopped ? "1" : "0") + " moves_free_in_ms=" +
+          " term=" + std::to_string(won.term) +
+          " lease_age_ms=" + std::to_string(now - renewed_at) +
+          " predecessor_silent=" + (predecessor_stopped ? "1" : "0") +
+          " moves_free_in_ms=" +
           std::to_string(std::max<millis>(0, won.moves_allowed_at - now)));
   predecessor_lease_end = won.predecessor_lease_end;
   hooks.elected(won);
--- a/src/node/node_metrics.cc
+++ b/src/node/node_metrics.cc
@@ -122,6 +122,9 @@
                          .Name("radishwing_node_runners")
                          .Help("Runners by whether they answer")
                          .Register(registry_)),
+      oldest_poll_seconds_(
+          SingleGauge(registry_, "radishwing_node_oldest_poll_seconds",
+                      "Longest time since a poll of a runner was sent")),
       unanswered_starts_(SingleGauge(registry_,
                                      "radishwing_node_unknown_starts",
                                      "Starts that nobody has answered")),
@@ -276,6 +279,10 @@
       .Set(static_cast<double>(unreachable));
 }
 
+void node_metrics::SetOldestPollAge(millis age) {
+  oldest_poll_seconds_.Set(ToSeconds(age));
+}
+
 void node_metrics::SetUnansweredStarts(std::size_t count) {
   unanswered_starts_.Set(static_cast<double>(count));
 }
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -89,6 +89,8 @@
   void SetEvacuatedDataCentres(std::size_t count);
   /// Sets the numbers of reachable and unreachable runners.
   void SetRunnerCounts(std::size_t reachable, std::size_t unreachable);
+  /// Sets the time since the poll of a runner that was sent the longest ago.
+  void SetOldestPollAge(millis age);
   /// Sets the number of start orders whose outcome is unknown.
   void SetUnansweredStarts(std::size_t count);
 
@@ -132,6 +134,7 @@
   prometheus::Gauge& config_age_seconds_;
   prometheus::Gauge& evacuated_data_centres_;
   prometheus::Family<prometheus::Gauge>& runner_counts_;
+  prometheus::Gauge& oldest_poll_seconds_;
   prometheus::Gauge& unanswered_starts_;
   prometheus::Family<prometheus::Gauge>& team_shares_;
   prometheus::Family<prometheus::Gauge>& team_waiting_;
--- a/src/node/runner_link.cc
+++ b/src/node/runner_link.cc
@@ -39,7 +39,8 @@
         report(std::move(report)),
         lease_until(predecessor_lease_end),
         hooks(std::move(hooks)),
-        poll_timer(context.io) {}
+        poll_timer(context.io),
+        polled_at(context.now.Now()) {}
 
   using order_completion = std::function<void(fleet::order_outcome)>;
 
@@ -118,6 +119,8 @@
   /// The registration has shown another address than the one on which the
   /// runner answered last, so that another runner may use the new one.
   bool address_doubtful = false;
+  /// Send time of the last poll; until the first one, the link's creation.
+  millis polled_at;
   millis next_poll_at = 0;       ///< Earliest time of the next poll.
   bool reachable = false;        ///< The runner responded to the last poll.
   bool listing_applied = false;  ///< The leader applied the last listing.
@@ -212,6 +215,7 @@
   if (poll_in_flight || stopped || !hooks.may_send_orders()) return;
   if (!Connect()) return PollLater(kRetryDelayMs);
   poll_in_flight = true;
+  polled_at = context.now.Now();
   platform::poll_request request;
   request.fencing_token = fencing_token;
   // A poll that gets no response may still reach the runner. If polls extended
@@ -227,7 +231,7 @@
   // runner, so the runner must respond at once.
   const bool immediate = !known_incarnation || !listing_applied;
   request.wait_ms = immediate ? 0 : busy ? kPollWaitMs : kIdlePollWaitMs;
-  const sent_poll poll{context.now.Now(), known_incarnation,
+  const sent_poll poll{polled_at, known_incarnation,
                        client->EstablishedConnections()};
   client->Poll(request,
                [weak = weak_from_this(), poll, generation = disconnects](
@@ -373,6 +377,10 @@
 
 bool runner_link::Reachable() const { return impl_->reachable; }
 
+millis runner_link::TimeSincePoll() const {
+  return impl_->context.now.Now() - impl_->polled_at;
+}
+
 bool runner_link::LeaseExpired() const {
   return impl_->context.now.Now() >= impl_->lease_until;
 }
--- a/src/node/runner_link.h
+++ b/src/node/runner_link.h
@@ -81,6 +81,9 @@
             std::function<void(fleet::order_outcome)> done);
   /// Returns true if the runner responded to the latest completed poll.
   bool Reachable() const;
+  /// Returns the time since the last poll was sent, or since the link was
+  /// created if none was.
+  millis TimeSincePoll() const;
   /// Returns true if the leader's lease on the runner has expired, so that no
   /// task can be running on the runner any more.
   bool LeaseExpired() const;
--- a/src/sched/term_lease.h
+++ b/src/sched/term_lease.h
@@ -44,8 +44,12 @@
   /// Returns true if the leader may issue orders. These orders renew leases on
   /// runners. If a successor cannot reach a runner, the successor waits until
   /// the lease on that runner has expired.
-  bool MayIssueOrders(millis now) const {
-    return now - renewed_at_ < kNodeLeaseMs + kLeaderGraceMs;
+  bool MayIssueOrders(millis now) const { return OrdersLapsedFor(now) < 0; }
+
+  /// Returns the time since the permission to issue orders lapsed; negative
+  /// while the leader may issue them.
+  millis OrdersLapsedFor(millis now) const {
+    return now - renewed_at_ - kNodeLeaseMs - kLeaderGraceMs;
   }
 
   /// Returns true if an order to a host that is sent now ends before another
