Poll a runner again after the permission to send orders was missing

Cause: runner_link polls when it is created and after each response. A poll that was due while the leader's lease was too old for orders was left out, and its timer was not armed. The permission comes back with a renewal of the lease, before the periodic check ends the term if the renewal arrives within 100 ms, and nothing polled again: starts need a runner that has answered. The same happened to a link whose registration changed in such a moment, as UpdateReport drops the connections and polls at once, and without an election to every link whose poll ended between the lapse and the renewal.

Change: a poll that may not be sent is tried again after 250 ms, as one whose connection fails is. The poll is the only loop of a term that could end like this: the scheduling pass, host lists, host orders, the runner set, removals and wave records are begun by the periodic check, watches and progress writes arm a timer for each failure, and an advice query is sent by a pass.

--- a/src/node/runner_link.cc
+++ b/src/node/runner_link.cc
@@ -81,6 +81,7 @@
   /// incarnation is known to answer.
   void SendStartOn(const sched::order& order, bool known_incarnation,
                    order_completion done);
+  /// Sends a poll, or tries to after a short delay if none may be sent now.
   void Poll();
   /// Begins with a new incarnation, whose first listing is `listing`.
   void ReplaceIncarnation(const fleet::runner_listing& listing, millis sent_at);
@@ -212,8 +213,10 @@
 }
 
 void runner_link::impl::Poll() {
-  if (poll_in_flight || stopped || !hooks.may_send_orders()) return;
-  if (!Connect()) return PollLater(kRetryDelayMs);
+  if (poll_in_flight || stopped) return;
+  // The permission comes back with a renewal of the leader's lease, which
+  // nothing reports to the link.
+  if (!hooks.may_send_orders() || !Connect()) return PollLater(kRetryDelayMs);
   poll_in_flight = true;
   polled_at = context.now.Now();
   platform::poll_request request;
--- a/tests/node/runner_link_test.cc
+++ b/tests/node/runner_link_test.cc
@@ -74,10 +74,27 @@
       return true;
     };
     hooks.fenced = [] {};
-    hooks.may_send_orders = [] { return true; };
+    hooks.may_send_orders = [this] {
+      if (!permitted) ++refused_permissions;
+      return permitted;
+    };
     hooks.poll_spacing = [] { return 10; };
     subject.emplace(context, 7, Report(test_server->Address()), 0, hooks);
-    RunUntil([&] { return subject->Reachable() && polls.size() > 1; });
+    if (permitted) AwaitPolls();
+  }
+
+  /// Runs until the runner has received two more polls.
+  void AwaitPolls() {
+    const std::size_t before = polls.size();
+    RunUntil([&] { return subject->Reachable() && polls.size() > before + 1; });
+  }
+
+  /// Takes the permission to send orders away, and runs until the link has met
+  /// that.
+  void RevokePermission() {
+    permitted = false;
+    const int before = refused_permissions;
+    RunUntil([&] { return refused_permissions > before; });
   }
 
   void SendStart() {
@@ -99,6 +116,9 @@
   millis born = 1000;
   std::vector<received_poll> polls;
   int received_starts = 0;
+  bool permitted = true;  ///< The leader may send orders.
+  /// Times that the link was told that it may not send orders.
+  int refused_permissions = 0;
   int restarts = 0;
   int discards = 0;
   listing_result listing = listing_result::kAllAcknowledged;
@@ -204,6 +224,40 @@
   }
 }
 
+// Guards against a runner that is never polled in a term that begins while the
+// leader's lease is too old for orders and is renewed a moment later.
+BOOST_AUTO_TEST_CASE(link_created_without_permission_polls_once_permitted) {
+  permitted = false;
+  StartLink();
+  BOOST_TEST(refused_permissions > 0);
+  permitted = true;
+  AwaitPolls();
+}
+
+// Guards against a runner that is not polled again after the permission was
+// missing at the moment when a poll was due.
+BOOST_AUTO_TEST_CASE(lapse_of_the_permission_does_not_end_the_polls) {
+  StartLink();
+  RevokePermission();
+  permitted = true;
+  AwaitPolls();
+}
+
+// Guards against a new address that is never polled because it became known
+// while the permission was missing.
+BOOST_AUTO_TEST_CASE(address_that_changes_without_permission_is_polled) {
+  StartLink();
+  RevokePermission();
+  auto second = Value(http::server::Make(
+      io, {.address = "127.0.0.1:0"},
+      [this](http::server_request request, http::server::responder respond) {
+        Serve(request, std::move(respond));
+      }));
+  subject->UpdateReport(Report(second->Address()));
+  permitted = true;
+  AwaitPolls();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
