Begin a term only on a lease that permits orders

Cause: a node that is elected takes the time of its last renewal into the term. After an outage of the store during which leases pause, that renewal can be older than the 7.6 s for which it permits orders; a relayed commit elects the node before the first renewal succeeds.

Change: the election stands, but the term begins when the lease has been renewed. The renewal is sent at once. If the lease has expired instead, ShardKey() has gone with it: the election is discarded, so that the term does not begin on the next lease while the watch still shows the key. That could happen before as well, after an election whose commit got no response.

membership_leases/term_begins_only_on_a_lease_that_permits_orders and .../election_does_not_outlive_the_lease_of_its_key failed before (elected with a lease 7,951 ms old; elected after the key had expired) and pass.

--- a/src/node/membership.cc
+++ b/src/node/membership.cc
@@ -53,6 +53,9 @@
   void UpdateRole();
   /// Ends the leadership of this node, if it has one.
   void EndLeadership();
+  /// Makes this node ignore an election that it has won without having begun
+  /// the term.
+  void DiscardPendingElection();
   /// Starts a campaign after a delay that depends on this node's rank.
   void ScheduleCampaign();
   /// Reads the term record and tries to have this node elected.
@@ -63,7 +66,12 @@
   void CommitElection(std::uint64_t term_revision, const term_record& before);
   void ReleasePreviousProcessKey(std::uint64_t term_revision,
                                  term_record before);
+  /// Begins the term with this fencing token. If the node's lease is too old
+  /// for orders, only renews it; UpdateRole() begins the term after that.
   void BecomeLeader(std::uint64_t fencing_token);
+  /// Renews the lease and logs that the term waits for that, once for each
+  /// term.
+  void RenewLeaseBeforeTerm(std::uint64_t fencing_token);
   /// Returns the time in ms after which every lease on a runner that leaders up
   /// to the term `before` hold has expired, if this node is elected now.
   millis PredecessorLeaseMs(const term_record& before) const;
@@ -104,6 +112,8 @@
   term_record previous_term;
   /// Fencing token of this node's last ended term; 0: none.
   std::uint64_t ended_fencing_token = 0;
+  /// Fencing token of the last term that waited for a renewal; 0: none.
+  std::uint64_t waiting_fencing_token = 0;
   /// Send time of the last request that granted or renewed the lease.
   millis renewed_at = 0;
   /// Fencing token of this node's current term; 0: it is not the leader.
@@ -189,6 +199,7 @@
         // ShardKey() expired with the lease, and a new lease does not restore
         // it.
         self->EndLeadership();
+        self->DiscardPendingElection();
         self->RequestLease();
       });
 }
@@ -227,6 +238,11 @@
   hooks.leadership_lost();
 }
 
+void membership::impl::DiscardPendingElection() {
+  const leader_record& record = context.members.Leader();
+  if (NamesThisProcess(record)) ended_fencing_token = record.fencing_token;
+}
+
 void membership::impl::UpdateRole() {
   if (!snapshot_received || stopped) return;
   const leader_record& record = context.members.Leader();
@@ -424,10 +440,24 @@
                   before.RemainingLease(context.unix_now.Now()));
 }
 
+// A term that begins without the permission to send orders would end at once.
+void membership::impl::RenewLeaseBeforeTerm(std::uint64_t fencing_token) {
+  if (waiting_fencing_token == fencing_token) return;
+  waiting_fencing_token = fencing_token;
+  context.log.InfoUnlimited(
+      "member", "elected, lease to be renewed first, fence=" +
+                    std::to_string(fencing_token) + " lease_age_ms=" +
+                    std::to_string(context.now.Now() - renewed_at));
+  RenewNodeLease();
+}
+
 void membership::impl::BecomeLeader(std::uint64_t fencing_token) {
+  const millis now = context.now.Now();
+  if (!sched::term_lease(renewed_at).MayIssueOrders(now)) {
+    return RenewLeaseBeforeTerm(fencing_token);
+  }
   current_fencing_token = fencing_token;
   last_seen_leader = self_member.name;
-  const millis now = context.now.Now();
   const bool predecessor_stopped = previous_term.HasStopped(self_member.name);
   election won{.fencing_token = fencing_token,
                .term = previous_term.term + 1,
--- a/tests/node/membership_test.cc
+++ b/tests/node/membership_test.cc
@@ -10,6 +10,7 @@
 
 #include "src/node/record_keys.h"
 #include "src/node/term_record.h"
+#include "src/sched/term_lease.h"
 #include "tools/fleet_fake/fake_store.h"
 
 namespace radishwing::node {
@@ -22,6 +23,7 @@
 struct membership_fixture {
   membership_fixture() {
     context.settings.name = "n1";
+    context.now = clock([this] { return monotonic.Now() + skipped_ms; });
     platform::store_client::hooks store_hooks;
     store_hooks.observe = [](const platform::store_call_report&) {};
     context.store =
@@ -30,6 +32,7 @@
     hooks.elected = [this](const election& won) {
       events.push_back("elected " + std::to_string(won.term));
       lease_wait_ms = won.predecessor_lease_end - context.now.Now();
+      lease_age_ms = context.now.Now() - won.lease_renewed_at;
     };
     hooks.lease_renewed = [this](millis) { events.emplace_back("renewed"); };
     hooks.leadership_lost = [this] { events.emplace_back("leadership lost"); };
@@ -50,12 +53,25 @@
     return true;
   }
 
+  /// Lets the node's lease get too old for orders, while the store keeps it:
+  /// another node leads, and the renewals get no response.
+  void LeadElsewhereUntilLeaseIsOld() {
+    store.Put(ShardKey(), "n0");
+    BOOST_REQUIRE(RunUntil([&] { return Happened("renewed"); }));
+    store.HoldRenewalResponses(1000);
+    skipped_ms += sched::kNodeLeaseMs + sched::kLeaderGraceMs;
+  }
+
   boost::asio::io_context io;
+  clock monotonic = clock::Monotonic();
+  millis skipped_ms = 0;  ///< Added to the node's clock.
   fleet_fake::fake_store store{io};
   node_context context{io, {}};
   std::vector<std::string> events;
   /// Time from the election until the leases of earlier leaders have expired.
   millis lease_wait_ms = 0;
+  /// Time from the last renewal of the lease to the election.
+  millis lease_age_ms = 0;
   std::unique_ptr<membership> subject;
 };
 
@@ -121,6 +137,35 @@
   BOOST_TEST(!Happened("renewed"));
 }
 
+// Guards against a term that begins on a lease that is too old for orders. It
+// ends at the first periodic check, and the resignation makes the next leader
+// wait again before it moves hosts.
+BOOST_AUTO_TEST_CASE(term_begins_only_on_a_lease_that_permits_orders) {
+  LeadElsewhereUntilLeaseIsOld();
+  const std::uint64_t renewals = store.RenewalCount();
+  store.Remove(ShardKey());
+  BOOST_REQUIRE(RunUntil([&] { return !store.Value(TermKey()).empty(); }));
+  BOOST_REQUIRE(RunUntil([&] { return store.RenewalCount() > renewals + 1; }));
+  BOOST_TEST(!Happened("elected 1"));
+  store.HoldRenewalResponses(0);
+  BOOST_REQUIRE(RunUntil([&] { return Happened("elected 1"); }));
+  BOOST_TEST(lease_age_ms < sched::kNodeLeaseMs + sched::kLeaderGraceMs);
+}
+
+// Guards against a term that begins on a new lease although ShardKey() has
+// expired with the earlier one, so that another node may lead.
+BOOST_AUTO_TEST_CASE(election_does_not_outlive_the_lease_of_its_key) {
+  LeadElsewhereUntilLeaseIsOld();
+  store.Remove(ShardKey());
+  BOOST_REQUIRE(RunUntil([&] { return !store.Value(TermKey()).empty(); }));
+  store.SetWatchesMuted(true);  // The watch does not report the removed key.
+  store.ExpireAllLeases();
+  store.HoldRenewalResponses(0);
+  const std::uint64_t renewals = store.RenewalCount();
+  BOOST_REQUIRE(RunUntil([&] { return store.RenewalCount() > renewals + 2; }));
+  BOOST_TEST(!Happened("elected 1"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
