Give every step that waits for advice its turn

Only the most urgent step was asked about, and after a failure the same one again. A step whose queries fail, are answered too late or bring tickets that runners refuse held up the steps of all other queues.

Every second query is now the one that has waited the longest. Steps whose queries succeed lose little by it: the next pass starts their tasks, and they wait no more.

advice_turns_order/step_that_needs_query_after_query_leaves_others_a_turn and .../new_steps_do_not_overtake_the_one_that_waits_longest fail if the most urgent one is always chosen, as it was, and pass.

--- a/src/node/leader_advice.cc
+++ b/src/node/leader_advice.cc
@@ -13,6 +13,7 @@
 void leader::impl::RequestAdvice() {
   const auto requests = scheduler.TakeAdviceRequests();
   const millis sent_at = context.now.Now();
+  advice_order.Observe(requests);
   if (requests.empty() || advice_in_flight || sent_at < advice_retry_at) return;
   if (!advice) {
     auto client = platform::advice_client::Make(
@@ -26,7 +27,7 @@
     advice = std::move(Value(client));
   }
   advice_in_flight = true;
-  const sched::advice_request& request = requests.front();
+  const sched::advice_request& request = requests[advice_order.Next(requests)];
   advice->RequestAdvice(
       request.step, request.runners, request.timeout_ms,
       [weak = weak_from_this(), request,
--- a/src/node/leader_impl.h
+++ b/src/node/leader_impl.h
@@ -14,6 +14,7 @@
 #include "src/node/leader.h"
 #include "src/node/runner_link.h"
 #include "src/node/store_watch.h"
+#include "src/sched/advice_turns.h"
 #include "src/sched/plan_pacer.h"
 #include "src/sched/recorded_runners.h"
 #include "src/sched/scheduler.h"
@@ -129,8 +130,8 @@
   void SchedulePass();
   void RunSchedulingPass();
   void SendOrder(const sched::order& order);
-  /// Asks the advice service which runners may run the most urgent step that
-  /// requires its permission. At most one request is in flight.
+  /// Asks the advice service which runners may run a step that requires its
+  /// permission. At most one request is in flight.
   void RequestAdvice();
   /// Applies the advice service's response to `request`, which was sent at
   /// `sent_at`. Only the runners in `permitted` may run the step.
@@ -241,6 +242,7 @@
   /// request; 0: no request has failed.
   millis advice_retry_at = 0;
   bool advice_in_flight = false;
+  sched::advice_turns advice_order;  ///< Order of the queries.
   /// Result of scheduler::PendingJobCounts() at `pending_counted_at`.
   std::map<std::string, std::size_t> pending_counts;
   millis pending_counted_at = -1;  ///< -1: not counted yet.
