Name more runners if no query leaves time to use its tickets

The size is now bounded by the response time as soon as the tickets can't be used counted from the request, with the same margin as ApplyAdvice().

--- a/src/sched/advice_budget.cc
+++ b/src/sched/advice_budget.cc
@@ -37,12 +37,14 @@
 }
 
 std::size_t advice_budget::MaxRunners(millis valid_ms) const {
-  const auto usable = static_cast<double>(valid_ms - TicketMarginMs(valid_ms));
+  const millis margin = TicketMarginMs(valid_ms);
   // The tickets keep half of the time that a query without runners would leave
-  // them. If even such a query leaves none, naming runners at most doubles the
+  // them. If that is too short to use them, naming runners at most doubles the
   // response time.
+  const double half_ms =
+      (static_cast<double>(valid_ms - margin) - fixed_ms_) / 2;
   const double naming_ms =
-      fixed_ms_ < usable ? (usable - fixed_ms_) / 2 : fixed_ms_;
+      half_ms >= static_cast<double>(margin) ? half_ms : fixed_ms_;
   if (per_runner_ms_ * static_cast<double>(kMaxRunnersPerRequest) <=
       naming_ms) {
     return kMaxRunnersPerRequest;
