Keep the run numbers of a job rising beyond the range of a term

Cause: the numbers of a term begin at (term - 1) x 64 + 1, and the highest number that a task has used was in no record. A task that fails over and over used 121 under one leader; the next one began with 65. The runners refuse what is not higher than a run that they have ended (`old`), which the scheduler takes for a start that an earlier order had begun and gives up with a later listing, 3 s on: one number each 3 s. Two terms could also give one number to two runs.

Change: a start with a number beyond the term's range waits until the job's progress record permits it, with a limit that is 64 above it, as starts in a new data centre wait; the next leader begins above the limit. The record grows by one number, and a task that stays within 64 starts a term causes no write. The limit covers all tasks: also those of batch jobs that are stopped or lost often, gangs and copies. A record without the limit is read as before.

Not done: a node of an earlier release that leads meanwhile writes records without the limit.

--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -17,9 +17,6 @@
 // Interval of the periodic checks, which include a scheduling pass for due
 // retries, stuck tasks and due repetitions.
 constexpr millis kTickIntervalMs = 100;
-// Size of the range of run numbers that each term uses, so that no two terms
-// use the same number. A task is started fewer times than this in one term.
-constexpr int kRunsPerTerm = 64;
 // Time after which a handover is completed even if some job progress is not
 // stored yet.
 constexpr millis kHandOverTimeoutMs = 1500;
@@ -32,7 +29,7 @@
       fencing_token(won.fencing_token),
       predecessor_lease_end(won.predecessor_lease_end),
       on_lost(std::move(on_lost)),
-      scheduler((won.term - 1) * kRunsPerTerm + 1),
+      scheduler(sched::scheduler::FirstRun(won.term)),
       pass_timer(context.io),
       tick_timer(context.io),
       retry_timer(context.io),
--- a/src/sched/job_state.h
+++ b/src/sched/job_state.h
@@ -70,9 +70,14 @@
   /// True if the job's progress record is unreadable, so that its runs may be
   /// in any data centre.
   bool data_centres_unknown = false;
+  /// Highest run number that the job's progress record has for this leader
+  /// beyond the range of its term; 0: none.
+  int run_limit = 0;
+  /// Highest such number that earlier leaders may have used; 0: none.
+  int earlier_run_limit = 0;
   /// Lowest version of the job's progress whose record in the store names all
-  /// of `data_centres`.
-  std::uint64_t data_centres_version = 0;
+  /// of `data_centres` and `run_limit`.
+  std::uint64_t covering_version = 0;
   int created_repetitions = 0;  ///< Number of repetitions created so far.
   int active_runs = 0;          ///< Number of runs that may exist on a runner.
   /// Number of repetitions that may be begun and not done at once.
--- a/src/sched/place_starter.cc
+++ b/src/sched/place_starter.cc
@@ -265,7 +265,7 @@
     const fleet::task_name name{job.record.id, entry.repetition_number,
                                 entry.step_number, static_cast<int>(i)};
     owner_.PlaceRun(name, owner_.FindTask(name), *runner,
-                    std::max(owner_.min_run_, task.last_run + 1), now_, starts);
+                    owner_.NextRun(job, task), now_, starts);
     --left;
   }
   owner_.DispatchStarts(job, starts, now_, out);
--- a/src/sched/progress_codec.cc
+++ b/src/sched/progress_codec.cc
@@ -88,13 +88,15 @@
     repetitions.push_back(json::object{
         {"number", number}, {"done", false}, {"steps", std::move(steps)}});
   }
-  return json::serialize(
-      json::object{{"state", JobPhaseName(job.phase)},
-                   {"author", job.author},
-                   {"created", job.created_repetitions},
-                   {"data_centres", json::value_from(job.data_centres)},
-                   {"finished", std::move(finished)},
-                   {"repetitions", std::move(repetitions)}});
+  json::object wire{{"state", JobPhaseName(job.phase)},
+                    {"author", job.author},
+                    {"created", job.created_repetitions},
+                    {"data_centres", json::value_from(job.data_centres)},
+                    {"finished", std::move(finished)},
+                    {"repetitions", std::move(repetitions)}};
+  const int run_limit = std::max(job.run_limit, job.earlier_run_limit);
+  if (run_limit > 0) wire["run_limit"] = run_limit;
+  return json::serialize(wire);
 }
 
 // Returns the string with the name `field` in a progress record, or an empty
@@ -188,6 +190,8 @@
   for (const json::value& name : wire.at("data_centres").as_array()) {
     data_centres.insert(name.as_string().c_str());
   }
+  const json::value* run_limit = wire.if_contains("run_limit");
+  const int earlier_run_limit = run_limit ? run_limit->to_number<int>() : 0;
   std::map<int, repetition_state> repetitions = DecodeFinished(wire, total);
   for (const json::value& entry : wire.at("repetitions").as_array()) {
     const json::object& row = entry.as_object();
@@ -201,6 +205,7 @@
     repetitions[row.at("number").to_number<int>()] = std::move(repetition);
   }
   job.phase = phase;
+  job.earlier_run_limit = std::max(job.earlier_run_limit, earlier_run_limit);
   job.data_centres.merge(data_centres);
   if (job.IsFinished()) {
     job.repetitions.clear();
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -67,7 +67,7 @@
   if (!Ok(restored)) {
     job.data_centres_unknown = true;
     MarkChanged(job);
-    job.data_centres_version = job.progress_version;
+    job.covering_version = job.progress_version;
   }
   UpdateCriticalPath(job);
   ApplyEarlyCancel(job, now);
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -49,8 +49,16 @@
 /// after the end of all steps that it depends on.
 class scheduler {
  public:
-  /// New runs get the numbers from `min_run` on. No earlier leader used these
-  /// numbers.
+  /// Size of the range of run numbers that each term has. A job that needs
+  /// higher ones has a limit in its progress record.
+  static constexpr int kRunsPerTerm = 64;
+
+  /// Returns the lowest run number of a term; the first term is 1.
+  static constexpr int FirstRun(int term) {
+    return (term - 1) * kRunsPerTerm + 1;
+  }
+
+  /// New runs get the numbers from `min_run` on, the first one of the term.
   explicit scheduler(int min_run);
 
   void SetConfig(const fleet::fleet_config& config);
@@ -340,8 +348,11 @@
   /// Queues a query to the advice service about which runners may run the step.
   void RequestAdvice(const job_state& job, const fleet::task_step& step,
                      const std::string& step_name, millis now);
+  /// Returns the number of the task's next run. No earlier run of the task has
+  /// the number or a higher one.
+  int NextRun(const job_state& job, const task_state& task) const;
   /// Returns true if the store has a progress record of the job and the record
-  /// names all data centres of the job's runs.
+  /// names all data centres of the job's runs and permits their numbers.
   static bool RecordCoversStarts(const job_state& job);
   /// Issues the start orders of placed runs, or defers them until the job's
   /// progress record in the store names the data centres of the runs.
--- a/src/sched/scheduler_deferred_starts.cc
+++ b/src/sched/scheduler_deferred_starts.cc
@@ -10,12 +10,17 @@
 // started. If the job has a progress record, the new leader waits for
 // unreachable runners before it restarts a task, but only for runners in the
 // data centres that the progress record names.
+//
+// Each term has a range of run numbers. A start with a number beyond it waits
+// until the record has a limit that permits the number, so that later leaders
+// use higher ones: a runner refuses a number that is not higher than one that
+// it has ended, and two runs with one number could not be told apart.
 
 namespace radishwing::sched {
 
 bool scheduler::RecordCoversStarts(const job_state& job) {
   return job.record_revision > 0 &&
-         job.persisted_version >= job.data_centres_version;
+         job.persisted_version >= job.covering_version;
 }
 
 void scheduler::DispatchStarts(job_state& job, const std::vector<order>& starts,
@@ -25,10 +30,15 @@
   for (const order& start : starts) {
     const runner_state* runner = FindRunner(start.runner);
     added |= job.data_centres.insert(runner->report.data_centre).second;
+    if (start.run < min_run_ + kRunsPerTerm || start.run <= job.run_limit) {
+      continue;
+    }
+    job.run_limit = start.run + kRunsPerTerm;
+    added = true;
   }
   if (added) {
     MarkChanged(job);
-    job.data_centres_version = job.progress_version;
+    job.covering_version = job.progress_version;
   }
   const bool deferred = !RecordCoversStarts(job);
   if (deferred) job.write_urgent = true;
@@ -41,6 +51,10 @@
   }
 }
 
+int scheduler::NextRun(const job_state& job, const task_state& task) const {
+  return std::max({min_run_, job.earlier_run_limit + 1, task.last_run + 1});
+}
+
 void scheduler::IssueStart(const task_ref& ref, run_state& run,
                            const order& start, millis now,
                            std::vector<order>& out) {
--- a/src/sched/scheduler_placement.cc
+++ b/src/sched/scheduler_placement.cc
@@ -44,8 +44,7 @@
     places.RecordPlacement(job, step, *runner);
     const fleet::task_name name{job.record.id, repetition_number, step_number,
                                 static_cast<int>(i)};
-    PlaceRun(name, FindTask(name), *runner,
-             std::max(min_run_, task.last_run + 1), now, starts);
+    PlaceRun(name, FindTask(name), *runner, NextRun(job, task), now, starts);
   }
   places.EndStep();
   DispatchStarts(job, starts, now, out);
@@ -123,14 +122,14 @@
   const fleet::task_step& step = job.record.request.steps[s];
   step_state& state = repetition.steps[s];
   if (start_allowance_ <= 0) return;
-  int run = min_run_;
+  int run = 0;
   std::string checkpoint;
   for (task_state& task : state.tasks) {
     if (job.awaits_listings || task.done || !task.runs.empty() ||
         now < task.not_before) {
       return;
     }
-    run = std::max(run, task.last_run + 1);
+    run = std::max(run, NextRun(job, task));
     if (!task.checkpoint.empty()) checkpoint = task.checkpoint;
   }
   for (task_state& task : state.tasks) task.checkpoint = checkpoint;
--- a/src/sched/scheduler_records.cc
+++ b/src/sched/scheduler_records.cc
@@ -54,10 +54,12 @@
   job.awaits_listings = true;
   job.started |= stored.started;
   job.data_centres.merge(stored.data_centres);
+  job.earlier_run_limit =
+      std::max(job.earlier_run_limit, stored.earlier_run_limit);
   MarkChanged(job);
   if (!readable) {
     job.data_centres_unknown = true;
-    job.data_centres_version = job.progress_version;
+    job.covering_version = job.progress_version;
   } else if (!stored.IsFinished()) {
     if (!job.IsFinished()) MergeRepetitions(job, stored, now);
   } else if (job.IsFinished()) {
--- a/tests/sched/scheduler_takeover_test.cc
+++ b/tests/sched/scheduler_takeover_test.cc
@@ -1,4 +1,5 @@
 #include <boost/test/unit_test.hpp>
+#include <memory>
 
 #include "tests/sched/scheduler_fixture.h"
 
@@ -103,5 +104,106 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/// A long-running task that fails over and over under one leader after the
+/// other.
+struct run_numbers_fixture : scheduler_fixture {
+  run_numbers_fixture() {
+    AddRunner("r1");
+    AddLongJob(*this);
+  }
+
+  static void AddLongJob(scheduler_fixture& leader, bool restored = false) {
+    fleet::task_step step = Step(1);
+    step.long_running = true;
+    leader.AddJob("a", {step}, restored);
+  }
+
+  /// Starts the task `count` times; each run fails. Keeps the last record that
+  /// the leader has written. Returns the number of the last run.
+  int FailRuns(scheduler_fixture& leader, int count) {
+    int run = 0;
+    for (int i = 0; i < count; ++i) {
+      leader.now += 10000;
+      const int begun = Start(leader);
+      BOOST_REQUIRE(begun > run);
+      run = begun;
+      leader.ReportListing(
+          "r1", End(static_cast<std::uint64_t>(++ends), {"a", 0, 0, 0}, run,
+                    fleet::run_end::kFailed));
+    }
+    return run;
+  }
+
+  /// Performs passes until the task is started, with the record written when
+  /// the leader asks for that. Returns the number of the run.
+  int Start(scheduler_fixture& leader) {
+    for (int pass = 0; pass < 3; ++pass) {
+      for (const order& given : leader.subject.Plan(leader.now, leader.now)) {
+        leader.subject.ApplyOrderOutcome(given, fleet::order_outcome::kAccepted,
+                                         leader.now);
+        return given.run;
+      }
+      for (const auto& write : leader.subject.TakeWrites(10)) {
+        record = write.text;
+        leader.subject.ReportWriteSuccess(write.job, write.progress_version,
+                                          ++leader.store_revision);
+      }
+    }
+    return 0;
+  }
+
+  /// Makes `leader` the leader of `term`, with the last record.
+  void TakeOver(scheduler_fixture& leader, int term) {
+    std::destroy_at(&leader.subject);
+    std::construct_at(&leader.subject, scheduler::FirstRun(term));
+    leader.AddRunner("r1");
+    AddLongJob(leader, true);
+    BOOST_REQUIRE(
+        Ok(leader.subject.RestoreProgress("a", record, 7, leader.now)));
+  }
+
+  int ends = 0;
+  std::string record;
+};
+
+BOOST_FIXTURE_TEST_SUITE(scheduler_run_numbers, run_numbers_fixture)
+
+// Guards against a task that no runner starts after a takeover, because an
+// earlier leader has used higher numbers than the range of its term has.
+BOOST_AUTO_TEST_CASE(number_after_takeover_is_above_all_used_ones) {
+  const int last = FailRuns(*this, 120);
+  scheduler_fixture next;
+  TakeOver(next, 2);
+  BOOST_TEST(Start(next) > last);
+}
+
+BOOST_AUTO_TEST_CASE(limit_of_the_term_before_last_is_kept) {
+  const int last = FailRuns(*this, 200);
+  scheduler_fixture second;
+  TakeOver(second, 2);
+  BOOST_TEST(FailRuns(second, 1) > last);
+  scheduler_fixture third;
+  TakeOver(third, 3);
+  BOOST_TEST(Start(third) > last + 1);
+}
+
+// Guards against a start with a number that the next leader does not know of.
+BOOST_AUTO_TEST_CASE(start_beyond_the_range_waits_for_the_record) {
+  FailRuns(*this, scheduler::kRunsPerTerm);
+  now += 10000;
+  BOOST_TEST(subject.Plan(now, now).empty());
+  BOOST_REQUIRE(PersistProgress());
+  BOOST_TEST(subject.Plan(now, now).size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(starts_within_the_range_need_no_write) {
+  FailRuns(*this, 2);
+  record.clear();
+  FailRuns(*this, scheduler::kRunsPerTerm - 2);
+  BOOST_TEST(record.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
 }  // namespace radishwing::sched
