Keep room from late work only where a hole can arise

Cause: late work was kept from the whole pool as soon as the needs of one timely task fit an empty runner. Each runner had a lasting task, so that none could ever be empty.

Change: it is kept from the runners whose long-running tasks leave room for the hole, and from half of the runners at most while less than half of the pool is in use.

--- a/src/sched/runner_state.h
+++ b/src/sched/runner_state.h
@@ -36,6 +36,8 @@
   std::uint64_t last_end_number = 0;
   /// Sum of the resource needs of all runs that may exist on the runner.
   fleet::resources used;
+  /// The part of `used` that is for long-running tasks.
+  fleet::resources long_running_use;
   std::set<fleet::task_name> tasks;  ///< Tasks with a run on the runner.
   /// The runner's most recent listing had runs of unknown tasks. The scheduler
   /// stops these runs. The resource use of these runs is unknown, so the runner
--- a/src/sched/scheduler.cc
+++ b/src/sched/scheduler.cc
@@ -278,15 +278,20 @@
 void scheduler::UpdateUsage(const task_ref& ref, runner_state& runner,
                             int sign) {
   fleet::resources& team = team_usage_[ref.job->record.team];
+  const fleet::resources reserved = ReservedResources(*ref.step);
+  const fleet::resources long_running =
+      ref.step->long_running ? reserved : fleet::resources();
   if (sign > 0) {
-    runner.used += ReservedResources(*ref.step);
+    runner.used += reserved;
+    runner.long_running_use += long_running;
     team += ref.step->needs;
   } else {
-    runner.used -= ReservedResources(*ref.step);
+    runner.used -= reserved;
+    runner.long_running_use -= long_running;
     team -= ref.step->needs;
   }
   if (!ref.job->long_running) {
-    shares_.AddRun(*ref.job->account, ReservedResources(*ref.step), sign);
+    shares_.AddRun(*ref.job->account, reserved, sign);
   }
 }
 
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -392,8 +392,8 @@
   void PlanStarts(millis now, std::vector<order>& out);
   /// Starts tasks of the jobs in `queue`, and records what work finds no room.
   void StartInOrder(start_queue& queue, millis now, std::vector<order>& out);
-  /// Ends the starts of late work in pools where work that can still be in time
-  /// waits for room.
+  /// Keeps runners of the pools where work that can still be in time waits for
+  /// room from late work, for the rest of the pass.
   void KeepRoomForTimelyWork();
   /// Emits an event for each team that its share holds back, at most once a
   /// second.
--- a/src/sched/scheduler_plan.cc
+++ b/src/sched/scheduler_plan.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <functional>
 
 #include "src/sched/job_rank.h"
 #include "src/sched/job_steps.h"
@@ -173,21 +174,42 @@
 }
 
 // Late work has smaller tasks than timely work that waits for a hole of its
-// size. It would fill each hole before it is large enough.
+// size. It would fill each hole before it is large enough. It gets the other
+// runners: those on which no hole can arise as long-running tasks take the
+// room, and, while less than half of the pool is in use, half of them all.
 void scheduler::KeepRoomForTimelyWork() {
-  for (auto& entry : unplaceable_needs_) {
-    const std::string& pool = entry.first;
-    fleet::resources& needs = entry.second;
+  for (auto& [pool, needs] : unplaceable_needs_) {
     const auto blocked = blocked_demand_.find(pool);
     if (blocked == blocked_demand_.end() ||
         blocked->second.blocked_core_ms <= 0) {
       continue;
     }
-    const bool fits_empty_runner = std::ranges::any_of(
-        schedulable_runners_[pool], [&](const runner_state* runner) {
-          return needs.FitsIn(runner->report.capacity);
+    std::vector<runner_state*>& runners = schedulable_runners_[pool];
+    const auto others =
+        std::ranges::partition(runners, [&](const runner_state* runner) {
+          return (needs + runner->long_running_use)
+              .FitsIn(runner->report.capacity);
         });
-    if (fits_empty_runner) needs = {};
+    const auto kept_end = others.begin();
+    std::int64_t capacity = 0;
+    std::int64_t used = 0;
+    for (const runner_state* runner : runners) {
+      capacity += runner->report.capacity.cpu_millicores;
+      used += runner->used.cpu_millicores;
+    }
+    std::size_t kept = static_cast<std::size_t>(kept_end - runners.begin());
+    if (2 * used < capacity) {
+      // The runners with the most room are the nearest to a hole.
+      std::ranges::sort(runners.begin(), kept_end, std::greater<>(),
+                        [](const runner_state* runner) {
+                          return runner->report.capacity.cpu_millicores -
+                                 runner->used.cpu_millicores;
+                        });
+      kept = std::min(kept, (runners.size() + 1) / 2);
+    }
+    runners.erase(runners.begin(),
+                  runners.begin() + static_cast<std::ptrdiff_t>(kept));
+    if (runners.empty()) needs = {};
   }
 }
 
