Keep the order of the runners that late work may use

The partition is stable now: which of two equal runners late work gets does not depend on the ones that are kept from it.

--- a/src/sched/scheduler_plan.cc
+++ b/src/sched/scheduler_plan.cc
@@ -1,5 +1,5 @@
 #include <algorithm>
-#include <functional>
+#include <iterator>
 
 #include "src/sched/job_rank.h"
 #include "src/sched/job_steps.h"
@@ -34,6 +34,10 @@
          fits(limit.accelerators, used.accelerators, needs.accelerators);
 }
 
+std::int64_t FreeMillicores(const runner_state& runner) {
+  return runner.report.capacity.cpu_millicores - runner.used.cpu_millicores;
+}
+
 }  // namespace
 
 std::vector<order> scheduler::Plan(millis now, millis unix_now) {
@@ -178,37 +182,36 @@
 // runners: those on which no hole can arise as long-running tasks take the
 // room, and, while less than half of the pool is in use, half of them all.
 void scheduler::KeepRoomForTimelyWork() {
-  for (auto& [pool, needs] : unplaceable_needs_) {
+  for (auto& entry : unplaceable_needs_) {
+    const std::string& pool = entry.first;
+    fleet::resources& needs = entry.second;
     const auto blocked = blocked_demand_.find(pool);
     if (blocked == blocked_demand_.end() ||
         blocked->second.blocked_core_ms <= 0) {
       continue;
     }
     std::vector<runner_state*>& runners = schedulable_runners_[pool];
-    const auto others =
-        std::ranges::partition(runners, [&](const runner_state* runner) {
+    const auto kept_end = std::stable_partition(
+        runners.begin(), runners.end(), [&](const runner_state* runner) {
           return (needs + runner->long_running_use)
               .FitsIn(runner->report.capacity);
         });
-    const auto kept_end = others.begin();
-    std::int64_t capacity = 0;
+    std::int64_t free = 0;
     std::int64_t used = 0;
     for (const runner_state* runner : runners) {
-      capacity += runner->report.capacity.cpu_millicores;
+      free += FreeMillicores(*runner);
       used += runner->used.cpu_millicores;
     }
-    std::size_t kept = static_cast<std::size_t>(kept_end - runners.begin());
-    if (2 * used < capacity) {
+    auto kept = kept_end - runners.begin();
+    if (used < free) {
       // The runners with the most room are the nearest to a hole.
-      std::ranges::sort(runners.begin(), kept_end, std::greater<>(),
-                        [](const runner_state* runner) {
-                          return runner->report.capacity.cpu_millicores -
-                                 runner->used.cpu_millicores;
-                        });
-      kept = std::min(kept, (runners.size() + 1) / 2);
+      std::stable_sort(runners.begin(), kept_end,
+                       [](const runner_state* a, const runner_state* b) {
+                         return FreeMillicores(*a) > FreeMillicores(*b);
+                       });
+      kept = std::min(kept, (std::ssize(runners) + 1) / 2);
     }
-    runners.erase(runners.begin(),
-                  runners.begin() + static_cast<std::ptrdiff_t>(kept));
+    runners.erase(runners.begin(), runners.begin() + kept);
     if (runners.empty()) needs = {};
   }
 }
